Serve the whole path: entry, operators' tool, stand-ins, load tool

The thin whole path: callers, entries, upstreams and the platform over loopback, with prepaid budgets as shares of an escrow ledger.

Not yet proved under failure; no tests yet.

--- /dev/null
+++ b/packages/ctl/src/index.ts
@@ -0,0 +1,6 @@
+/** The commands of the operators' tool. */
+export * from './lib/base_command.js';
+export * from './lib/budget_commands.js';
+export * from './lib/configuration_commands.js';
+export * from './lib/settings.js';
+export * from './lib/status_command.js';
--- /dev/null
+++ b/packages/decisions/src/lib/membership.ts
@@ -0,0 +1,113 @@
+/**
+ * Which other entries are alive. The instance list lags, so it only names
+ * candidates; probes and any other message are the evidence.
+ */
+import {SECOND} from './clock.js';
+import type {Millis} from './clock.js';
+
+/** Another entry as the instance list or its own messages name it. */
+export interface Peer {
+  /** Address for links between entries, as `ip:port`. */
+  address: string;
+  zone: string;
+  /** Identity of its incarnation, once it said so. */
+  holder: string | undefined;
+  heardAt: Millis;
+  leaving: boolean;
+}
+
+/** A peer not heard from for so long is taken for gone, for routing only. */
+const SILENCE: Millis = 3 * SECOND;
+
+/** The other entries, as one entry knows them. */
+export class Membership {
+  private readonly peers = new Map<string, Peer>();
+
+  constructor(
+    private readonly zone: string,
+    private readonly probes: number,
+  ) {}
+
+  /** Takes the entries of the instance list; only adds and removes. */
+  list(entries: {address: string; zone: string}[], now: Millis): void {
+    const present = new Set(entries.map(entry => entry.address));
+    for (const [address, peer] of this.peers) {
+      if (!present.has(address) && now - peer.heardAt > SILENCE) {
+        this.peers.delete(address);
+      }
+    }
+    for (const entry of entries) {
+      if (!this.peers.has(entry.address)) {
+        this.add(entry.address, entry.zone);
+      }
+    }
+  }
+
+  /** Notes a message from a peer. */
+  heard(address: string, zone: string, holder: string, now: Millis): void {
+    const peer = this.peers.get(address) ?? this.add(address, zone);
+    if (peer.holder !== holder) {
+      peer.leaving = false;
+    }
+    peer.holder = holder;
+    peer.heardAt = now;
+  }
+
+  /** Notes that a peer is leaving. */
+  leaves(holder: string): void {
+    for (const peer of this.peers.values()) {
+      peer.leaving ||= peer.holder === holder;
+    }
+  }
+
+  /** Addresses to probe now. */
+  probeTargets(random: () => number): string[] {
+    const addresses = [...this.peers.keys()];
+    const picked: string[] = [];
+    while (picked.length < this.probes && addresses.length > 0) {
+      const index = Math.floor(random() * addresses.length);
+      picked.push(...addresses.splice(index, 1));
+    }
+    return picked;
+  }
+
+  /** Whether an incarnation was heard lately. */
+  isAlive(holder: string, now: Millis): boolean {
+    for (const peer of this.peers.values()) {
+      if (peer.holder === holder) {
+        return now - peer.heardAt <= SILENCE;
+      }
+    }
+    return false;
+  }
+
+  /**
+   * Live peers, best keeper of copies first: another zone before the own, so
+   * that a zone's loss does not take an entry and its copies.
+   */
+  live(now: Millis): Peer[] {
+    const alive = [...this.peers.values()].filter(
+      peer =>
+        peer.holder !== undefined &&
+        !peer.leaving &&
+        now - peer.heardAt <= SILENCE,
+    );
+    return alive.sort((a, b) => this.order(a) - this.order(b));
+  }
+
+  private order(peer: Peer): number {
+    return peer.zone === this.zone ? 1 : 0;
+  }
+
+  private add(address: string, zone: string): Peer {
+    const peer: Peer = {
+      address,
+      zone,
+      holder: undefined,
+      heardAt: -Infinity,
+      leaving: false,
+    };
+    this.peers.set(address, peer);
+    return peer;
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/lib/partition.ts
@@ -0,0 +1,172 @@
+/**
+ * Keeps one ledger partition in step with the key-value service: one call at
+ * a time, one batch at a time, and the same batch again until its outcome is
+ * known.
+ */
+import {applyBatch, BatchOutcome, emptyLedger} from './ledger.js';
+import {WalletEffectKind} from './wallet_messages.js';
+import type {Batch, Ledger} from './ledger.js';
+import type {Millis} from './clock.js';
+import type {WalletEffect} from './wallet_messages.js';
+
+/** First wait after a failed call. */
+const BACKOFF_FIRST: Millis = 100;
+
+/** Longest wait after failed calls. */
+const BACKOFF_MOST: Millis = 1_000;
+
+/** What the wallet does for a partition. */
+export interface PartitionOwner {
+  /** Forms the next batch, or nothing when there is nothing to write. */
+  form(partition: number, sequence: number, now: Millis): Batch | undefined;
+  /** Takes over the ledger's counts after a batch took effect. */
+  absorb(partition: number, ledger: Ledger, batch: Batch): void;
+}
+
+/** One ledger partition as seen by one holder. */
+export class Partition {
+  private ledger: Ledger | undefined;
+  private next: Ledger | undefined;
+  private version = 0;
+  private batch: Batch | undefined;
+  private busy = false;
+  private uncertain = false;
+  private sequence = 0;
+  private failures = 0;
+  private retryAt: Millis = 0;
+  private dueAt: Millis | undefined;
+  private startedAt: Millis = -Infinity;
+  private viewedAt: Millis = -Infinity;
+  private fenced = false;
+
+  constructor(
+    private readonly number: number,
+    private readonly owner: PartitionOwner,
+    private readonly spacing: Millis,
+  ) {}
+
+  /** Whether this holder's record is known to exist in the partition. */
+  joined(): boolean {
+    return this.sequence > 0 && !this.fenced;
+  }
+
+  /** The last known ledger; never change it. */
+  view(): Ledger | undefined {
+    return this.ledger;
+  }
+
+  /** When the batch of the last known answer was formed. */
+  answeredAt(): Millis {
+    return this.viewedAt;
+  }
+
+  /** Whether the last call failed. */
+  failing(): boolean {
+    return this.failures > 0;
+  }
+
+  /** Whether anything is being written or waits to be. */
+  idle(): boolean {
+    return !this.busy && this.batch === undefined && this.dueAt === undefined;
+  }
+
+  /** Asks for a write at `time` or earlier. */
+  due(time: Millis): void {
+    this.dueAt = Math.min(this.dueAt ?? Infinity, time);
+  }
+
+  /** Starts what is due. */
+  step(now: Millis): WalletEffect[] {
+    const waiting = this.batch !== undefined || this.dueAt !== undefined;
+    if (this.busy || this.fenced || !waiting || now < this.retryAt) {
+      return [];
+    }
+    const early = now < (this.dueAt ?? now);
+    const close = now < this.startedAt + this.spacing;
+    if (this.batch === undefined && (early || close)) {
+      return [];
+    }
+    this.startedAt = now;
+    return this.proceed(now);
+  }
+
+  /** Takes the value read, or the value that stood against a write. */
+  seen(
+    version: number,
+    ledger: Ledger | undefined,
+    now: Millis,
+  ): WalletEffect[] {
+    this.busy = false;
+    this.uncertain = false;
+    this.failures = 0;
+    this.version = version;
+    this.ledger = ledger ?? emptyLedger();
+    return this.proceed(now);
+  }
+
+  /** Takes the confirmation of a write. */
+  written(version: number): void {
+    this.busy = false;
+    this.failures = 0;
+    this.version = version;
+    this.ledger = this.next;
+    this.finish();
+  }
+
+  /** Takes a failed call; `lost` when it may have taken effect. */
+  failed(lost: boolean, now: Millis): void {
+    this.busy = false;
+    this.uncertain ||= lost;
+    const wait = BACKOFF_FIRST * 2 ** Math.min(this.failures, 10);
+    this.failures += 1;
+    this.retryAt = now + Math.min(BACKOFF_MOST, wait);
+  }
+
+  private proceed(now: Millis): WalletEffect[] {
+    if (this.ledger === undefined || this.uncertain) {
+      this.busy = true;
+      return [{kind: WalletEffectKind.ReadLedger, partition: this.number}];
+    }
+    if (this.batch === undefined) {
+      this.dueAt = undefined;
+      this.batch = this.owner.form(this.number, this.sequence + 1, now);
+    }
+    return this.batch === undefined ? [] : this.write(this.batch);
+  }
+
+  private write(batch: Batch): WalletEffect[] {
+    const next = structuredClone(this.ledger ?? emptyLedger());
+    const outcome = applyBatch(next, batch);
+    if (outcome === BatchOutcome.Fenced) {
+      this.fenced = true;
+      return [{kind: WalletEffectKind.Fenced}];
+    }
+    if (outcome === BatchOutcome.Repeated) {
+      this.finish();
+      return [];
+    }
+    this.next = next;
+    this.busy = true;
+    return [
+      {
+        kind: WalletEffectKind.WriteLedger,
+        partition: this.number,
+        version: this.version,
+        ledger: next,
+      },
+    ];
+  }
+
+  private finish(): void {
+    const batch = this.batch;
+    this.batch = undefined;
+    this.next = undefined;
+    if (batch === undefined || this.ledger === undefined) {
+      return;
+    }
+    this.sequence = batch.sequence;
+    this.viewedAt = batch.now;
+    this.fenced ||= batch.leave;
+    this.owner.absorb(this.number, this.ledger, batch);
+  }
+}
--- /dev/null
+++ b/packages/entry/src/lib/account_book.ts
@@ -0,0 +1,48 @@
+/** Looks up accounts and classes in the configuration in force. */
+import {sha256} from '@citrontrestle/runtime';
+import {RefusalCode} from '@citrontrestle/caller';
+import type {
+  ClientAccount,
+  Configuration,
+  WorkClass,
+} from '@citrontrestle/decisions';
+
+/** Who may do what, or why not. */
+export type Permission =
+  | {ok: true; account: ClientAccount; workClass: WorkClass}
+  | {ok: false; code: RefusalCode};
+
+/** Index of one configuration. */
+export class AccountBook {
+  private readonly accounts = new Map<string, ClientAccount>();
+  private readonly classes = new Map<string, WorkClass>();
+
+  constructor(configuration: Configuration) {
+    const {accounts, classes} = configuration.declarations;
+    for (const account of accounts) {
+      for (const digest of account.keyDigests) {
+        this.accounts.set(digest, account);
+      }
+    }
+    for (const workClass of classes) {
+      this.classes.set(workClass.name, workClass);
+    }
+  }
+
+  /** Whether an API key may use a class. */
+  permit(apiKey: string, className: string): Permission {
+    // Found by digest: no comparison depends on how much of a key is right.
+    const account = this.accounts.get(sha256(apiKey));
+    if (account === undefined) {
+      return {ok: false, code: RefusalCode.UnknownKey};
+    }
+    const workClass = this.classes.get(className);
+    if (workClass === undefined) {
+      return {ok: false, code: RefusalCode.UnknownClass};
+    }
+    if (!account.classes.includes(className)) {
+      return {ok: false, code: RefusalCode.ClassNotAllowed};
+    }
+    return {ok: true, account, workClass};
+  }
+}
--- /dev/null
+++ b/packages/entry/src/lib/fleet_task.ts
@@ -0,0 +1,152 @@
+/** Passes messages between the peers and the tasks of this entry. */
+import {WalletEventKind} from '@citrontrestle/decisions';
+import {MessageKind} from '@citrontrestle/fleet';
+import {shortDigest} from '@citrontrestle/runtime';
+import type {Clock, Peer, Suspects} from '@citrontrestle/decisions';
+import type {Fleet, FleetOwner, Identity, Message} from '@citrontrestle/fleet';
+import type {ConfigurationTask} from './configuration_task.js';
+import type {MembershipTask} from './membership_task.js';
+import type {UpstreamTask} from './upstream_task.js';
+import type {WalletTask} from './wallet_task.js';
+
+/** The tasks that messages are for. */
+export interface FleetSurroundings {
+  clock: Clock;
+  suspects: Suspects;
+  wallet: WalletTask;
+  upstreams: UpstreamTask;
+  configuration: ConfigurationTask;
+  members(): MembershipTask | undefined;
+}
+
+type MessageOf<K extends MessageKind> = Extract<Message, {kind: K}>;
+
+/** Passes messages between the peers and the tasks of this entry. */
+export class FleetTask implements FleetOwner {
+  private fleet: Fleet | undefined;
+  private readonly addresses = new Map<string, string>();
+
+  constructor(private readonly around: FleetSurroundings) {}
+
+  /** Sets the links to send over. */
+  attach(fleet: Fleet): void {
+    this.fleet = fleet;
+  }
+
+  /** Sends to the entry of a holder. */
+  sendTo(holder: string, message: Message): void {
+    const address = this.addresses.get(holder);
+    if (address !== undefined) {
+      this.fleet?.send(address, message);
+    }
+  }
+
+  /** Sends to every live peer. */
+  tellAll(message: Message): void {
+    for (const peer of this.around.members()?.live() ?? []) {
+      this.fleet?.send(peer.address, message);
+    }
+  }
+
+  /** Probes the entry at an address. */
+  probe(address: string): void {
+    this.fleet?.send(address, this.greeting(MessageKind.Probe));
+  }
+
+  /** Tells the wallet which peers it may deal with. */
+  peersChanged(peers: Peer[], self: string): void {
+    const holders = peers.flatMap(peer => peer.holder ?? []);
+    const far = peers.filter(peer => peer.zone !== peers.at(-1)?.zone).length;
+    // Each entry starts with another peer, so that copies spread evenly.
+    const turn = far > 0 ? parseInt(shortDigest(self), 16) % far : 0;
+    const first = holders.slice(0, far);
+    const order = [...first.slice(turn), ...first.slice(0, turn)];
+    const all = [...order, ...holders.slice(far)];
+    this.around.wallet.handle({kind: WalletEventKind.Peers, peers: all});
+  }
+
+  /** Takes a message; called by the links. */
+  message(from: Identity, message: Message): void {
+    this.addresses.set(from.holder, from.address);
+    const members = this.around.members();
+    members?.heard(from.address, from.zone, from.holder);
+    const take = this.handlers[message.kind] as (
+      from: Identity,
+      message: Message,
+    ) => void;
+    take(from, message);
+  }
+
+  private greeting(kind: MessageKind.Probe | MessageKind.ProbeAnswer): Message {
+    return {kind, generation: this.around.configuration.generation()};
+  }
+
+  /** Fetches the configuration from a peer that has a newer one. */
+  private compare(from: Identity, generation: number): void {
+    const own = this.around.configuration.generation();
+    if (generation > own) {
+      const kind = MessageKind.ConfigurationAsk;
+      this.fleet?.send(from.address, {kind, generation: own});
+    }
+  }
+
+  private readonly handlers: {
+    [K in MessageKind]: (from: Identity, message: MessageOf<K>) => void;
+  } = {
+    [MessageKind.Probe]: (from, {generation}) => {
+      const answer = this.greeting(MessageKind.ProbeAnswer);
+      this.fleet?.send(from.address, answer);
+      this.compare(from, generation);
+    },
+    [MessageKind.ProbeAnswer]: (from, {generation}) =>
+      this.compare(from, generation),
+    [MessageKind.Ask]: ({holder}, {budget, tokens}) =>
+      this.around.wallet.handle({
+        kind: WalletEventKind.PeerAsk,
+        from: holder,
+        budget,
+        tokens,
+      }),
+    [MessageKind.Give]: ({holder}, {budget, total}) =>
+      this.around.wallet.handle({
+        kind: WalletEventKind.PeerGive,
+        from: holder,
+        budget,
+        total,
+      }),
+    [MessageKind.Copy]: ({holder}, {settlement}) =>
+      this.around.wallet.handle({
+        kind: WalletEventKind.PeerCopy,
+        from: holder,
+        settlement,
+      }),
+    [MessageKind.Copied]: ({holder}, {digest}) =>
+      this.around.wallet.handle({
+        kind: WalletEventKind.PeerCopied,
+        from: holder,
+        digest,
+      }),
+    [MessageKind.Drop]: ({holder}, {digests}) =>
+      this.around.wallet.handle({
+        kind: WalletEventKind.PeerDrop,
+        from: holder,
+        digests,
+      }),
+    [MessageKind.Leaving]: ({holder}) => this.around.members()?.leaves(holder),
+    [MessageKind.UpstreamLeaving]: (_from, {upstream}) =>
+      this.around.upstreams.table.leaves(upstream),
+    [MessageKind.Suspect]: (_from, {fingerprint, upstream}) => {
+      const now = this.around.clock.now();
+      this.around.suspects.failed(fingerprint, upstream, now);
+    },
+    [MessageKind.ConfigurationAsk]: (from, {generation}) => {
+      const configuration = this.around.configuration.get();
+      if (configuration && configuration.head.generation > generation) {
+        const kind = MessageKind.ConfigurationGive;
+        this.fleet?.send(from.address, {kind, configuration});
+      }
+    },
+    [MessageKind.ConfigurationGive]: (_from, {configuration}) =>
+      this.around.configuration.offerUnchecked(configuration),
+  };
+}
--- /dev/null
+++ b/packages/entry/src/lib/order_task.ts
@@ -0,0 +1,156 @@
+/** Carries out the effects of one order against the key-value service. */
+import {Order, OrderEffectKind, OrderEventKind} from '@citrontrestle/decisions';
+import {KeyValueOutcome, orderKey} from '@citrontrestle/platform';
+import type {
+  Millis,
+  OrderContext,
+  OrderEffect,
+  OrderEvent,
+  OrderRecord,
+  OrderStatus,
+  RecordedAnswer,
+  OrderVerdict,
+} from '@citrontrestle/decisions';
+import type {KeyValue, KeyValueResult} from '@citrontrestle/platform';
+
+/** What an order decided. */
+export interface OrderDecision {
+  verdict: OrderVerdict;
+  answer: RecordedAnswer | undefined;
+}
+
+const RETRY_FIRST: Millis = 50;
+const RETRY_MOST: Millis = 2_000;
+
+/** Longest wait of a caller for the record of how a run ended. */
+const RECORD_PATIENCE: Millis = 300;
+
+/** Carries out one order. */
+export class OrderTask {
+  private readonly order: Order;
+  private readonly key: string;
+  private decided: (decision: OrderDecision) => void = () => undefined;
+  private recorded: () => void = () => undefined;
+  private failures = 0;
+  private retry: NodeJS.Timeout | undefined;
+  private deadline: NodeJS.Timeout | undefined;
+
+  constructor(
+    digest: string,
+    context: OrderContext,
+    private readonly keyValue: KeyValue,
+    private readonly over: () => void,
+  ) {
+    this.key = orderKey(digest);
+    this.order = new Order(context);
+  }
+
+  /** Establishes the record, at most for `patience` milliseconds. */
+  begin(patience: Millis): Promise<OrderDecision> {
+    return new Promise(resolve => {
+      this.decided = resolve;
+      this.deadline = setTimeout(() => {
+        this.handle({kind: OrderEventKind.Deadline});
+      }, patience);
+      this.handle({kind: OrderEventKind.Begin});
+    });
+  }
+
+  /** Records how the run ended; resolves when it stands or after a while. */
+  end(status: OrderStatus, answer?: RecordedAnswer): Promise<void> {
+    return new Promise(resolve => {
+      const timer = setTimeout(resolve, RECORD_PATIENCE);
+      this.recorded = () => {
+        clearTimeout(timer);
+        resolve();
+      };
+      this.handle({kind: OrderEventKind.Ended, status, answer});
+    });
+  }
+
+  /** Ends retries; only for a process that stops. */
+  stop(): void {
+    clearTimeout(this.retry);
+    clearTimeout(this.deadline);
+  }
+
+  private handle(event: OrderEvent): void {
+    for (const effect of this.order.handle(event)) {
+      this.carryOut(effect);
+    }
+    if (this.order.over()) {
+      this.stop();
+      this.over();
+    }
+  }
+
+  private carryOut(effect: OrderEffect): void {
+    switch (effect.kind) {
+      case OrderEffectKind.Read:
+        void this.read();
+        return;
+      case OrderEffectKind.Write:
+        void this.write(effect.version, effect.record);
+        return;
+      case OrderEffectKind.Verdict:
+        clearTimeout(this.deadline);
+        this.decided({verdict: effect.verdict, answer: effect.answer});
+        return;
+      case OrderEffectKind.Recorded:
+        this.recorded();
+        return;
+    }
+  }
+
+  private async read(): Promise<void> {
+    this.take(await this.keyValue.read(this.key));
+  }
+
+  private async write(version: number, record: OrderRecord): Promise<void> {
+    this.take(await this.keyValue.write(this.key, version, record));
+  }
+
+  private take(result: KeyValueResult): void {
+    switch (result.outcome) {
+      case KeyValueOutcome.Found:
+      case KeyValueOutcome.Conflict: {
+        this.failures = 0;
+        const record = result.value as OrderRecord | undefined;
+        const {version} = result;
+        this.handle({kind: OrderEventKind.Seen, version, record});
+        return;
+      }
+      case KeyValueOutcome.Absent: {
+        const kind = OrderEventKind.Seen;
+        this.handle({kind, version: 0, record: undefined});
+        return;
+      }
+      case KeyValueOutcome.Written: {
+        const kind = OrderEventKind.Written;
+        this.handle({kind, version: result.version});
+        return;
+      }
+      case KeyValueOutcome.Lost:
+        this.handle({kind: OrderEventKind.Lost});
+        this.later();
+        return;
+      default:
+        this.handle({kind: OrderEventKind.Unavailable});
+        this.later();
+    }
+  }
+
+  private later(): void {
+    if (this.order.over()) {
+      return;
+    }
+    const wait = RETRY_FIRST * 2 ** Math.min(this.failures, 10);
+    this.failures += 1;
+    this.retry = setTimeout(
+      () => {
+        this.handle({kind: OrderEventKind.Retry});
+      },
+      Math.min(RETRY_MOST, wait),
+    );
+  }
+}
--- /dev/null
+++ b/packages/entry/src/lib/settings.ts
@@ -0,0 +1,63 @@
+/** Settings of an entry, read from YAML. */
+import {z} from 'zod';
+import {BudgetPolicy, RoutingPolicy} from '@citrontrestle/decisions';
+
+const address = z.string().regex(/^[0-9.]+:\d+$/, 'must be ip:port');
+const name = z.string().min(1);
+
+/** Shape of the settings of an entry. Times in milliseconds. */
+export const ENTRY_SCHEMA = z.strictObject({
+  /** Name of the instance, unique among those that run. */
+  instance: name,
+  zone: name,
+  listen: z.strictObject({
+    /** Towards callers. */
+    callers: address,
+    /** Towards other entries. */
+    fleet: address,
+    /** Towards operators. */
+    operators: address,
+  }),
+  /** Address that other entries dial, when it is not `listen.fleet`. */
+  advertise: address.optional(),
+  platform: z.strictObject({
+    keyValue: address,
+    instances: address,
+    timeoutMs: z.number().int().positive().default(800),
+    callsPerSecond: z.number().positive().default(20),
+    burst: z.number().positive().default(40),
+  }),
+  fleet: z.strictObject({
+    key: z.string().min(16),
+    /** Entries that the deployment is declared to have. */
+    entries: z.number().int().positive(),
+    /** Entries to reach before the instance list is read. */
+    seeds: z.array(address).default([]),
+  }),
+  operators: z.strictObject({token: z.string().min(16)}),
+  budget: z
+    .strictObject({
+      policy: z.enum(BudgetPolicy).default(BudgetPolicy.Shares),
+      partitions: z.number().int().positive().default(4),
+      horizonMs: z.number().positive().default(180_000),
+      cap: z.number().positive().max(1).default(0.008),
+      settleMs: z.number().positive().default(5_000),
+    })
+    .prefault({}),
+  routing: z
+    .strictObject({
+      policy: z.enum(RoutingPolicy).default(RoutingPolicy.Estimate),
+      /** One-way time between zones. */
+      zoneMs: z.number().nonnegative().default(0.5),
+      reportMs: z.number().positive().default(500),
+    })
+    .prefault({}),
+  /** Longest time for running requests on a planned stop. */
+  drainMs: z.number().positive().default(60_000),
+  /** Address of a StatsD daemon. */
+  statsd: address.optional(),
+  log: z.enum(['error', 'warn', 'info']).default('info'),
+});
+
+/** Settings of an entry. */
+export type EntrySettings = z.output<typeof ENTRY_SCHEMA>;
--- /dev/null
+++ b/packages/entry/src/lib/upstream_task.ts
@@ -0,0 +1,106 @@
+/** Owns the table of upstreams: polls load reports, picks for requests. */
+import {Agent} from 'node:http';
+import {UpstreamKind, Upstreams} from '@citrontrestle/decisions';
+import {readLoad} from '@citrontrestle/engine';
+import {InstanceKind, InstanceState} from '@citrontrestle/platform';
+import type {
+  Clock,
+  Millis,
+  RoutingPolicy,
+  RoutingView,
+  UpstreamState,
+} from '@citrontrestle/decisions';
+import type {Instance} from '@citrontrestle/platform';
+
+/** Settings of an upstream task. */
+export interface UpstreamSettings {
+  policy: RoutingPolicy;
+  zone: string;
+  zoneMs: Millis;
+  reportMs: Millis;
+}
+
+const KINDS: Partial<Record<InstanceKind, UpstreamKind>> = {
+  [InstanceKind.Engine]: UpstreamKind.Engine,
+  [InstanceKind.Service]: UpstreamKind.Service,
+};
+
+/** Owns the table of upstreams. */
+export class UpstreamTask {
+  readonly table: Upstreams;
+  private readonly agent = new Agent({keepAlive: true});
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(
+    private readonly settings: UpstreamSettings,
+    private readonly clock: Clock,
+    /** Number of live entries, this one included. */
+    private readonly entries: () => number,
+    private readonly leaving: (upstream: string) => void,
+  ) {
+    this.table = new Upstreams(settings.policy);
+  }
+
+  /** Starts to poll. */
+  start(): void {
+    this.timer = setInterval(() => {
+      this.poll();
+    }, this.settings.reportMs);
+  }
+
+  /** Stops to poll. */
+  stop(): void {
+    clearInterval(this.timer);
+    this.agent.destroy();
+  }
+
+  /** Takes over the instance list. */
+  list(instances: Instance[]): void {
+    const entries = instances.flatMap(instance => {
+      const kind = KINDS[instance.kind];
+      const leaving = instance.state === InstanceState.Leaving;
+      const {id, zone, address} = instance;
+      return kind === undefined ? [] : [{id, zone, address, kind, leaving}];
+    });
+    this.table.list(entries);
+    this.poll();
+  }
+
+  /** What routing may look at now. */
+  view(prefix: string | undefined): RoutingView {
+    return {
+      zone: this.settings.zone,
+      now: this.clock.now(),
+      zoneMs: this.settings.zoneMs,
+      entries: this.entries(),
+      prefix,
+      random: Math.random,
+    };
+  }
+
+  /** Notes that an upstream is leaving and tells the peers. */
+  leaves(id: string): void {
+    this.table.leaves(id);
+    this.leaving(id);
+  }
+
+  private poll(): void {
+    for (const state of this.table.all()) {
+      void this.pollOne(state);
+    }
+  }
+
+  private async pollOne(state: UpstreamState): Promise<void> {
+    const {reportMs} = this.settings;
+    const load = await readLoad(state.address, reportMs, this.agent);
+    if (load === undefined) {
+      return;
+    }
+    const news = load.leaving && !state.leaving;
+    const report = {...load, at: this.clock.now()};
+    this.table.reported(state.id, report, load.leaving);
+    if (news) {
+      this.leaves(state.id);
+    }
+  }
+}
--- /dev/null
+++ b/packages/entry/src/lib/wallet_task.ts
@@ -0,0 +1,219 @@
+/** Owns the wallet: carries its effects out and answers reservations. */
+import {
+  partitionOf,
+  Wallet,
+  WalletEffectKind,
+  WalletEventKind,
+} from '@citrontrestle/decisions';
+import {KeyValueOutcome, ledgerKey} from '@citrontrestle/platform';
+import {MessageKind} from '@citrontrestle/fleet';
+import type {
+  BudgetRefusal,
+  Clock,
+  Ledger,
+  Millis,
+  WalletEffect,
+  WalletEvent,
+  WalletSettings,
+} from '@citrontrestle/decisions';
+import type {KeyValue, KeyValueResult} from '@citrontrestle/platform';
+import type {Message} from '@citrontrestle/fleet';
+
+/** Interval of the wallet's ticks. */
+const TICK: Millis = 25;
+
+/** What a wallet task needs of its surroundings. */
+export interface WalletSurroundings {
+  keyValue: KeyValue;
+  clock: Clock;
+  /** Sends a message to the entry of a holder; it may be lost. */
+  send(holder: string, message: Message): void;
+  /** An operator closed this holder. */
+  fenced(): void;
+}
+
+type EffectOf<K extends WalletEffectKind> = Extract<WalletEffect, {kind: K}>;
+
+/** Owns the wallet of one entry. */
+export class WalletTask {
+  readonly wallet: Wallet;
+  private readonly reservations = new Map<
+    string,
+    (refusal: BudgetRefusal | undefined) => void
+  >();
+  private readonly charges = new Map<string, (secured: boolean) => void>();
+  private left: () => void = () => undefined;
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(
+    settings: WalletSettings,
+    private readonly around: WalletSurroundings,
+  ) {
+    this.wallet = new Wallet(settings);
+    this.partitions = settings.partitions;
+  }
+
+  private readonly partitions: number;
+
+  /** Starts to tick. */
+  start(): void {
+    this.handle({kind: WalletEventKind.Tick});
+    this.timer = setInterval(() => {
+      this.handle({kind: WalletEventKind.Tick});
+    }, TICK);
+  }
+
+  /** Stops to tick. */
+  stop(): void {
+    clearInterval(this.timer);
+  }
+
+  /** Reserves tokens; resolves to the refusal, or to nothing. */
+  reserve(
+    request: string,
+    budget: string,
+    tokens: number,
+  ): Promise<BudgetRefusal | undefined> {
+    return new Promise(resolve => {
+      this.reservations.set(request, resolve);
+      this.handle({kind: WalletEventKind.Reserve, request, budget, tokens});
+    });
+  }
+
+  /** Frees the reservation of a request that used nothing. */
+  free(request: string): void {
+    this.handle({kind: WalletEventKind.Free, request});
+  }
+
+  /** Keeps the reservation of a request whose outcome is unknown. */
+  withhold(request: string): void {
+    this.handle({kind: WalletEventKind.Withhold, request});
+  }
+
+  /** Charges a request; resolves once the charge outlives this process. */
+  settle(
+    request: string,
+    digest: string,
+    tokens: number,
+    begun: Millis,
+  ): Promise<boolean> {
+    return new Promise(resolve => {
+      this.charges.set(request, resolve);
+      const kind = WalletEventKind.Settle;
+      this.handle({kind, request, digest, tokens, begun});
+    });
+  }
+
+  /** Settles and returns everything; resolves when it stands. */
+  drain(): Promise<void> {
+    return new Promise(resolve => {
+      this.left = resolve;
+      this.handle({kind: WalletEventKind.Drain});
+    });
+  }
+
+  /** Passes an event to the wallet and carries out its effects. */
+  handle(event: WalletEvent): void {
+    const now = this.around.clock.now();
+    for (const effect of this.wallet.handle(event, now)) {
+      this.carryOut(effect);
+    }
+  }
+
+  /** Partition of a budget. */
+  partitionOf(budget: string): number {
+    return partitionOf(budget, this.partitions);
+  }
+
+  private carryOut(effect: WalletEffect): void {
+    const carry = this.effects[effect.kind] as (effect: WalletEffect) => void;
+    carry(effect);
+  }
+
+  private readonly effects: {
+    [K in WalletEffectKind]: (effect: EffectOf<K>) => void;
+  } = {
+    [WalletEffectKind.Granted]: ({request}) => {
+      this.reservations.get(request)?.(undefined);
+      this.reservations.delete(request);
+    },
+    [WalletEffectKind.Refused]: ({request, reason}) => {
+      this.reservations.get(request)?.(reason);
+      this.reservations.delete(request);
+    },
+    [WalletEffectKind.Secured]: ({request, secured}) => {
+      this.charges.get(request)?.(secured);
+      this.charges.delete(request);
+    },
+    [WalletEffectKind.ReadLedger]: ({partition}) => {
+      void this.read(partition);
+    },
+    [WalletEffectKind.WriteLedger]: ({partition, version, ledger}) => {
+      void this.write(partition, version, ledger);
+    },
+    [WalletEffectKind.SendAsk]: ({to, budget, tokens}) => {
+      this.around.send(to, {kind: MessageKind.Ask, budget, tokens});
+    },
+    [WalletEffectKind.SendGive]: ({to, budget, total}) => {
+      this.around.send(to, {kind: MessageKind.Give, budget, total});
+    },
+    [WalletEffectKind.SendCopy]: ({to, settlement}) => {
+      this.around.send(to, {kind: MessageKind.Copy, settlement});
+    },
+    [WalletEffectKind.SendCopied]: ({to, digest}) => {
+      this.around.send(to, {kind: MessageKind.Copied, digest});
+    },
+    [WalletEffectKind.SendDrop]: ({to, digests}) => {
+      this.around.send(to, {kind: MessageKind.Drop, digests});
+    },
+    [WalletEffectKind.Fenced]: () => this.around.fenced(),
+    [WalletEffectKind.Left]: () => this.left(),
+  };
+
+  private async read(partition: number): Promise<void> {
+    const result = await this.around.keyValue.read(ledgerKey(partition));
+    this.handle(readEvent(partition, result));
+  }
+
+  private async write(
+    partition: number,
+    version: number,
+    ledger: Ledger,
+  ): Promise<void> {
+    const key = ledgerKey(partition);
+    const result = await this.around.keyValue.write(key, version, ledger);
+    this.handle(writeEvent(partition, result));
+  }
+}
+
+function readEvent(partition: number, result: KeyValueResult): WalletEvent {
+  const kind = WalletEventKind.LedgerRead;
+  switch (result.outcome) {
+    case KeyValueOutcome.Found: {
+      const ledger = result.value as Ledger;
+      return {kind, partition, version: result.version, ledger};
+    }
+    case KeyValueOutcome.Absent:
+      return {kind, partition, version: 0, ledger: undefined};
+    default:
+      return {kind: WalletEventKind.LedgerUnavailable, partition};
+  }
+}
+
+function writeEvent(partition: number, result: KeyValueResult): WalletEvent {
+  switch (result.outcome) {
+    case KeyValueOutcome.Written: {
+      const kind = WalletEventKind.LedgerWritten;
+      return {kind, partition, version: result.version};
+    }
+    case KeyValueOutcome.Conflict: {
+      const kind = WalletEventKind.LedgerConflict;
+      const ledger = result.value as Ledger | undefined;
+      return {kind, partition, version: result.version, ledger};
+    }
+    case KeyValueOutcome.Unavailable:
+      return {kind: WalletEventKind.LedgerUnavailable, partition};
+    default:
+      return {kind: WalletEventKind.LedgerLost, partition};
+  }
+}
--- /dev/null
+++ b/packages/entry/src/main.ts
@@ -0,0 +1,57 @@
+#!/usr/bin/env node
+/** The citrontrestle-entry binary. */
+import {Builtins, Cli, Command, Option} from 'clipanion';
+import VError from 'verror';
+import {createLog, describeFault, readSettings} from '@citrontrestle/runtime';
+import {Entry} from './lib/entry.js';
+import {ENTRY_SCHEMA} from './lib/settings.js';
+
+/** Exit code for bad settings, as in sysexits. */
+const EXIT_CONFIG = 78;
+
+class RunCommand extends Command {
+  static override paths = [Command.Default];
+  static override usage = Command.Usage({
+    description: 'Runs one entry of the fleet.',
+    details: 'SIGTERM drains: running requests end, shares are returned.',
+    examples: [['Run with settings', 'citrontrestle-entry entry.yaml']],
+  });
+
+  settings = Option.String({name: 'SETTINGS.yaml'});
+
+  override async execute(): Promise<number> {
+    const read = readSettings(this.settings, ENTRY_SCHEMA);
+    if (!read.ok) {
+      const lines = read.faults.map(describeFault).join('\n');
+      this.context.stderr.write(`${lines}\n`);
+      return EXIT_CONFIG;
+    }
+    const {instance, zone, log: level} = read.value;
+    const log = createLog(level, {instance, zone});
+    const entry = new Entry(read.value, log, () => {
+      throw new VError('an operator closed this incarnation');
+    });
+    const addresses = await entry.start();
+    this.context.stdout.write(`${JSON.stringify(addresses)}\n`);
+    await stopSignal();
+    await entry.drain();
+    return 0;
+  }
+}
+
+function stopSignal(): Promise<void> {
+  return new Promise(resolve => {
+    process.once('SIGTERM', () => resolve());
+    process.once('SIGINT', () => resolve());
+  });
+}
+
+const cli = new Cli({
+  binaryName: 'citrontrestle-entry',
+  binaryLabel: 'citrontrestle entry',
+  binaryVersion: '0.1.0',
+});
+cli.register(RunCommand);
+cli.register(Builtins.HelpCommand);
+cli.register(Builtins.VersionCommand);
+process.exitCode = await cli.run(process.argv.slice(2));
--- /dev/null
+++ b/packages/fleet/src/index.ts
@@ -0,0 +1,5 @@
+/** Links between entries. */
+export * from './lib/fleet.js';
+export * from './lib/frame.js';
+export * from './lib/link.js';
+export * from './lib/message.js';
--- /dev/null
+++ b/packages/load/src/index.ts
@@ -0,0 +1,6 @@
+/** The load tool. */
+export * from './lib/embedded_fleet.js';
+export * from './lib/experiment.js';
+export * from './lib/scenario.js';
+export * from './lib/table.js';
+export * from './lib/verdict.js';
--- /dev/null
+++ b/packages/runtime/src/index.ts
@@ -0,0 +1,9 @@
+/** What every binary shares. */
+export * from './lib/digest.js';
+export * from './lib/http.js';
+export * from './lib/listener.js';
+export * from './lib/log.js';
+export * from './lib/metrics.js';
+export * from './lib/random.js';
+export * from './lib/settings.js';
+export * from './lib/system_clock.js';
--- /dev/null
+++ b/packages/service/src/index.ts
@@ -0,0 +1,2 @@
+/** Client of plain services. */
+export * from './lib/service.js';
--- /dev/null
+++ b/packages/stand_ins/src/index.ts
@@ -0,0 +1,9 @@
+/** Stand-ins for the platform and the upstreams. */
+export * from './lib/engine.js';
+export * from './lib/key_value_store.js';
+export * from './lib/platform.js';
+export * from './lib/relay.js';
+export * from './lib/service.js';
+export * from './lib/truth.js';
+export * from './lib/upstream.js';
+export * from './lib/group.js';
--- /dev/null
+++ b/packages/stand_ins/src/lib/platform.ts
@@ -0,0 +1,240 @@
+/** Stand-in of the platform: key-value service and instance list over HTTP. */
+import {
+  BodyTooLarge,
+  Listener,
+  readBody,
+  sendJson,
+  SystemClock,
+} from '@citrontrestle/runtime';
+import {z} from 'zod';
+import {INSTANCE_SCHEMA} from '@citrontrestle/platform';
+import {KeyValueStore} from './key_value_store.js';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Instance} from '@citrontrestle/platform';
+import type {Millis} from '@citrontrestle/decisions';
+import type {Stored} from './key_value_store.js';
+
+/** Largest value, in bytes. */
+const MOST_VALUE_BYTES = 1024 * 1024;
+
+/** Shape of the faults of the platform. */
+export const PLATFORM_FAULTS_SCHEMA = z.strictObject({
+  /** Calls to the key-value service hang up. */
+  down: z.boolean().optional(),
+  /** Time added to each call of the key-value service. */
+  delayMs: z.number().nonnegative().optional(),
+  /** So many next writes take effect and lose their answer. */
+  lostAnswers: z.number().int().nonnegative().optional(),
+  /** How far the instance list lags. */
+  listLagMs: z.number().nonnegative().optional(),
+});
+
+/** Faults of the platform. */
+export type PlatformFaults = z.infer<typeof PLATFORM_FAULTS_SCHEMA>;
+
+/** Calls served, by kind. */
+export interface PlatformCounters {
+  reads: number;
+  writes: number;
+  watches: number;
+}
+
+/** Stand-in of the platform. */
+export class PlatformStandIn {
+  readonly counters: PlatformCounters = {reads: 0, writes: 0, watches: 0};
+  readonly store = new KeyValueStore(new SystemClock());
+  private readonly faults: Required<PlatformFaults> = {
+    down: false,
+    delayMs: 0,
+    lostAnswers: 0,
+    listLagMs: 0,
+  };
+  private readonly listener = new Listener((incoming, outgoing) =>
+    this.serve(incoming, outgoing),
+  );
+  private readonly instances = new Map<string, Instance>();
+  private listed: Instance[] = [];
+
+  /** Starts to listen; returns the address. */
+  start(host: string, port = 0): Promise<string> {
+    return this.listener.listen(host, port);
+  }
+
+  /** Ends at once. */
+  stop(): Promise<void> {
+    return this.listener.stop();
+  }
+
+  /** Sets faults; what is not named stays. */
+  setFaults(faults: PlatformFaults): void {
+    Object.assign(this.faults, faults);
+  }
+
+  /** Adds or changes an instance; the list follows after its lag. */
+  setInstance(instance: Instance): void {
+    this.instances.set(instance.id, instance);
+    this.publish();
+  }
+
+  /** Removes an instance; the list follows after its lag. */
+  removeInstance(id: string): void {
+    this.instances.delete(id);
+    this.publish();
+  }
+
+  private publish(): void {
+    const snapshot = [...this.instances.values()].map(one => ({...one}));
+    if (this.faults.listLagMs === 0) {
+      this.listed = snapshot;
+      return;
+    }
+    setTimeout(() => (this.listed = snapshot), this.faults.listLagMs);
+  }
+
+  private async serve(
+    incoming: IncomingMessage,
+    outgoing: ServerResponse,
+  ): Promise<void> {
+    const url = new URL(incoming.url ?? '/', 'http://platform');
+    if (url.pathname.startsWith('/kv/')) {
+      const key = decodeURIComponent(url.pathname.slice('/kv/'.length));
+      await this.serveKey(key, url, incoming, outgoing);
+      return;
+    }
+    const route = ROUTES[`${incoming.method} ${url.pathname}`];
+    if (route === undefined) {
+      sendJson(outgoing, 404, {error: 'no such path'});
+      return;
+    }
+    const body = await readBody(incoming, MOST_VALUE_BYTES);
+    const value: unknown = body.length ? JSON.parse(body.toString()) : {};
+    sendJson(outgoing, 200, route(this, value) ?? {});
+  }
+
+  /** The list as published; for the route. */
+  list(): Instance[] {
+    return this.listed;
+  }
+
+  private async serveKey(
+    key: string,
+    url: URL,
+    incoming: IncomingMessage,
+    outgoing: ServerResponse,
+  ): Promise<void> {
+    if (this.faults.down) {
+      incoming.socket.destroy();
+      return;
+    }
+    if (this.faults.delayMs > 0) {
+      await pause(this.faults.delayMs);
+    }
+    if (incoming.method === 'PUT') {
+      await this.put(key, incoming, outgoing);
+    } else {
+      await this.get(key, url, outgoing);
+    }
+  }
+
+  private async get(
+    key: string,
+    url: URL,
+    outgoing: ServerResponse,
+  ): Promise<void> {
+    const after = url.searchParams.get('after');
+    if (after === null) {
+      this.counters.reads += 1;
+      const stored = this.store.get(key);
+      sendStored(outgoing, stored === undefined ? 404 : 200, stored);
+      return;
+    }
+    this.counters.watches += 1;
+    const wait = Number(url.searchParams.get('wait') ?? 0);
+    const stored = await this.store.watch(key, Number(after), wait);
+    if (this.faults.down) {
+      outgoing.destroy();
+      return;
+    }
+    sendStored(outgoing, stored === undefined ? 304 : 200, stored);
+  }
+
+  private async put(
+    key: string,
+    incoming: IncomingMessage,
+    outgoing: ServerResponse,
+  ): Promise<void> {
+    this.counters.writes += 1;
+    const body = await readValue(incoming);
+    if (body === undefined) {
+      sendJson(outgoing, 413, {error: 'value too large'});
+      return;
+    }
+    const match = incoming.headers['if-match'];
+    const expected = Number((match ?? '"0"').replaceAll('"', ''));
+    const lease = incoming.headers['x-lease'];
+    const stored = this.store.put(
+      key,
+      expected,
+      body,
+      typeof lease === 'string' ? lease : undefined,
+    );
+    if (this.faults.lostAnswers > 0) {
+      this.faults.lostAnswers -= 1;
+      incoming.socket.destroy();
+      return;
+    }
+    if (stored === undefined) {
+      sendStored(outgoing, 412, this.store.get(key));
+      return;
+    }
+    sendStored(outgoing, 200, {...stored, value: Buffer.alloc(0)});
+  }
+}
+
+const LEASE_SCHEMA = z.strictObject({id: z.string(), ttlMs: z.number()});
+const REMOVAL_SCHEMA = z.strictObject({id: z.string()});
+
+/** Routes beside the keys; each returns the answer. */
+const ROUTES: Record<
+  string,
+  (platform: PlatformStandIn, body: unknown) => unknown
+> = {
+  'GET /instances': platform => platform.list(),
+  'GET /counters': platform => platform.counters,
+  'POST /faults': (platform, body) =>
+    platform.setFaults(PLATFORM_FAULTS_SCHEMA.parse(body)),
+  'POST /instances': (platform, body) =>
+    platform.setInstance(INSTANCE_SCHEMA.parse(body)),
+  'DELETE /instances': (platform, body) =>
+    platform.removeInstance(REMOVAL_SCHEMA.parse(body).id),
+  'POST /leases': (platform, body) => {
+    const {id, ttlMs} = LEASE_SCHEMA.parse(body);
+    platform.store.lease(id, ttlMs);
+  },
+};
+
+async function readValue(
+  incoming: IncomingMessage,
+): Promise<Buffer | undefined> {
+  try {
+    return await readBody(incoming, MOST_VALUE_BYTES);
+  } catch (error) {
+    if (error instanceof BodyTooLarge) {
+      return undefined;
+    }
+    throw error;
+  }
+}
+
+function sendStored(
+  outgoing: ServerResponse,
+  status: number,
+  stored: Stored | undefined,
+): void {
+  outgoing.writeHead(status, {etag: `"${stored?.version ?? 0}"`});
+  outgoing.end(status === 304 ? undefined : stored?.value);
+}
+
+function pause(span: Millis): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, span));
+}
