Fuzz budgets and orders against an oracle; mend two losses of a bill at a drain

Cause 1: a partition that had left took the missing record, after a lost answer, for a fence, and the process ended with charges of another partition unwritten. Cause 2: a leave was written while a request still waited for tokens; a peer's transfer then let it run with no ledger record to bill. Ruled out: the copies (the keeper held them in both cases, and one case has no kill at all).

--- a/packages/decisions/src/lib/partition.ts
+++ b/packages/decisions/src/lib/partition.ts
@@ -65,11 +65,6 @@
     return this.failures > 0;
   }
 
-  /** Whether anything is being written or waits to be. */
-  idle(): boolean {
-    return !this.busy && this.batch === undefined && this.dueAt === undefined;
-  }
-
   /** Asks for a write at `time` or earlier. */
   due(time: Millis): void {
     this.dueAt = Math.min(this.dueAt ?? Infinity, time);
@@ -137,6 +132,11 @@
   private write(batch: Batch): WalletEffect[] {
     const next = structuredClone(this.ledger ?? emptyLedger());
     const outcome = applyBatch(next, batch);
+    if (outcome === BatchOutcome.Fenced && batch.leave) {
+      // Our own leave took effect and its answer was lost.
+      this.finish();
+      return [];
+    }
     if (outcome === BatchOutcome.Fenced) {
       this.fenced = true;
       return [{kind: WalletEffectKind.Fenced}];
--- a/packages/decisions/src/lib/wallet.ts
+++ b/packages/decisions/src/lib/wallet.ts
@@ -601,7 +601,8 @@
     const account = this.account(budget);
     const ledger = this.partitionFor(budget).view();
     const record = ledger?.budgets[budget];
-    if (ledger === undefined || record === undefined || this.draining) {
+    const leaving = this.draining && !this.waiters.has(budget);
+    if (ledger === undefined || record === undefined || leaving) {
       return undefined;
     }
     const taken = record.shares[this.settings.holder]?.taken ?? 0;
@@ -631,7 +632,7 @@
       settlements: copies.filter(copy => this.mayPay(copy, now)),
       positions: {},
       wants: {},
-      leave: this.draining && this.holds.size === 0,
+      leave: this.draining && this.nothingRuns(),
       now,
       window: this.settings.window,
     };
@@ -720,8 +721,12 @@
     }
   }
 
+  private nothingRuns(): boolean {
+    return this.holds.size === 0 && this.waiters.size === 0;
+  }
+
   private drain(now: Millis): void {
-    if (this.holds.size > 0 || this.waiters.size > 0) {
+    if (!this.nothingRuns()) {
       return;
     }
     if (this.left.size === this.partitions.length) {
@@ -730,7 +735,7 @@
       return;
     }
     this.partitions.forEach((partition, number) => {
-      if (!this.left.has(number) && partition.idle()) {
+      if (!this.left.has(number)) {
         partition.due(now);
       }
     });
--- /dev/null
+++ b/packages/model/src/index.ts
@@ -0,0 +1,12 @@
+/** A model of the fleet under virtual time, and its fuzzer. */
+export * from './lib/commands.js';
+export * from './lib/fleet_model.js';
+export * from './lib/fuzz.js';
+export * from './lib/model_entry.js';
+export * from './lib/oracle.js';
+export * from './lib/order_fuzz.js';
+export * from './lib/order_model.js';
+export * from './lib/plant.js';
+export * from './lib/run_record.js';
+export * from './lib/store.js';
+export * from './lib/timeline.js';
--- /dev/null
+++ b/packages/model/src/test/regressions_test.ts
@@ -0,0 +1,64 @@
+/** Cases that once broke a promise, shrunk by the fuzzer. */
+import {expect} from 'chai';
+import {checkSettled} from '../lib/oracle.js';
+import {FleetModel, MODEL_DEFAULTS} from '../lib/fleet_model.js';
+
+type Act = (model: FleetModel) => void;
+
+const SMALL = {...MODEL_DEFAULTS, grant: 3_000, cap: 0.3};
+
+const advance =
+  (span: number): Act =>
+  model =>
+    model.advance(span);
+const request =
+  (entry: number, tokens: number): Act =>
+  model =>
+    model.request(entry, 'clubs', tokens);
+const faults =
+  (set: Partial<FleetModel['store']['faults']>): Act =>
+  model =>
+    Object.assign(model.store.faults, set);
+
+describe('regressions', () => {
+  const cases: {name: string; acts: Act[]}[] = [
+    {
+      name: 'a leave whose answer was lost is no fence',
+      acts: [
+        request(2, 1),
+        advance(5),
+        model => model.drain(2),
+        faults({lost: 3}),
+        advance(58),
+        model => model.kill(0),
+        request(0, 1),
+      ],
+    },
+    {
+      name: 'an entry does not leave while a request waits for tokens',
+      acts: [
+        request(0, 1),
+        model => model.release(0),
+        request(3, 1),
+        model => model.drain(3),
+        faults({down: true}),
+        model => model.freeze(0),
+        faults({down: false}),
+        faults({lost: 1}),
+        advance(67),
+        model => model.request(0, 'clubs', 1, 'r1'),
+      ],
+    },
+  ];
+  for (const {name, acts} of cases) {
+    it(name, () => {
+      const model = new FleetModel(SMALL);
+      for (const act of acts) {
+        act(model);
+        model.advance(1);
+      }
+      model.quiesce();
+      expect(checkSettled(model)).to.deep.equal([]);
+    });
+  }
+});
