Split the wallet into its parts

Waiting, asking peers, charges and the partitions are now modules of their own, and events go through a table of handlers.

--- a/packages/decisions/src/lib/budget_policy.ts
+++ b/packages/decisions/src/lib/budget_policy.ts
@@ -40,6 +40,8 @@
 export interface BudgetRule {
   /** Whether to ask other entries before a refusal. */
   asksPeers: boolean;
+  /** Whether more can be taken whenever the ledger has it. */
+  takesMore: boolean;
   /** Whether to return what is left after each request. */
   returnsAtOnce: boolean;
   /** What to ask the ledger for; undefined when nothing is wanted. */
@@ -86,16 +88,19 @@
 export const BUDGET_RULES: Record<BudgetPolicy, BudgetRule> = {
   [BudgetPolicy.Central]: {
     asksPeers: false,
+    takesMore: true,
     returnsAtOnce: true,
     want: wantCentral,
   },
   [BudgetPolicy.StaticSplit]: {
     asksPeers: false,
+    takesMore: false,
     returnsAtOnce: false,
     want: wantSplit,
   },
   [BudgetPolicy.Shares]: {
     asksPeers: true,
+    takesMore: true,
     returnsAtOnce: false,
     want: wantShares,
   },
--- a/packages/decisions/src/lib/partition.ts
+++ b/packages/decisions/src/lib/partition.ts
@@ -17,12 +17,22 @@
 
 /** What the wallet does for a partition. */
 export interface PartitionOwner {
-  /** Forms the next batch, or nothing when there is nothing to write. */
-  form(partition: number, sequence: number, now: Millis): Batch | undefined;
+  /** Forms the next batch. */
+  form(partition: number, sequence: number, now: Millis): Batch;
   /** Takes over the ledger's counts after a batch took effect. */
   absorb(partition: number, ledger: Ledger, batch: Batch): void;
 }
 
+/** What is known of a partition. */
+export interface PartitionState {
+  /** Whether this holder's record is known to exist in it. */
+  joined: boolean;
+  /** When the batch of the last known answer was formed. */
+  answeredAt: Millis;
+  /** Whether the last call failed. */
+  failing: boolean;
+}
+
 /** One ledger partition as seen by one holder. */
 export class Partition {
   private ledger: Ledger | undefined;
@@ -45,6 +55,15 @@
     private readonly spacing: Millis,
   ) {}
 
+  /** What is known of the partition. */
+  state(): PartitionState {
+    return {
+      joined: this.sequence > 0 && !this.fenced,
+      answeredAt: this.viewedAt,
+      failing: this.failures > 0,
+    };
+  }
+
   /** Whether this holder's record is known to exist in the partition. */
   joined(): boolean {
     return this.sequence > 0 && !this.fenced;
@@ -55,16 +74,16 @@
     return this.ledger;
   }
 
-  /** When the batch of the last known answer was formed. */
-  answeredAt(): Millis {
-    return this.viewedAt;
-  }
-
   /** Whether the last call failed. */
   failing(): boolean {
     return this.failures > 0;
   }
 
+  /** Whether nothing is being written or waits to be. */
+  idle(): boolean {
+    return !this.busy && this.batch === undefined && this.dueAt === undefined;
+  }
+
   /** Asks for a write at `time` or earlier. */
   due(time: Millis): void {
     this.dueAt = Math.min(this.dueAt ?? Infinity, time);
@@ -126,7 +145,7 @@
       this.dueAt = undefined;
       this.batch = this.owner.form(this.number, this.sequence + 1, now);
     }
-    return this.batch === undefined ? [] : this.write(this.batch);
+    return this.write(this.batch);
   }
 
   private write(batch: Batch): WalletEffect[] {
--- a/packages/decisions/src/lib/wallet.ts
+++ b/packages/decisions/src/lib/wallet.ts
@@ -3,68 +3,30 @@
  * peers and the ledger for more, and keeps copies of its peers' charges.
  */
 import {Account} from './account.js';
-import {BUDGET_RULES, BudgetPolicy} from './budget_policy.js';
+import {BUDGET_RULES} from './budget_policy.js';
+import {Charges} from './charges.js';
 import {CopyStore} from './copy_store.js';
 import {HolderStatus, openHolders, unallocated} from './ledger.js';
-import {Partition} from './partition.js';
+import {PartitionTable} from './partition_table.js';
+import {PeerAsks} from './peer_asks.js';
 import {SECOND} from './clock.js';
+import {WaiterKind, WaitingLine} from './waiting_line.js';
 import {
   BudgetRefusal,
   WalletEffectKind,
   WalletEventKind,
 } from './wallet_messages.js';
 import type {Batch, Ledger, Settlement, Want} from './ledger.js';
-import type {BudgetRule, ShareLimits} from './budget_policy.js';
+import type {BudgetRule} from './budget_policy.js';
 import type {Millis} from './clock.js';
 import type {PartitionOwner} from './partition.js';
+import type {Waiter} from './waiting_line.js';
 import type {WalletEffect, WalletEvent} from './wallet_messages.js';
-
-/** Settings of a wallet. */
-export interface WalletSettings {
-  policy: BudgetPolicy;
-  /** Identity of this incarnation, unique for ever. */
-  holder: string;
-  instance: string;
-  /** Number of ledger partitions. */
-  partitions: number;
-  /** Entries that the deployment is declared to have. */
-  entries: number;
-  limits: ShareLimits;
-  /** Longest time that a charge waits to be written. */
-  settleInterval: Millis;
-  /** Shortest time between two writes of a partition. */
-  spacing: Millis;
-  /** Longest time that a reservation waits. */
-  patience: Millis;
-  /** Longest time that a charge waits for a copy or the ledger. */
-  securePatience: Millis;
-  /** How long bills are kept against duplicates. */
-  window: Millis;
-  /** Most peers asked for tokens at once. */
-  askedPeers: number;
-}
-
-/** Settings that suit most deployments. */
-export const WALLET_DEFAULTS: Omit<
-  WalletSettings,
-  'holder' | 'instance' | 'partitions' | 'entries'
-> = {
-  policy: BudgetPolicy.Shares,
-  limits: {horizon: 180 * SECOND, cap: 0.008},
-  settleInterval: 5 * SECOND,
-  spacing: 50,
-  patience: 400,
-  securePatience: 100,
-  window: 600 * SECOND,
-  askedPeers: 8,
-};
+import type {WalletSettings} from './wallet_settings.js';
 
 /** How long a "no" of the ledger or of the peers stays good. */
 const REFUSAL_LIFETIME: Millis = 250;
 
-/** How long peers have to answer. */
-const PEER_PATIENCE: Millis = 150;
-
 /** Span of spending to ask of peers beyond the need. */
 const PEER_AHEAD: Millis = 2 * SECOND;
 
@@ -83,76 +45,54 @@
 /** Shares above this multiple of the target are idle. */
 const IDLE_MULTIPLE = 3;
 
-interface Waiter {
-  tokens: number;
-  began: Millis;
-  /** The request to grant, or else the peer to send to. */
-  request?: string;
-  peer?: string;
-}
-
-interface Ask {
-  at: Millis;
-  awaited: Set<string>;
-}
+type EventOf<K extends WalletEventKind> = Extract<WalletEvent, {kind: K}>;
 
-interface Hold {
+/** Counts of one budget at one entry, in tokens. */
+export interface ShareStatus {
   budget: string;
-  tokens: number;
-}
-
-interface Unsecured {
-  request: string;
-  until: Millis;
-}
-
-/** Assigns a budget to a ledger partition. */
-export function partitionOf(budget: string, partitions: number): number {
-  let hash = 0x811c9dc5;
-  for (let i = 0; i < budget.length; i++) {
-    hash = Math.imul(hash ^ budget.charCodeAt(i), 0x01000193) >>> 0;
-  }
-  return hash % partitions;
+  available: number;
+  held: number;
+  unsettled: number;
 }
 
 /** The wallet of one entry. */
 export class Wallet implements PartitionOwner {
   private readonly rule: BudgetRule;
-  private readonly partitions: Partition[] = [];
+  private readonly table: PartitionTable;
   private readonly accounts = new Map<string, Account>();
-  private readonly members: Set<string>[] = [];
-  private readonly dirty = new Set<string>();
-  private readonly waiters = new Map<string, Waiter[]>();
-  private readonly asks = new Map<string, Ask>();
-  private readonly holds = new Map<string, Hold>();
-  private readonly unsecured = new Map<string, Unsecured>();
-  private readonly sentCopies = new Map<string, string>();
-  private readonly closed = new Set<string>();
-  private readonly seenCloses: number[] = [];
+  private readonly line = new WaitingLine();
+  private readonly asks: PeerAsks;
+  private readonly charges = new Charges();
   private readonly copies = new CopyStore();
-  private peers: string[] = [];
-  private askTurn = 0;
+  /** Budgets whose position or charges changed since the last batch. */
+  private readonly dirty = new Set<string>();
+  private readonly seenCloses = new Map<number, number>();
   private sampledAt: Millis = 0;
   private draining = false;
-  private left = new Set<number>();
   private out: WalletEffect[] = [];
 
   constructor(private readonly settings: WalletSettings) {
     this.rule = BUDGET_RULES[settings.policy];
-    for (let i = 0; i < settings.partitions; i++) {
-      const partition = new Partition(i, this, settings.spacing);
-      partition.due(0);
-      this.partitions.push(partition);
-      this.members.push(new Set());
-      this.seenCloses.push(0);
-    }
+    this.asks = new PeerAsks(settings.askedPeers);
+    const {partitions, spacing} = settings;
+    this.table = new PartitionTable(partitions, this, spacing);
   }
 
   /** Takes one event and returns what is to be done. */
   handle(event: WalletEvent, now: Millis): WalletEffect[] {
     this.out = [];
-    this.dispatch(event, now);
-    this.stepPartitions(now);
+    const take = this.handlers[event.kind] as (
+      event: WalletEvent,
+      now: Millis,
+    ) => void;
+    take(event, now);
+    this.out.push(...this.table.step(now));
+    for (const budget of this.line.budgets()) {
+      this.serve(budget, now);
+    }
+    if (this.draining) {
+      this.drain(now);
+    }
     return this.out;
   }
 
@@ -161,28 +101,18 @@
     return this.accounts.get(budget)?.available() ?? 0;
   }
 
-  /** The last known ledger record behind a budget; never change it. */
-  ledgerOf(budget: string): Ledger | undefined {
-    return this.partitionFor(budget).view();
-  }
-
   /** Whether every partition knows this holder. */
   joined(): boolean {
-    return this.partitions.every(partition => partition.joined());
+    return this.table.joined();
   }
 
   /** Whether any partition's last call failed. */
   failing(): boolean {
-    return this.partitions.some(partition => partition.failing());
+    return this.table.failing();
   }
 
-  /** Counts per budget, for status pages, in tokens. */
-  shares(): {
-    budget: string;
-    available: number;
-    held: number;
-    unsettled: number;
-  }[] {
+  /** Counts of each budget, for status pages. */
+  shares(): ShareStatus[] {
     return [...this.accounts].map(([budget, account]) => ({
       budget,
       available: account.available(),
@@ -191,72 +121,42 @@
     }));
   }
 
-  private dispatch(event: WalletEvent, now: Millis): void {
-    switch (event.kind) {
-      case WalletEventKind.Reserve:
-        return this.reserve(event.request, event.budget, event.tokens, now);
-      case WalletEventKind.Free:
-        return this.release(event.request, now);
-      case WalletEventKind.Withhold:
-        this.holds.delete(event.request);
-        return;
-      case WalletEventKind.Settle:
-        return this.settle(event, now);
-      case WalletEventKind.LedgerRead:
-      case WalletEventKind.LedgerConflict:
-        return this.pass(
-          this.partitions[event.partition]?.seen(
-            event.version,
-            event.ledger,
-            now,
-          ) ?? [],
-        );
-      case WalletEventKind.LedgerWritten:
-        return this.partitions[event.partition]?.written(event.version);
-      case WalletEventKind.LedgerLost:
-        return this.fail(event.partition, true, now);
-      case WalletEventKind.LedgerUnavailable:
-        return this.fail(event.partition, false, now);
-      case WalletEventKind.PeerAsk:
-        return this.peerAsk(event.from, event.budget, event.tokens, now);
-      case WalletEventKind.PeerGive:
-        return this.peerGive(event.from, event.budget, event.total, now);
-      case WalletEventKind.PeerCopy:
-        return this.peerCopy(event.from, event.settlement, now);
-      case WalletEventKind.PeerCopied:
-        return this.secure(event.digest, true);
-      case WalletEventKind.PeerDrop:
-        return this.copies.drop(event.from, event.digests);
-      case WalletEventKind.Peers:
-        this.peers = event.peers;
-        return;
-      case WalletEventKind.Tick:
-        return this.tick(now);
-      case WalletEventKind.Drain:
-        this.draining = true;
-        return;
-    }
-  }
-
-  private pass(effects: WalletEffect[]): void {
-    this.out.push(...effects);
-  }
-
-  private stepPartitions(now: Millis): void {
-    for (const partition of this.partitions) {
-      this.pass(partition.step(now));
-    }
-    for (const budget of [...this.waiters.keys()]) {
-      this.serve(budget, now);
-    }
-    if (this.draining) {
-      this.drain(now);
-    }
-  }
-
-  private partitionFor(budget: string): Partition {
-    const number = partitionOf(budget, this.settings.partitions);
-    return this.partitions[number] as Partition;
+  private readonly handlers: {
+    [K in WalletEventKind]: (event: EventOf<K>, now: Millis) => void;
+  } = {
+    [WalletEventKind.Reserve]: (event, now) => this.reserve(event, now),
+    [WalletEventKind.Free]: ({request}, now) => this.free(request, now),
+    [WalletEventKind.Withhold]: ({request}) => {
+      this.charges.take(request);
+    },
+    [WalletEventKind.Settle]: (event, now) => this.settle(event, now),
+    [WalletEventKind.LedgerRead]: (event, now) => this.seen(event, now),
+    [WalletEventKind.LedgerConflict]: (event, now) => this.seen(event, now),
+    [WalletEventKind.LedgerWritten]: ({partition, version}) =>
+      this.table.at(partition).written(version),
+    [WalletEventKind.LedgerLost]: ({partition}, now) =>
+      this.table.at(partition).failed(true, now),
+    [WalletEventKind.LedgerUnavailable]: ({partition}, now) =>
+      this.table.at(partition).failed(false, now),
+    [WalletEventKind.PeerAsk]: (event, now) => this.peerAsk(event, now),
+    [WalletEventKind.PeerGive]: (event, now) => this.peerGive(event, now),
+    [WalletEventKind.PeerCopy]: (event, now) => this.peerCopy(event, now),
+    [WalletEventKind.PeerCopied]: ({digest}) => this.secure(digest, true),
+    [WalletEventKind.PeerDrop]: ({from, digests}) =>
+      this.copies.drop(from, digests),
+    [WalletEventKind.Peers]: ({peers}) => this.asks.setPeers(peers),
+    [WalletEventKind.Tick]: (_event, now) => this.tick(now),
+    [WalletEventKind.Drain]: () => {
+      this.draining = true;
+    },
+  };
+
+  private seen(
+    event: EventOf<WalletEventKind.LedgerRead | WalletEventKind.LedgerConflict>,
+    now: Millis,
+  ): void {
+    const {partition, version, ledger} = event;
+    this.out.push(...this.table.at(partition).seen(version, ledger, now));
   }
 
   private account(budget: string): Account {
@@ -264,16 +164,13 @@
     if (account === undefined) {
       account = new Account();
       this.accounts.set(budget, account);
-      const number = partitionOf(budget, this.settings.partitions);
-      this.members[number]?.add(budget);
+      this.table.use(budget);
     }
     return account;
   }
 
   private reserve(
-    request: string,
-    budget: string,
-    tokens: number,
+    {request, budget, tokens}: EventOf<WalletEventKind.Reserve>,
     now: Millis,
   ): void {
     if (this.draining) {
@@ -281,263 +178,217 @@
       this.out.push({kind: WalletEffectKind.Refused, request, reason});
       return;
     }
-    const account = this.account(budget);
-    const queue = this.waiters.get(budget);
-    if (queue === undefined && account.available() >= tokens) {
+    const waits = this.line.has(budget);
+    if (!waits && this.account(budget).available() >= tokens) {
       this.grant(request, budget, tokens);
       return;
     }
-    this.enqueue(budget, {request, tokens, began: now}, now);
+    const kind = WaiterKind.Request;
+    this.wait(budget, {kind, id: request, tokens, began: now}, now);
   }
 
   private grant(request: string, budget: string, tokens: number): void {
     this.account(budget).hold(tokens);
-    this.holds.set(request, {budget, tokens});
+    this.charges.hold(request, {budget, tokens});
     this.out.push({kind: WalletEffectKind.Granted, request});
   }
 
-  private enqueue(budget: string, waiter: Waiter, now: Millis): void {
-    const queue = this.waiters.get(budget) ?? [];
-    queue.push(waiter);
-    // Own requests go before peers; within each, the older first.
-    queue.sort((a, b) => rank(a) - rank(b));
-    this.waiters.set(budget, queue);
-    const partition = this.partitionFor(budget);
-    if (partition.answeredAt() < now - REFUSAL_LIFETIME || this.room(budget)) {
-      partition.due(now);
+  private wait(budget: string, waiter: Waiter, now: Millis): void {
+    this.line.add(budget, waiter);
+    const {answeredAt} = this.table.of(budget).state();
+    if (answeredAt < now - REFUSAL_LIFETIME || this.room(budget)) {
+      this.table.dueFor(budget, now);
     }
     this.askPeers(budget, now);
   }
 
   /** Whether the last known ledger has tokens left for a budget. */
   private room(budget: string): boolean {
-    const record = this.partitionFor(budget).view()?.budgets[budget];
+    const record = this.table.view(budget)?.budgets[budget];
     return record !== undefined && unallocated(record) > 0;
   }
 
   private shortfall(budget: string): number {
-    let total = -this.available(budget);
-    for (const waiter of this.waiters.get(budget) ?? []) {
-      total += waiter.tokens;
-    }
-    return Math.max(0, total);
+    return Math.max(0, this.line.tokens(budget) - this.available(budget));
   }
 
   private askPeers(budget: string, now: Millis): void {
-    const own = this.waiters.get(budget)?.some(w => w.request !== undefined);
-    const asked = this.asks.get(budget);
-    const fresh = asked !== undefined && now - asked.at < REFUSAL_LIFETIME;
-    const joined = this.partitionFor(budget).joined();
+    const fresh = now - this.asks.askedAt(budget) < REFUSAL_LIFETIME;
+    const {joined} = this.table.of(budget).state();
+    const own = this.line.hasRequest(budget);
     if (!own || fresh || !joined || !this.rule.asksPeers) {
       return;
     }
-    const awaited = new Set(this.pickPeers());
-    this.asks.set(budget, {at: now, awaited});
     const ahead = this.account(budget).spendingRate() * PEER_AHEAD;
     const tokens = Math.ceil(this.shortfall(budget) + ahead);
-    for (const to of awaited) {
+    for (const to of this.asks.ask(budget, now)) {
       this.out.push({kind: WalletEffectKind.SendAsk, to, budget, tokens});
     }
   }
 
-  private pickPeers(): string[] {
-    const open = this.peers.filter(peer => !this.closed.has(peer));
-    const count = Math.min(this.settings.askedPeers, open.length);
-    const picked: string[] = [];
-    for (let i = 0; i < count; i++) {
-      picked.push(open[(this.askTurn + i) % open.length] as string);
-    }
-    this.askTurn += count;
-    return picked;
-  }
-
-  private peersDone(budget: string, waiter: Waiter, now: Millis): boolean {
-    if (waiter.peer !== undefined || !this.rule.asksPeers) {
-      return true;
-    }
-    const ask = this.asks.get(budget);
-    if (ask === undefined || ask.at < waiter.began - REFUSAL_LIFETIME) {
-      return !this.partitionFor(budget).joined();
-    }
-    return ask.awaited.size === 0 || now - ask.at >= PEER_PATIENCE;
-  }
-
-  private ledgerNo(budget: string, waiter: Waiter): boolean {
-    const partition = this.partitionFor(budget);
-    const fresh = partition.answeredAt() >= waiter.began - REFUSAL_LIFETIME;
-    const record = partition.view()?.budgets[budget];
-    const free = record === undefined ? 0 : unallocated(record);
-    const enough =
-      this.rule.asksPeers || this.settings.policy === BudgetPolicy.Central
-        ? free + this.available(budget) >= waiter.tokens
-        : false;
-    return fresh && !enough;
-  }
-
   /** Grants or refuses what waits for a budget. */
   private serve(budget: string, now: Millis): void {
-    const queue = this.waiters.get(budget) ?? [];
-    while (queue.length > 0) {
-      const waiter = queue[0] as Waiter;
+    let waiter = this.line.first(budget);
+    while (waiter !== undefined) {
       const fits = this.available(budget) >= waiter.tokens;
       if (!fits && !this.final(budget, waiter, now)) {
-        break;
+        return;
       }
-      queue.shift();
+      this.line.shift(budget);
       this.answer(budget, waiter, fits);
-    }
-    if (queue.length === 0) {
-      this.waiters.delete(budget);
+      waiter = this.line.first(budget);
     }
   }
 
+  /** Whether all who could give have said no, or the wait was too long. */
   private final(budget: string, waiter: Waiter, now: Millis): boolean {
     if (now - waiter.began >= this.settings.patience) {
       return true;
     }
-    const no = this.ledgerNo(budget, waiter);
-    const failing = this.partitionFor(budget).failing();
-    return (no || failing) && this.peersDone(budget, waiter, now);
+    const {failing} = this.table.of(budget).state();
+    const no = failing || this.ledgerNo(budget, waiter);
+    return no && this.peersNo(budget, waiter, now);
   }
 
-  private answer(budget: string, waiter: Waiter, fits: boolean): void {
-    const {request, peer, tokens} = waiter;
-    if (peer !== undefined) {
-      this.give(peer, budget, tokens);
-      return;
-    }
-    if (request === undefined) {
-      return;
+  private ledgerNo(budget: string, waiter: Waiter): boolean {
+    const {answeredAt} = this.table.of(budget).state();
+    const record = this.table.view(budget)?.budgets[budget];
+    const free =
+      record === undefined || !this.rule.takesMore ? 0 : unallocated(record);
+    const short = free + this.available(budget) < waiter.tokens;
+    return short && answeredAt >= waiter.began - REFUSAL_LIFETIME;
+  }
+
+  private peersNo(budget: string, waiter: Waiter, now: Millis): boolean {
+    const {joined} = this.table.of(budget).state();
+    const asked = waiter.kind === WaiterKind.Request && joined;
+    if (!asked || !this.rule.asksPeers) {
+      return true;
     }
-    if (fits) {
-      this.grant(request, budget, tokens);
-      return;
+    return this.asks.done(budget, waiter.began - REFUSAL_LIFETIME, now);
+  }
+
+  private answer(budget: string, waiter: Waiter, fits: boolean): void {
+    if (waiter.kind === WaiterKind.Peer) {
+      this.give(waiter.id, budget, waiter.tokens);
+    } else if (fits) {
+      this.grant(waiter.id, budget, waiter.tokens);
+    } else {
+      const no = this.ledgerNo(budget, waiter);
+      const {Exhausted, Unavailable} = BudgetRefusal;
+      const reason = no ? Exhausted : Unavailable;
+      const kind = WalletEffectKind.Refused;
+      this.out.push({kind, request: waiter.id, reason});
     }
-    const reason = this.ledgerNo(budget, waiter)
-      ? BudgetRefusal.Exhausted
-      : BudgetRefusal.Unavailable;
-    this.out.push({kind: WalletEffectKind.Refused, request, reason});
   }
 
   private give(to: string, budget: string, tokens: number): void {
     const account = this.account(budget);
-    const partition = this.partitionFor(budget);
     // Without a record in the partition a transfer could not be released.
-    const allowed = partition.joined() && !this.closed.has(to);
+    const {joined} = this.table.of(budget).state();
     const amount = Math.min(Math.max(0, account.available()), tokens);
-    if (allowed && amount > 0) {
+    if (joined && !this.asks.isClosed(to) && amount > 0) {
       account.send(to, amount);
-      this.touch(budget);
+      this.dirty.add(budget);
     }
     const total = account.sentTo(to);
     this.out.push({kind: WalletEffectKind.SendGive, to, budget, total});
   }
 
-  private touch(budget: string): void {
-    this.dirty.add(budget);
-  }
-
   private peerAsk(
-    from: string,
-    budget: string,
-    tokens: number,
+    {from, budget, tokens}: EventOf<WalletEventKind.PeerAsk>,
     now: Millis,
   ): void {
-    const open = !this.closed.has(from) && this.rule.asksPeers;
-    const busy = this.waiters.has(budget);
-    if (!open || busy || this.available(budget) >= tokens || this.draining) {
-      this.give(from, budget, busy || !open ? 0 : tokens);
+    if (this.asks.isClosed(from) || !this.rule.asksPeers) {
       return;
     }
-    this.enqueue(budget, {peer: from, tokens, began: now}, now);
+    if (this.line.has(budget)) {
+      this.give(from, budget, 0);
+    } else if (this.draining || this.available(budget) >= tokens) {
+      this.give(from, budget, tokens);
+    } else {
+      const kind = WaiterKind.Peer;
+      this.wait(budget, {kind, id: from, tokens, began: now}, now);
+    }
   }
 
   private peerGive(
-    from: string,
-    budget: string,
-    total: number,
+    {from, budget, total}: EventOf<WalletEventKind.PeerGive>,
     now: Millis,
   ): void {
-    const partition = this.partitionFor(budget);
-    if (this.closed.has(from) || !partition.joined()) {
+    const {joined} = this.table.of(budget).state();
+    if (this.asks.isClosed(from) || !joined) {
       return;
     }
     if (this.account(budget).receive(from, total)) {
-      this.touch(budget);
-      partition.due(now + this.settings.settleInterval);
+      this.dirty.add(budget);
+      this.table.dueFor(budget, now + this.settings.settleInterval);
     }
-    this.asks.get(budget)?.awaited.delete(from);
+    this.asks.answered(budget, from);
   }
 
-  private release(request: string, now: Millis): void {
-    const hold = this.holds.get(request);
-    if (hold === undefined) {
-      return;
+  private free(request: string, now: Millis): void {
+    const hold = this.charges.take(request);
+    if (hold !== undefined) {
+      this.account(hold.budget).free(hold.tokens);
+      this.returnRest(hold.budget, now);
     }
-    this.holds.delete(request);
-    this.account(hold.budget).free(hold.tokens);
-    this.returnRest(hold.budget, now);
   }
 
   private settle(
-    event: {request: string; digest: string; tokens: number; begun: Millis},
+    {request, digest, tokens, begun}: EventOf<WalletEventKind.Settle>,
     now: Millis,
   ): void {
-    const hold = this.holds.get(event.request);
+    const hold = this.charges.take(request);
     if (hold === undefined) {
       return;
     }
-    this.holds.delete(event.request);
-    const settlement: Settlement = {
-      digest: event.digest,
-      holder: this.settings.holder,
-      budget: hold.budget,
-      // More than was reserved is never charged: the rest is the fleet's.
-      tokens: Math.min(event.tokens, hold.tokens),
-      begun: event.begun,
-    };
-    this.account(hold.budget).charge(hold.tokens, settlement);
-    this.touch(hold.budget);
-    this.returnRest(hold.budget, now);
-    this.sendCopy(event.request, settlement, now);
+    const {budget} = hold;
+    const {holder} = this.settings;
+    // More than was reserved is never charged: the rest is the fleet's.
+    const charged = Math.min(tokens, hold.tokens);
+    const settlement = {digest, holder, budget, tokens: charged, begun};
+    this.account(budget).charge(hold.tokens, settlement);
+    this.dirty.add(budget);
+    this.returnRest(budget, now);
+    this.charges.await(digest, request, now + this.settings.securePatience);
+    this.sendCopy(settlement, now);
   }
 
-  private sendCopy(request: string, settlement: Settlement, now: Millis): void {
-    const until = now + this.settings.securePatience;
-    this.unsecured.set(settlement.digest, {request, until});
-    const partition = this.partitionFor(settlement.budget);
-    const to = this.peers.find(peer => !this.closed.has(peer));
+  private sendCopy(settlement: Settlement, now: Millis): void {
+    const {budget, digest} = settlement;
+    const to = this.asks.keeper();
     if (to === undefined) {
-      partition.due(now);
+      this.table.dueFor(budget, now);
       return;
     }
-    this.sentCopies.set(settlement.digest, to);
+    this.charges.kept(digest, to);
     this.out.push({kind: WalletEffectKind.SendCopy, to, settlement});
-    partition.due(now + this.settings.settleInterval);
+    this.table.dueFor(budget, now + this.settings.settleInterval);
   }
 
   private returnRest(budget: string, now: Millis): void {
     const rest = this.available(budget);
-    if (!this.rule.returnsAtOnce || rest <= 0 || this.waiters.has(budget)) {
+    if (!this.rule.returnsAtOnce || rest <= 0 || this.line.has(budget)) {
       return;
     }
     this.account(budget).giveBack(rest);
-    this.touch(budget);
-    this.partitionFor(budget).due(now);
+    this.dirty.add(budget);
+    this.table.dueFor(budget, now);
   }
 
   private secure(digest: string, secured: boolean): void {
-    const entry = this.unsecured.get(digest);
-    if (entry === undefined) {
-      return;
+    const request = this.charges.secure(digest);
+    if (request !== undefined) {
+      this.out.push({kind: WalletEffectKind.Secured, request, secured});
     }
-    this.unsecured.delete(digest);
-    const {request} = entry;
-    this.out.push({kind: WalletEffectKind.Secured, request, secured});
   }
 
-  private peerCopy(from: string, settlement: Settlement, now: Millis): void {
-    if (this.closed.has(from) || this.draining) {
+  private peerCopy(
+    {from, settlement}: EventOf<WalletEventKind.PeerCopy>,
+    now: Millis,
+  ): void {
+    if (this.asks.isClosed(from) || this.draining) {
       return;
     }
     const wait = COPY_INTERVALS * this.settings.settleInterval;
@@ -546,20 +397,14 @@
     this.out.push({kind: WalletEffectKind.SendCopied, to: from, digest});
   }
 
-  private fail(partition: number, lost: boolean, now: Millis): void {
-    this.partitions[partition]?.failed(lost, now);
-  }
-
   private tick(now: Millis): void {
-    for (const [digest, entry] of this.unsecured) {
-      if (now >= entry.until) {
-        this.secure(digest, false);
-      }
+    for (const digest of this.charges.late(now)) {
+      this.secure(digest, false);
     }
     for (const budget of this.copies.dueBudgets(now)) {
-      this.partitionFor(budget).due(now);
+      this.table.dueFor(budget, now);
     }
-    for (const budget of this.waiters.keys()) {
+    for (const budget of this.line.budgets()) {
       this.askPeers(budget, now);
     }
     if (now - this.sampledAt >= SAMPLE_INTERVAL) {
@@ -571,95 +416,92 @@
   private sample(now: Millis): void {
     for (const [budget, account] of this.accounts) {
       account.sample(now);
-      const partition = this.partitionFor(budget);
-      const wanted = this.wantOf(budget) !== undefined;
-      if (wanted && this.room(budget)) {
-        partition.due(now + REFILL_DELAY);
+      if (this.wantOf(budget) !== undefined && this.room(budget)) {
+        this.table.dueFor(budget, now + REFILL_DELAY);
       }
       this.returnIdle(budget, account, now);
     }
   }
 
   private returnIdle(budget: string, account: Account, now: Millis): void {
-    const record = this.partitionFor(budget).view()?.budgets[budget];
+    const record = this.table.view(budget)?.budgets[budget];
     if (record === undefined || !this.rule.asksPeers) {
       return;
     }
-    const cap = record.granted * this.settings.limits.cap;
-    const target = account.spendingRate() * this.settings.limits.horizon;
+    const {cap, horizon} = this.settings.limits;
+    const most = record.granted * cap;
     const scarce = unallocated(record) < record.granted * SCARCE_PART;
-    const keep = Math.min(cap, scarce ? IDLE_MULTIPLE * target : cap);
+    const target = IDLE_MULTIPLE * account.spendingRate() * horizon;
+    const keep = scarce ? Math.min(most, target) : most;
     const extra = Math.floor(account.available() - keep);
-    if (extra > 0 && !this.waiters.has(budget)) {
+    if (extra > 0 && !this.line.has(budget)) {
       account.giveBack(extra);
-      this.touch(budget);
-      this.partitionFor(budget).due(now + this.settings.settleInterval);
+      this.dirty.add(budget);
+      this.table.dueFor(budget, now + this.settings.settleInterval);
     }
   }
 
   private wantOf(budget: string): Want | undefined {
     const account = this.account(budget);
-    const ledger = this.partitionFor(budget).view();
+    const ledger = this.table.view(budget);
     const record = ledger?.budgets[budget];
-    const leaving = this.draining && !this.waiters.has(budget);
+    const leaving = this.draining && !this.line.has(budget);
     if (ledger === undefined || record === undefined || leaving) {
       return undefined;
     }
-    const taken = record.shares[this.settings.holder]?.taken ?? 0;
-    return this.rule.want(
-      {
-        granted: record.granted,
-        need: this.shortfall(budget),
-        available: account.available(),
-        taken,
-        rate: account.spendingRate(),
-        holders: openHolders(ledger),
-        entries: this.settings.entries,
-      },
-      this.settings.limits,
-    );
+    const {holder, entries, limits} = this.settings;
+    const view = {
+      granted: record.granted,
+      need: this.shortfall(budget),
+      available: account.available(),
+      taken: record.shares[holder]?.taken ?? 0,
+      rate: account.spendingRate(),
+      holders: openHolders(ledger),
+      entries,
+    };
+    return this.rule.want(view, limits);
   }
 
   /** Forms the next batch of a partition. Called by the partition. */
-  form(number: number, sequence: number, now: Millis): Batch | undefined {
+  form(number: number, sequence: number, now: Millis): Batch {
     this.noteCloses(number);
-    const copies = this.copies.take(budget => this.inPartition(budget, number));
+    const {holder, instance, window} = this.settings;
     const batch: Batch = {
-      holder: this.settings.holder,
-      instance: this.settings.instance,
+      holder,
+      instance,
       sequence,
-      seenCloses: this.seenCloses[number] ?? 0,
-      settlements: copies.filter(copy => this.mayPay(copy, now)),
+      seenCloses: this.seenCloses.get(number) ?? 0,
+      settlements: this.payableCopies(number, now),
       positions: {},
       wants: {},
       leave: this.draining && this.nothingRuns(),
       now,
-      window: this.settings.window,
+      window,
     };
-    for (const budget of this.members[number] ?? []) {
+    for (const budget of this.table.used(number)) {
       this.fill(batch, budget);
     }
     return batch;
   }
 
   /** Copies are paid when they are due, when leaving, or at a close. */
-  private mayPay(copy: Settlement, now: Millis): boolean {
-    return (
-      this.draining ||
-      this.closed.has(copy.holder) ||
-      this.copies.isDue(copy, now)
+  private payableCopies(number: number, now: Millis): Settlement[] {
+    const own = this.copies.take(
+      budget => this.table.numberOf(budget) === number,
+    );
+    return own.filter(
+      copy =>
+        this.draining ||
+        this.asks.isClosed(copy.holder) ||
+        this.copies.isDue(copy, now),
     );
-  }
-
-  private inPartition(budget: string, number: number): boolean {
-    return partitionOf(budget, this.settings.partitions) === number;
   }
 
   private fill(batch: Batch, budget: string): void {
     const account = this.account(budget);
     if (batch.leave) {
       account.giveBack(Math.max(0, account.available()));
-      this.touch(budget);
+      this.dirty.add(budget);
     }
     if (this.dirty.delete(budget)) {
       batch.settlements.push(...account.unsettled());
@@ -671,16 +513,16 @@
     }
   }
 
-  /** Stops dealing with holders that were closed or have left. */
+  /** Stops dealing with holders that an operator closed. */
   private noteCloses(number: number): void {
-    const ledger = this.partitions[number]?.view();
+    const ledger = this.table.at(number).view();
     if (ledger === undefined) {
       return;
     }
-    this.seenCloses[number] = ledger.closes;
+    this.seenCloses.set(number, ledger.closes);
     for (const [id, holder] of Object.entries(ledger.holders)) {
       if (holder.status === HolderStatus.Closing) {
-        this.closed.add(id);
+        this.asks.close(id);
       }
     }
   }
@@ -688,18 +530,17 @@
   /** Takes over the ledger's counts. Called by the partition. */
   absorb(number: number, ledger: Ledger, batch: Batch): void {
     const settled = new Set(batch.settlements);
-    for (const budget of this.members[number] ?? []) {
+    for (const budget of this.table.used(number)) {
       const share = ledger.budgets[budget]?.shares[this.settings.holder];
       if (share !== undefined) {
-        this.accounts.get(budget)?.absorb(share, settled);
+        this.account(budget).absorb(share, settled);
       }
     }
     this.confirm(batch.settlements);
     if (batch.leave) {
-      this.left.add(number);
-    }
-    if (ledger.closes > (this.seenCloses[number] ?? 0)) {
-      this.partitions[number]?.due(batch.now);
+      this.table.leave(number);
+    } else if (ledger.closes > batch.seenCloses) {
+      this.table.due(number, batch.now);
     }
   }
 
@@ -707,13 +548,14 @@
   private confirm(settlements: Settlement[]): void {
     const drops = new Map<string, string[]>();
     for (const {digest, holder} of settlements) {
+      if (holder !== this.settings.holder) {
+        this.copies.drop(holder, [digest]);
+        continue;
+      }
       this.secure(digest, true);
-      const keeper = this.sentCopies.get(digest);
-      if (holder === this.settings.holder && keeper !== undefined) {
-        this.sentCopies.delete(digest);
+      const keeper = this.charges.settled(digest);
+      if (keeper !== undefined) {
         drops.set(keeper, [...(drops.get(keeper) ?? []), digest]);
-      } else {
-        this.copies.drop(holder, [digest]);
       }
     }
     for (const [to, digests] of drops) {
@@ -722,26 +564,13 @@
   }
 
   private nothingRuns(): boolean {
-    return this.holds.size === 0 && this.waiters.size === 0;
+    return this.charges.empty() && this.line.empty();
   }
 
   private drain(now: Millis): void {
-    if (!this.nothingRuns()) {
-      return;
-    }
-    if (this.left.size === this.partitions.length) {
+    if (this.nothingRuns() && !this.table.leaveRest(now)) {
       this.out.push({kind: WalletEffectKind.Left});
       this.draining = false;
-      return;
     }
-    this.partitions.forEach((partition, number) => {
-      if (!this.left.has(number)) {
-        partition.due(now);
-      }
-    });
   }
 }
-
-function rank(waiter: Waiter): number {
-  return waiter.request === undefined ? 1 : 0;
-}
