Let one keeper a zone write the charges of many, and take a first share at once

Cause: nine entries wrote the same partitions each 5 s and refilled growing shares each second; on a cold start the client's own limit on calls was used up by conflicts, and reservations ran out of patience. Ruled out: processor time (65% idle while it happened).

--- a/packages/decisions/src/lib/budget_policy.ts
+++ b/packages/decisions/src/lib/budget_policy.ts
@@ -51,13 +51,18 @@
 /** Smallest amount worth taking ahead of need, as a multiple of the need. */
 const FLOOR_NEEDS = 4;
 
+/** Part of the cap that is taken at once for the first request. */
+const FIRST_PART = 0.25;
+
 /** A share is refilled when it falls below this part of its target. */
 const REFILL_BELOW = 0.6;
 
 /** Tokens to keep ahead of need, given the rate and the grant. */
 export function shareTarget(view: BudgetView, limits: ShareLimits): number {
   const cap = Math.floor(view.granted * limits.cap);
-  const wish = Math.max(view.rate * limits.horizon, FLOOR_NEEDS * view.need);
+  const first = view.need > 0 ? cap * FIRST_PART : 0;
+  const floor = Math.max(first, FLOOR_NEEDS * view.need);
+  const wish = Math.max(view.rate * limits.horizon, floor);
   return Math.min(cap, Math.ceil(wish));
 }
 
--- a/packages/decisions/src/lib/charges.ts
+++ b/packages/decisions/src/lib/charges.ts
@@ -7,8 +7,11 @@
   tokens: number;
 }
 
-interface Unsecured {
+/** A charge that its caller waits for. */
+export interface Unsecured {
   request: string;
+  budget: string;
+  /** When the wait ends. */
   until: Millis;
 }
 
@@ -35,9 +38,9 @@
     return hold;
   }
 
-  /** Notes a charge that its caller waits for, at most until `until`. */
-  await(digest: string, request: string, until: Millis): void {
-    this.unsecured.set(digest, {request, until});
+  /** Notes a charge that its caller waits for. */
+  await(digest: string, charge: Unsecured): void {
+    this.unsecured.set(digest, charge);
   }
 
   /** Ends the wait for a charge; returns its request, if one waits. */
@@ -47,11 +50,11 @@
     return request;
   }
 
-  /** Digests of charges that were waited for long enough. */
-  late(now: Millis): string[] {
+  /** Charges that were waited for long enough. */
+  late(now: Millis): {digest: string; budget: string}[] {
     return [...this.unsecured]
-      .filter(([, entry]) => now >= entry.until)
-      .map(([digest]) => digest);
+      .filter(([, charge]) => now >= charge.until)
+      .map(([digest, {budget}]) => ({digest, budget}));
   }
 
   /** Notes who keeps a copy of a charge. */
--- a/packages/decisions/src/lib/membership.ts
+++ b/packages/decisions/src/lib/membership.ts
@@ -23,10 +23,7 @@
 export class Membership {
   private readonly peers = new Map<string, Peer>();
 
-  constructor(
-    private readonly zone: string,
-    private readonly probes: number,
-  ) {}
+  constructor(private readonly probes: number) {}
 
   /** Takes the entries of the instance list; only adds and removes. */
   list(entries: {address: string; zone: string}[], now: Millis): void {
@@ -81,22 +78,14 @@
     return false;
   }
 
-  /**
-   * Live peers, best keeper of copies first: another zone before the own, so
-   * that a zone's loss does not take an entry and its copies.
-   */
+  /** Live peers. */
   live(now: Millis): Peer[] {
-    const alive = [...this.peers.values()].filter(
+    return [...this.peers.values()].filter(
       peer =>
         peer.holder !== undefined &&
         !peer.leaving &&
         now - peer.heardAt <= SILENCE,
     );
-    return alive.sort((a, b) => this.order(a) - this.order(b));
-  }
-
-  private order(peer: Peer): number {
-    return peer.zone === this.zone ? 1 : 0;
   }
 
   private add(address: string, zone: string): Peer {
--- a/packages/decisions/src/lib/peer_asks.ts
+++ b/packages/decisions/src/lib/peer_asks.ts
@@ -1,5 +1,7 @@
 /** Questions to other entries for tokens, and which entries may be dealt with. */
+import {affinity} from './routing.js';
 import type {Millis} from './clock.js';
+import type {PeerHolder} from './wallet_messages.js';
 
 /** How long peers have to answer. */
 const PEER_PATIENCE: Millis = 150;
@@ -11,15 +13,18 @@
 
 /** Questions to other entries. */
 export class PeerAsks {
-  private peers: string[] = [];
+  private peers: PeerHolder[] = [];
   private readonly closed = new Set<string>();
   private readonly asks = new Map<string, Ask>();
   private turn = 0;
 
-  constructor(private readonly most: number) {}
+  constructor(
+    private readonly most: number,
+    private readonly zone: string,
+  ) {}
 
-  /** Sets the peers, best keeper of copies first. */
-  setPeers(peers: string[]): void {
+  /** Sets the live peers. */
+  setPeers(peers: PeerHolder[]): void {
     this.peers = peers;
   }
 
@@ -33,9 +38,27 @@
     return this.closed.has(holder);
   }
 
-  /** The peer that keeps copies of this entry's charges. */
-  keeper(): string | undefined {
-    return this.peers.find(peer => !this.closed.has(peer));
+  /**
+   * The peer that keeps copies of charges of a partition. All entries of a
+   * zone agree on it, so that one peer writes the charges of many; it is in
+   * another zone, so that a zone's loss does not take owner and copy.
+   */
+  keeper(partition: number): string | undefined {
+    const far = this.open().filter(peer => peer.zone !== this.zone);
+    let best: string | undefined;
+    let bestRank = -1;
+    for (const {holder} of far.length > 0 ? far : this.open()) {
+      const rank = affinity(String(partition), holder);
+      if (rank > bestRank) {
+        best = holder;
+        bestRank = rank;
+      }
+    }
+    return best;
+  }
+
+  private open(): PeerHolder[] {
+    return this.peers.filter(peer => !this.closed.has(peer.holder));
   }
 
   /** When peers were last asked for a budget. */
@@ -45,11 +68,12 @@
 
   /** Notes a question for a budget; returns whom to ask. */
   ask(budget: string, now: Millis): string[] {
-    const open = this.peers.filter(peer => !this.closed.has(peer));
+    const open = this.open();
     const count = Math.min(this.most, open.length);
     const picked: string[] = [];
     for (let i = 0; i < count; i++) {
-      picked.push(open[(this.turn + i) % open.length] as string);
+      const peer = open[(this.turn + i) % open.length] as PeerHolder;
+      picked.push(peer.holder);
     }
     this.turn += count;
     this.asks.set(budget, {at: now, awaited: new Set(picked)});
--- a/packages/decisions/src/lib/wallet.ts
+++ b/packages/decisions/src/lib/wallet.ts
@@ -36,9 +36,6 @@
 /** Wait before a refill that nobody needs yet. */
 const REFILL_DELAY: Millis = 500;
 
-/** A charge's copy is settled for its owner after so many settle intervals. */
-const COPY_INTERVALS = 3;
-
 /** A budget with less than this part left takes back idle shares. */
 const SCARCE_PART = 0.25;
 
@@ -73,7 +70,7 @@
 
   constructor(private readonly settings: WalletSettings) {
     this.rule = BUDGET_RULES[settings.policy];
-    this.asks = new PeerAsks(settings.askedPeers);
+    this.asks = new PeerAsks(settings.askedPeers, settings.zone);
     const {partitions, spacing} = settings;
     this.table = new PartitionTable(partitions, this, spacing);
   }
@@ -351,20 +348,22 @@
     this.account(budget).charge(hold.tokens, settlement);
     this.dirty.add(budget);
     this.returnRest(budget, now);
-    this.charges.await(digest, request, now + this.settings.securePatience);
+    const until = now + this.settings.securePatience;
+    this.charges.await(digest, {request, budget, until});
     this.sendCopy(settlement, now);
   }
 
   private sendCopy(settlement: Settlement, now: Millis): void {
     const {budget, digest} = settlement;
-    const to = this.asks.keeper();
+    const to = this.asks.keeper(this.table.numberOf(budget));
     if (to === undefined) {
       this.table.dueFor(budget, now);
       return;
     }
     this.charges.kept(digest, to);
     this.out.push({kind: WalletEffectKind.SendCopy, to, settlement});
-    this.table.dueFor(budget, now + this.settings.settleInterval);
+    // The keeper writes first, for many; this write only makes sure.
+    this.table.dueFor(budget, now + this.settings.ownInterval);
   }
 
   private returnRest(budget: string, now: Millis): void {
@@ -391,17 +390,16 @@
     if (this.asks.isClosed(from) || this.draining) {
       return;
     }
-    const wait = COPY_INTERVALS * this.settings.settleInterval;
-    this.copies.add(settlement, now + wait);
+    const dueAt = now + this.settings.settleInterval;
+    this.copies.add(settlement);
+    this.table.dueFor(settlement.budget, dueAt);
     const {digest} = settlement;
     this.out.push({kind: WalletEffectKind.SendCopied, to: from, digest});
   }
 
   private tick(now: Millis): void {
-    for (const digest of this.charges.late(now)) {
+    for (const {digest, budget} of this.charges.late(now)) {
       this.secure(digest, false);
-    }
-    for (const budget of this.copies.dueBudgets(now)) {
       this.table.dueFor(budget, now);
     }
     for (const budget of this.line.budgets()) {
@@ -471,7 +469,9 @@
       instance,
       sequence,
       seenCloses: this.seenCloses.get(number) ?? 0,
-      settlements: this.payableCopies(number, now),
+      settlements: this.copies.take(
+        budget => this.table.numberOf(budget) === number,
+      ),
       positions: {},
       wants: {},
       leave: this.draining && this.nothingRuns(),
@@ -484,26 +484,13 @@
     return batch;
   }
 
-  /** Copies are paid when they are due, when leaving, or at a close. */
-  private payableCopies(number: number, now: Millis): Settlement[] {
-    const own = this.copies.take(
-      budget => this.table.numberOf(budget) === number,
-    );
-    return own.filter(
-      copy =>
-        this.draining ||
-        this.asks.isClosed(copy.holder) ||
-        this.copies.isDue(copy, now),
-    );
-  }
-
   private fill(batch: Batch, budget: string): void {
     const account = this.account(budget);
     if (batch.leave) {
       account.giveBack(Math.max(0, account.available()));
       this.dirty.add(budget);
     }
-    if (this.dirty.delete(budget)) {
+    if (this.dirty.delete(budget) || account.unsettled().length > 0) {
       batch.settlements.push(...account.unsettled());
       batch.positions[budget] = account.position();
     }
--- a/packages/decisions/src/lib/wallet_messages.ts
+++ b/packages/decisions/src/lib/wallet_messages.ts
@@ -26,6 +26,12 @@
   Drain = 'drain',
 }
 
+/** Another live entry. */
+export interface PeerHolder {
+  holder: string;
+  zone: string;
+}
+
 /** An event that a wallet takes. */
 export type WalletEvent =
   | {
@@ -73,7 +79,7 @@
   | {kind: WalletEventKind.PeerCopy; from: string; settlement: Settlement}
   | {kind: WalletEventKind.PeerCopied; from: string; digest: string}
   | {kind: WalletEventKind.PeerDrop; from: string; digests: string[]}
-  | {kind: WalletEventKind.Peers; peers: string[]}
+  | {kind: WalletEventKind.Peers; peers: PeerHolder[]}
   | {kind: WalletEventKind.Tick}
   | {kind: WalletEventKind.Drain};
 
--- a/packages/decisions/src/lib/wallet_settings.ts
+++ b/packages/decisions/src/lib/wallet_settings.ts
@@ -10,13 +10,17 @@
   /** Identity of this incarnation, unique for ever. */
   holder: string;
   instance: string;
+  /** Availability zone of this entry. */
+  zone: string;
   /** Number of ledger partitions. */
   partitions: number;
   /** Entries that the deployment is declared to have. */
   entries: number;
   limits: ShareLimits;
-  /** Longest time that a charge waits to be written. */
+  /** Longest time that a charge waits to be written by its keeper. */
   settleInterval: Millis;
+  /** Longest time that a charge with a copy waits for its owner's write. */
+  ownInterval: Millis;
   /** Shortest time between two writes of a partition. */
   spacing: Millis;
   /** Longest time that a reservation waits. */
@@ -32,11 +36,12 @@
 /** Settings that suit most deployments. */
 export const WALLET_DEFAULTS: Omit<
   WalletSettings,
-  'holder' | 'instance' | 'partitions' | 'entries'
+  'holder' | 'instance' | 'zone' | 'partitions' | 'entries'
 > = {
   policy: BudgetPolicy.Shares,
   limits: {horizon: 180 * SECOND, cap: 0.008},
   settleInterval: 5 * SECOND,
+  ownInterval: 30 * SECOND,
   spacing: 50,
   patience: 400,
   securePatience: 100,
--- a/packages/entry/src/lib/entry.ts
+++ b/packages/entry/src/lib/entry.ts
@@ -140,16 +140,16 @@
 
   /** Starts all tasks; returns the addresses. */
   async start(): Promise<EntryAddresses> {
-    const {listen, zone, fleet} = this.settings;
+    const {listen, fleet} = this.settings;
     const address = await this.fleet.start();
     this.members = new MembershipTask(
-      {zone, address, seeds: fleet.seeds},
+      {address, seeds: fleet.seeds},
       {
         instances: this.instances,
         clock: this.clock,
         probe: target => this.fleetTask.probe(target),
         listed: instances => this.upstreams.list(instances),
-        changed: peers => this.fleetTask.peersChanged(peers, this.holder),
+        changed: peers => this.fleetTask.peersChanged(peers),
       },
     );
     this.members.start();
@@ -298,12 +298,13 @@
   }
 
   private walletSettings(): WalletSettings {
-    const {budget, fleet, instance} = this.settings;
+    const {budget, fleet, instance, zone} = this.settings;
     return {
       ...WALLET_DEFAULTS,
       policy: budget.policy,
       holder: this.holder,
       instance,
+      zone,
       partitions: budget.partitions,
       entries: fleet.entries,
       limits: {horizon: budget.horizonMs, cap: budget.cap},
--- a/packages/entry/src/lib/fleet_task.ts
+++ b/packages/entry/src/lib/fleet_task.ts
@@ -1,7 +1,6 @@
 /** Passes messages between the peers and the tasks of this entry. */
 import {WalletEventKind} from '@citrontrestle/decisions';
 import {MessageKind} from '@citrontrestle/fleet';
-import {shortDigest} from '@citrontrestle/runtime';
 import type {Clock, Peer, Suspects} from '@citrontrestle/decisions';
 import type {Fleet, FleetOwner, Identity, Message} from '@citrontrestle/fleet';
 import type {ConfigurationTask} from './configuration_task.js';
@@ -54,15 +53,11 @@
   }
 
   /** Tells the wallet which peers it may deal with. */
-  peersChanged(peers: Peer[], self: string): void {
-    const holders = peers.flatMap(peer => peer.holder ?? []);
-    const far = peers.filter(peer => peer.zone !== peers.at(-1)?.zone).length;
-    // Each entry starts with another peer, so that copies spread evenly.
-    const turn = far > 0 ? parseInt(shortDigest(self), 16) % far : 0;
-    const first = holders.slice(0, far);
-    const order = [...first.slice(turn), ...first.slice(0, turn)];
-    const all = [...order, ...holders.slice(far)];
-    this.around.wallet.handle({kind: WalletEventKind.Peers, peers: all});
+  peersChanged(live: Peer[]): void {
+    const peers = live.flatMap(({holder, zone}) =>
+      holder === undefined ? [] : [{holder, zone}],
+    );
+    this.around.wallet.handle({kind: WalletEventKind.Peers, peers});
   }
 
   /** Takes a message; called by the links. */
--- a/packages/entry/src/lib/membership_task.ts
+++ b/packages/entry/src/lib/membership_task.ts
@@ -15,7 +15,6 @@
 
 /** Settings of a membership task. */
 export interface MembershipSettings {
-  zone: string;
   /** Own address for links. */
   address: string;
   seeds: string[];
@@ -41,7 +40,7 @@
     private readonly settings: MembershipSettings,
     private readonly around: MembershipSurroundings,
   ) {
-    this.members = new Membership(settings.zone, PROBES);
+    this.members = new Membership(PROBES);
     const seeds = settings.seeds.map(address => ({address, zone: ''}));
     this.members.list(this.others(seeds), around.clock.now());
   }
@@ -65,7 +64,7 @@
     this.timers.forEach(timer => clearInterval(timer));
   }
 
-  /** Live peers, best keeper of copies first. */
+  /** Live peers. */
   live(): Peer[] {
     return this.members.live(this.around.clock.now());
   }
--- a/packages/model/src/lib/fleet_model.ts
+++ b/packages/model/src/lib/fleet_model.ts
@@ -270,7 +270,7 @@
             other.state === ProcessState.Live &&
             !this.cuts.has(`${entry.index}-${other.index}`),
         )
-        .map(other => other.holder);
+        .map(({holder, zone}) => ({holder, zone}));
       entry.take({kind: WalletEventKind.Peers, peers});
     }
     this.timeline.after(MEMBERSHIP, () => this.meet());
--- a/packages/model/src/lib/model_entry.ts
+++ b/packages/model/src/lib/model_entry.ts
@@ -47,12 +47,16 @@
 
 const TICK: Millis = 25;
 
+/** Availability zones of the model. */
+const ZONES = 3;
+
 /** Time for an effect to leave the process; a freeze may fall into it. */
 const STEP: Millis = 1;
 
 /** Model of one entry. */
 export class ModelEntry {
   readonly holder: string;
+  readonly zone: string;
   state = ProcessState.Live;
   readonly wallet: Wallet;
   private readonly runs = new Map<string, ModelRun>();
@@ -64,11 +68,13 @@
     private readonly around: ModelSurroundings,
   ) {
     this.holder = `e${index}.${incarnation}`;
+    this.zone = `z${index % ZONES}`;
     this.wallet = new Wallet({
       ...WALLET_DEFAULTS,
       policy: around.policy,
       holder: this.holder,
       instance: this.holder,
+      zone: this.zone,
       partitions: around.partitions,
       entries: around.entries,
       limits: {...WALLET_DEFAULTS.limits, cap: around.cap},
