--- a/packages/decisions/src/lib/partition.ts
+++ b/packages/decisions/src/lib/partition.ts
@@ -9,12 +9,6 @@
 import type {Millis} from './clock.js';
 import type {WalletEffect} from './wallet_messages.js';
 
-/** First wait after a failed call. */
-const BACKOFF_FIRST: Millis = 100;
-
-/** Longest wait after failed calls. */
-const BACKOFF_MOST: Millis = 1_000;
-
 /** What the wallet does for a partition. */
 export interface PartitionOwner {
   /** Forms the next batch. */
@@ -29,8 +23,6 @@
   joined: boolean;
   /** When the batch of the last known answer was formed. */
   answeredAt: Millis;
-  /** Whether the last call failed. */
-  failing: boolean;
 }
 
 /** One ledger partition as seen by one holder. */
@@ -42,8 +34,6 @@
   private busy = false;
   private uncertain = false;
   private sequence = 0;
-  private failures = 0;
-  private retryAt: Millis = 0;
   private dueAt: Millis | undefined;
   private startedAt: Millis = -Infinity;
   private viewedAt: Millis = -Infinity;
@@ -60,7 +50,6 @@
     return {
       joined: this.sequence > 0 && !this.fenced,
       answeredAt: this.viewedAt,
-      failing: this.failures > 0,
     };
   }
 
@@ -74,11 +63,6 @@
     return this.ledger;
   }
 
-  /** Whether the last call failed. */
-  failing(): boolean {
-    return this.failures > 0;
-  }
-
   /** Whether nothing is being written or waits to be. */
   idle(): boolean {
     return !this.busy && this.batch === undefined && this.dueAt === undefined;
@@ -92,7 +76,7 @@
   /** Starts what is due. */
   step(now: Millis): WalletEffect[] {
     const waiting = this.batch !== undefined || this.dueAt !== undefined;
-    if (this.busy || this.fenced || !waiting || now < this.retryAt) {
+    if (this.busy || this.fenced || !waiting) {
       return [];
     }
     const early = now < (this.dueAt ?? now);
@@ -112,7 +96,6 @@
   ): WalletEffect[] {
     this.busy = false;
     this.uncertain = false;
-    this.failures = 0;
     this.version = version;
     this.ledger = ledger ?? emptyLedger();
     return this.proceed(now);
@@ -121,19 +104,15 @@
   /** Takes the confirmation of a write. */
   written(version: number): void {
     this.busy = false;
-    this.failures = 0;
     this.version = version;
     this.ledger = this.next;
     this.finish();
   }
 
   /** Takes a failed call; `lost` when it may have taken effect. */
-  failed(lost: boolean, now: Millis): void {
+  failed(lost: boolean): void {
     this.busy = false;
     this.uncertain ||= lost;
-    const wait = BACKOFF_FIRST * 2 ** Math.min(this.failures, 10);
-    this.failures += 1;
-    this.retryAt = now + Math.min(BACKOFF_MOST, wait);
   }
 
   private proceed(now: Millis): WalletEffect[] {
--- a/packages/decisions/src/lib/partition_table.ts
+++ b/packages/decisions/src/lib/partition_table.ts
@@ -5,6 +5,12 @@
 import type {PartitionOwner} from './partition.js';
 import type {WalletEffect} from './wallet_messages.js';
 
+/** First wait after a failed call. */
+const BACKOFF_FIRST: Millis = 100;
+
+/** Longest wait after failed calls. */
+const BACKOFF_MOST: Millis = 2_000;
+
 /** Assigns a budget to a ledger partition. */
 export function partitionOf(budget: string, partitions: number): number {
   let hash = 0x811c9dc5;
@@ -21,6 +27,10 @@
   /** Partitions that may have something to do. */
   private readonly active = new Set<number>();
   private readonly left = new Set<number>();
+  private failures = 0;
+  private retryAt: Millis = 0;
+  /** The one partition that is tried while the service fails. */
+  private probe: number | undefined;
 
   constructor(count: number, owner: PartitionOwner, spacing: Millis) {
     for (let number = 0; number < count; number++) {
@@ -71,12 +81,19 @@
     this.due(this.numberOf(budget), time);
   }
 
-  /** Starts what is due. */
+  /** Starts what is due; one partition only while the service fails. */
   step(now: Millis): WalletEffect[] {
     const effects: WalletEffect[] = [];
     for (const number of this.active) {
+      if (this.blocked(now)) {
+        break;
+      }
       const partition = this.at(number);
-      effects.push(...partition.step(now));
+      const started = partition.step(now);
+      effects.push(...started);
+      if (this.failing() && started.length > 0) {
+        this.probe = number;
+      }
       if (partition.idle()) {
         this.active.delete(number);
       }
@@ -84,6 +101,29 @@
     return effects;
   }
 
+  /** Notes that a call of a partition was answered. */
+  answered(): void {
+    this.failures = 0;
+    this.probe = undefined;
+  }
+
+  /** Notes a failed call; `lost` when it may have taken effect. */
+  failed(number: number, lost: boolean, now: Millis): void {
+    this.at(number).failed(lost);
+    if (this.failing() && this.probe !== number) {
+      return;
+    }
+    const wait = BACKOFF_FIRST * 2 ** Math.min(this.failures, 10);
+    this.failures += 1;
+    this.retryAt = now + Math.min(BACKOFF_MOST, wait);
+    this.probe = undefined;
+  }
+
+  private blocked(now: Millis): boolean {
+    const waits = this.probe !== undefined || now < this.retryAt;
+    return this.failing() && waits;
+  }
+
   /** Notes that this holder has left a partition. */
   leave(number: number): void {
     this.left.add(number);
@@ -104,8 +144,8 @@
     return this.partitions.every(partition => partition.joined());
   }
 
-  /** Whether any partition's last call failed. */
+  /** Whether the last call failed. */
   failing(): boolean {
-    return this.partitions.some(partition => partition.failing());
+    return this.failures > 0;
   }
 }
--- a/packages/decisions/src/lib/wallet.ts
+++ b/packages/decisions/src/lib/wallet.ts
@@ -103,7 +103,7 @@
     return this.table.joined();
   }
 
-  /** Whether any partition's last call failed. */
+  /** Whether the last call to the ledger failed. */
   failing(): boolean {
     return this.table.failing();
   }
@@ -129,12 +129,14 @@
     [WalletEventKind.Settle]: (event, now) => this.settle(event, now),
     [WalletEventKind.LedgerRead]: (event, now) => this.seen(event, now),
     [WalletEventKind.LedgerConflict]: (event, now) => this.seen(event, now),
-    [WalletEventKind.LedgerWritten]: ({partition, version}) =>
-      this.table.at(partition).written(version),
+    [WalletEventKind.LedgerWritten]: ({partition, version}) => {
+      this.table.answered();
+      this.table.at(partition).written(version);
+    },
     [WalletEventKind.LedgerLost]: ({partition}, now) =>
-      this.table.at(partition).failed(true, now),
+      this.table.failed(partition, true, now),
     [WalletEventKind.LedgerUnavailable]: ({partition}, now) =>
-      this.table.at(partition).failed(false, now),
+      this.table.failed(partition, false, now),
     [WalletEventKind.PeerAsk]: (event, now) => this.peerAsk(event, now),
     [WalletEventKind.PeerGive]: (event, now) => this.peerGive(event, now),
     [WalletEventKind.PeerCopy]: (event, now) => this.peerCopy(event, now),
@@ -153,6 +155,7 @@
     now: Millis,
   ): void {
     const {partition, version, ledger} = event;
+    this.table.answered();
     this.out.push(...this.table.at(partition).seen(version, ledger, now));
   }
 
@@ -242,8 +245,7 @@
     if (now - waiter.began >= this.settings.patience) {
       return true;
     }
-    const {failing} = this.table.of(budget).state();
-    const no = failing || this.ledgerNo(budget, waiter);
+    const no = this.table.failing() || this.ledgerNo(budget, waiter);
     return no && this.peersNo(budget, waiter, now);
   }
 
