Count every transfer once when holders leave or are released

Cause: a holder's record was folded away as soon as it was gone, and with it what it had received; a later release of the sender gave the same tokens back again (overspend). A holder that passed tokens on before it ever wrote of a budget was left out of a release (overspend). A sender that left took the count of what never arrived with it, and a charge that proved a duplicate in the last batch was not returned (both stranded tokens, never overspend). The ledger now notes deliveries with the sender, carries transfers that got lost, and a holder leaves with a batch of its own.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -6,6 +6,8 @@
 export * from './lib/configuration.js';
 export * from './lib/copy_store.js';
 export * from './lib/ledger.js';
+export * from './lib/ledger_batch.js';
+export * from './lib/ledger_release.js';
 export * from './lib/limits.js';
 export * from './lib/membership.js';
 export * from './lib/order.js';
--- a/packages/decisions/src/lib/account.ts
+++ b/packages/decisions/src/lib/account.ts
@@ -2,7 +2,8 @@
  * One holder's own account of one budget. Nothing here talks to anyone; the
  * wallet decides when to ask for more.
  */
-import type {Position, Settlement, Share} from './ledger.js';
+import type {Position} from './ledger_batch.js';
+import type {Settlement, Share} from './ledger.js';
 import type {Millis} from './clock.js';
 
 /** Part of a new rate sample in the running average. */
@@ -114,6 +115,9 @@
   absorb(share: Share, settled: ReadonlySet<Settlement>): void {
     this.taken = share.taken;
     this.billed = share.billed;
+    for (const [from, total] of Object.entries(share.received)) {
+      this.receive(from, total);
+    }
     for (let i = this.pending.length - 1; i >= 0; i--) {
       const settlement = this.pending[i];
       if (settlement !== undefined && settled.has(settlement)) {
--- a/packages/decisions/src/lib/budget_policy.ts
+++ b/packages/decisions/src/lib/budget_policy.ts
@@ -1,5 +1,5 @@
 /** Ways to divide a budget among the entries, selectable by settings. */
-import type {Want} from './ledger.js';
+import type {Want} from './ledger_batch.js';
 import type {Millis} from './clock.js';
 
 /** Name of a way to divide a budget. */
--- a/packages/decisions/src/lib/partition.ts
+++ b/packages/decisions/src/lib/partition.ts
@@ -3,9 +3,11 @@
  * a time, one batch at a time, and the same batch again until its outcome is
  * known.
  */
-import {applyBatch, BatchOutcome, emptyLedger} from './ledger.js';
+import {applyBatch, BatchOutcome} from './ledger_batch.js';
+import {emptyLedger} from './ledger.js';
 import {WalletEffectKind} from './wallet_messages.js';
-import type {Batch, Ledger} from './ledger.js';
+import type {Batch} from './ledger_batch.js';
+import type {Ledger} from './ledger.js';
 import type {Millis} from './clock.js';
 import type {WalletEffect} from './wallet_messages.js';
 
--- a/packages/decisions/src/lib/wallet.ts
+++ b/packages/decisions/src/lib/wallet.ts
@@ -16,7 +16,8 @@
   WalletEffectKind,
   WalletEventKind,
 } from './wallet_messages.js';
-import type {Batch, Ledger, Settlement, Want} from './ledger.js';
+import type {Batch, Want} from './ledger_batch.js';
+import type {Ledger, Settlement, Share} from './ledger.js';
 import type {BudgetRule} from './budget_policy.js';
 import type {Millis} from './clock.js';
 import type {PartitionOwner} from './partition.js';
@@ -476,7 +477,7 @@
       ),
       positions: {},
       wants: {},
-      leave: this.draining && this.nothingRuns(),
+      leave: this.mayLeave(number),
       now,
       window,
     };
@@ -486,6 +487,19 @@
     return batch;
   }
 
+  /**
+   * A holder leaves with a batch of its own after its last charges: what a
+   * charge that proves a duplicate frees must still be returned.
+   */
+  private mayLeave(number: number): boolean {
+    if (!this.draining || !this.nothingRuns()) {
+      return false;
+    }
+    return [...this.table.used(number)].every(
+      budget => this.account(budget).unsettled().length === 0,
+    );
+  }
+
   private fill(batch: Batch, budget: string): void {
     const account = this.account(budget);
     if (batch.leave) {
@@ -520,9 +534,11 @@
   absorb(number: number, ledger: Ledger, batch: Batch): void {
     const settled = new Set(batch.settlements);
     for (const budget of this.table.used(number)) {
-      const share = ledger.budgets[budget]?.shares[this.settings.holder];
-      if (share !== undefined) {
-        this.account(budget).absorb(share, settled);
+      const shares = ledger.budgets[budget]?.shares ?? {};
+      const own = shares[this.settings.holder];
+      if (own !== undefined) {
+        this.account(budget).absorb(own, settled);
+        this.collect(budget, shares);
       }
     }
     this.confirm(batch.settlements);
@@ -533,6 +549,18 @@
     }
   }
 
+  /** Takes what others sent and what got lost on its way. */
+  private collect(budget: string, shares: Record<string, Share>): void {
+    const {holder} = this.settings;
+    const account = this.account(budget);
+    for (const [from, {sent}] of Object.entries(shares)) {
+      const total = this.asks.isClosed(from) ? 0 : (sent[holder] ?? 0);
+      if (account.receive(from, total)) {
+        this.dirty.add(budget);
+      }
+    }
+  }
+
   /** Lets go of copies and callers once charges stand in the ledger. */
   private confirm(settlements: Settlement[]): void {
     const drops = new Map<string, string[]>();
--- a/packages/model/src/lib/commands.ts
+++ b/packages/model/src/lib/commands.ts
@@ -40,6 +40,9 @@
 const LONGEST_ADVANCE = 12_000;
 const LONGEST_DELAY = 3_000;
 
+/** Time for a rush to be served. */
+const RUSH = 1_000;
+
 /** Commands over models with so many entries and these budgets. */
 export function stepArbitraries(
   entries: number,
@@ -60,6 +63,22 @@
           }
         }),
     );
+  const rushes = fc.tuple(budget, tokens, fc.integer({min: 1, max: 4})).map(
+    ([b, t, n]) =>
+      new Step(`rush(${b},${t},x${n})`, model => {
+        for (let i = 0; i < n * entries; i++) {
+          model.request(i % entries, b, t);
+        }
+        model.advance(RUSH);
+      }),
+  );
+  const losses = entry.map(
+    index =>
+      new Step(`lose(${index})`, model => {
+        model.kill(index);
+        model.release(index);
+      }),
+  );
   const pauses = fc
     .oneof(
       fc.integer({min: 1, max: 600}),
@@ -71,6 +90,9 @@
     requests,
     requests,
     requests,
+    rushes,
+    rushes,
+    losses,
     pauses,
     pauses,
     pauses,
--- a/packages/model/src/lib/fleet_model.ts
+++ b/packages/model/src/lib/fleet_model.ts
@@ -102,6 +102,7 @@
       id,
       key: key ?? id,
       entry,
+      holder: target.holder,
       budget: before?.budget ?? budget,
       reserved: before?.reserved ?? tokens,
       used: before?.used ?? Math.ceil(tokens * 0.7),
--- a/packages/model/src/lib/oracle.ts
+++ b/packages/model/src/lib/oracle.ts
@@ -1,5 +1,5 @@
 /** The oracle: what must hold of a fleet, in as few words as possible. */
-import {allocated, billed} from '@citrontrestle/decisions';
+import {allocated, billed, unallocated} from '@citrontrestle/decisions';
 import {RunState} from './run_record.js';
 import type {FleetModel} from './fleet_model.js';
 import type {ModelRun} from './run_record.js';
@@ -9,6 +9,7 @@
   const wrong: string[] = [];
   for (const budget of model.settings.budgets) {
     wrong.push(...checkBudget(model, budget));
+    wrong.push(...checkConservation(model, budget));
   }
   for (const [digest, times] of model.bills) {
     if (times > 1) {
@@ -42,6 +43,31 @@
   return wrong;
 }
 
+/**
+ * Tokens that can still be spent, here or there, and those spent never come to
+ * more than the grant. This sees a token that is counted twice long before
+ * anybody spends it.
+ */
+function checkConservation(model: FleetModel, budget: string): string[] {
+  const record = model.ledger(budget).budgets[budget];
+  if (record === undefined) {
+    return [];
+  }
+  let total = billed(record) + unallocated(record);
+  for (const entry of model.entries) {
+    const share = entry.exists()
+      ? entry.wallet.shares().find(one => one.budget === budget)
+      : undefined;
+    total += share === undefined ? 0 : share.available + share.held;
+  }
+  for (const run of model.runs) {
+    const running = run.state === RunState.Running;
+    total += run.budget === budget && !running ? committedBy(model, run) : 0;
+  }
+  const wrong = `${budget}: ${total} spendable of ${record.granted}`;
+  return total > record.granted ? [wrong] : [];
+}
+
 /** Tokens that a run may still be billed for. */
 function committedBy(model: FleetModel, run: ModelRun): number {
   if (run.state === RunState.Running) {
@@ -56,7 +82,8 @@
 
 /** Whether somebody is left who knows of the charge. */
 function mayBill(model: FleetModel, run: ModelRun): boolean {
-  return model.entries[run.entry]?.exists() === true;
+  const entry = model.entries[run.entry];
+  return entry?.holder === run.holder && entry.exists();
 }
 
 /** What must hold once every fault is put right and all has settled. */
--- a/packages/model/src/lib/run_record.ts
+++ b/packages/model/src/lib/run_record.ts
@@ -21,6 +21,8 @@
   key: string;
   /** Index of the entry. */
   entry: number;
+  /** Incarnation of the entry. */
+  holder: string;
   budget: string;
   reserved: number;
   used: number;
--- a/packages/model/src/test/regressions_test.ts
+++ b/packages/model/src/test/regressions_test.ts
@@ -7,6 +7,20 @@
 
 const SMALL = {...MODEL_DEFAULTS, grant: 3_000, cap: 0.3};
 
+const rush =
+  (budget: string, tokens: number): Act =>
+  model => {
+    for (let entry = 0; entry < SMALL.entries; entry++) {
+      model.request(entry, budget, tokens);
+    }
+    model.advance(1_000);
+  };
+const lose =
+  (entry: number): Act =>
+  model => {
+    model.kill(entry);
+    model.release(entry);
+  };
 const advance =
   (span: number): Act =>
   model =>
@@ -49,6 +63,35 @@
         model => model.request(0, 'clubs', 1, 'r1'),
       ],
     },
+    {
+      name: 'tokens passed to an entry that left are not released again',
+      acts: [
+        request(3, 1),
+        advance(1),
+        rush('clubs', 1),
+        lose(0),
+        model => model.drain(3),
+        faults({lost: 1}),
+      ],
+    },
+    {
+      name: 'an entry that passed tokens on and never wrote is counted',
+      acts: [
+        model => model.request(3, 'players', 1),
+        model => model.freeze(1),
+        advance(424),
+        faults({slow: 667}),
+        lose(2),
+        rush('players', 22),
+        model => model.kill(3),
+        model => model.wake(1),
+        model => model.request(1, 'players', 1),
+        model => model.release(3),
+        request(0, 1),
+        lose(0),
+        advance(1),
+      ],
+    },
   ];
   for (const {name, acts} of cases) {
     it(name, () => {
--- a/packages/runtime/src/lib/listener.ts
+++ b/packages/runtime/src/lib/listener.ts
@@ -2,6 +2,7 @@
 import {createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {AddressInfo} from 'node:net';
+import type {Millis} from '@citrontrestle/decisions';
 
 /** Handles one request. */
 export type Handler = (
@@ -12,6 +13,9 @@
 /** Largest request header block, in bytes. */
 const MOST_HEADER_BYTES = 16 * 1024;
 
+/** Interval in which idle connections are closed while draining. */
+const SWEEP_INTERVAL: Millis = 50;
+
 /** An HTTP listener on one address. */
 export class Listener {
   private readonly server: Server;
@@ -41,7 +45,14 @@
   /** Takes no new connection and waits for requests that run. */
   drain(): Promise<void> {
     return new Promise(resolve => {
-      this.server.close(() => resolve());
+      // Connections turn idle one by one as their requests end.
+      const sweep = setInterval(() => {
+        this.server.closeIdleConnections();
+      }, SWEEP_INTERVAL);
+      this.server.close(() => {
+        clearInterval(sweep);
+        resolve();
+      });
       this.server.closeIdleConnections();
     });
   }
