Search for tokens in order: home entry, ledger, what others have left

Cause of false refusals near a budget's end: nine entries raced for the ledger by compare-and-swap, pieces lay with entries that all refused each other, the keeper's writes and the owner's pending charges were counted twice, and idle shares waited 5 s to be returned. A waiter that came after its search's write was in flight waited out its patience. Now one home entry a partition takes for all, says 'exhausted' for all, and collects the rest once the ledger is empty. Also: a class is found only under the path of its kind, and faults in settings point at the key.

--- a/packages/decisions/src/lib/account.ts
+++ b/packages/decisions/src/lib/account.ts
@@ -80,6 +80,7 @@
   /** Sends tokens to another holder; returns the total ever sent to it. */
   send(to: string, tokens: number): number {
     this.sent[to] = (this.sent[to] ?? 0) + tokens;
+    this.used += tokens;
     return this.sent[to];
   }
 
@@ -111,8 +112,16 @@
     };
   }
 
-  /** Takes over the ledger's counts after `settled` took effect. */
-  absorb(share: Share, settled: ReadonlySet<Settlement>): void {
+  /**
+   * Takes over the ledger's counts.
+   * @param isSettled whether a charge is dealt with in these counts.
+   * @return the charges that were dealt with.
+   */
+  absorb(
+    share: Share,
+    isSettled: (settlement: Settlement) => boolean,
+  ): Settlement[] {
+    const settled: Settlement[] = [];
     this.taken = share.taken;
     this.billed = share.billed;
     for (const [from, total] of Object.entries(share.received)) {
@@ -120,11 +129,13 @@
     }
     for (let i = this.pending.length - 1; i >= 0; i--) {
       const settlement = this.pending[i];
-      if (settlement !== undefined && settled.has(settlement)) {
+      if (settlement !== undefined && isSettled(settlement)) {
         this.pending.splice(i, 1);
         this.pendingTokens -= settlement.tokens;
+        settled.push(settlement);
       }
     }
+    return settled;
   }
 
   /** Takes a sample of the spending rate. */
--- a/packages/decisions/src/lib/partition.ts
+++ b/packages/decisions/src/lib/partition.ts
@@ -15,13 +15,17 @@
 export interface PartitionOwner {
   /** Forms the next batch. */
   form(partition: number, sequence: number, now: Millis): Batch;
+  /** Whether a write could only fail to get what the known ledger lacks. */
+  hopeless(partition: number): boolean;
+  /** Takes over the counts of a ledger that was only read. */
+  refreshed(partition: number, ledger: Ledger): void;
   /** Takes over the ledger's counts after a batch took effect. */
   absorb(partition: number, ledger: Ledger, batch: Batch): void;
 }
 
 /** What is known of a partition. */
 export interface PartitionState {
-  /** Whether this holder's record is known to exist in it. */
+  /** Whether this holder deals in it. */
   joined: boolean;
   /** When the batch of the last known answer was formed. */
   answeredAt: Millis;
@@ -40,6 +44,8 @@
   private startedAt: Millis = -Infinity;
   private viewedAt: Millis = -Infinity;
   private fenced = false;
+  /** When a read began that only looks for more tokens. */
+  private refreshing: Millis | undefined;
 
   constructor(
     private readonly number: number,
@@ -50,14 +56,18 @@
   /** What is known of the partition. */
   state(): PartitionState {
     return {
-      joined: this.sequence > 0 && !this.fenced,
+      joined: this.joined(),
       answeredAt: this.viewedAt,
     };
   }
 
-  /** Whether this holder's record is known to exist in the partition. */
+  /**
+   * Whether this holder deals in the partition: its record is known to exist,
+   * and no batch is formed with which it leaves.
+   */
   joined(): boolean {
-    return this.sequence > 0 && !this.fenced;
+    const leaving = this.batch?.leave ?? false;
+    return this.sequence > 0 && !this.fenced && !leaving;
   }
 
   /** The last known ledger; never change it. */
@@ -87,6 +97,11 @@
       return [];
     }
     this.startedAt = now;
+    if (this.batch === undefined && this.owner.hopeless(this.number)) {
+      this.refreshing = now;
+      this.busy = true;
+      return [{kind: WalletEffectKind.ReadLedger, partition: this.number}];
+    }
     return this.proceed(now);
   }
 
@@ -100,6 +115,15 @@
     this.uncertain = false;
     this.version = version;
     this.ledger = ledger ?? emptyLedger();
+    if (this.refreshing !== undefined && this.batch === undefined) {
+      this.viewedAt = this.refreshing;
+      this.owner.refreshed(this.number, this.ledger);
+      this.refreshing = undefined;
+      if (this.owner.hopeless(this.number)) {
+        this.dueAt = undefined;
+        return [];
+      }
+    }
     return this.proceed(now);
   }
 
@@ -114,6 +138,7 @@
   /** Takes a failed call; `lost` when it may have taken effect. */
   failed(lost: boolean): void {
     this.busy = false;
+    this.refreshing = undefined;
     this.uncertain ||= lost;
   }
 
--- a/packages/decisions/src/lib/wallet.ts
+++ b/packages/decisions/src/lib/wallet.ts
@@ -8,7 +8,8 @@
 import {CopyStore} from './copy_store.js';
 import {HolderStatus, openHolders, unallocated} from './ledger.js';
 import {PartitionTable} from './partition_table.js';
-import {PeerAsks} from './peer_asks.js';
+import {PeerTable} from './peer_table.js';
+import {GiveState, Search, SEARCH_LIFETIME, SearchStage} from './search.js';
 import {SECOND} from './clock.js';
 import {WaiterKind, WaitingLine} from './waiting_line.js';
 import {
@@ -25,12 +26,12 @@
 import type {WalletEffect, WalletEvent} from './wallet_messages.js';
 import type {WalletSettings} from './wallet_settings.js';
 
-/** How long a "no" of the ledger or of the peers stays good. */
-const REFUSAL_LIFETIME: Millis = 250;
-
 /** Span of spending to ask of peers beyond the need. */
 const PEER_AHEAD: Millis = 2 * SECOND;
 
+/** How long a budget counts as nearly used up after its home said so. */
+const SCARCE_TIME: Millis = 2 * SECOND;
+
 /** Interval between samples of the spending rate. */
 const SAMPLE_INTERVAL: Millis = SECOND;
 
@@ -59,7 +60,10 @@
   private readonly table: PartitionTable;
   private readonly accounts = new Map<string, Account>();
   private readonly line = new WaitingLine();
-  private readonly asks: PeerAsks;
+  private readonly peers: PeerTable;
+  private readonly searches = new Map<string, Search>();
+  /** Until when a budget is known to be nearly used up. */
+  private readonly scarce = new Map<string, Millis>();
   private readonly charges = new Charges();
   private readonly copies = new CopyStore();
   /** Budgets whose position or charges changed since the last batch. */
@@ -71,8 +75,8 @@
 
   constructor(private readonly settings: WalletSettings) {
     this.rule = BUDGET_RULES[settings.policy];
-    this.asks = new PeerAsks(settings.askedPeers, settings.zone);
-    const {partitions, spacing} = settings;
+    const {partitions, spacing, holder, zone} = settings;
+    this.peers = new PeerTable({holder, zone}, settings.askedPeers);
     this.table = new PartitionTable(partitions, this, spacing);
   }
 
@@ -144,7 +148,7 @@
     [WalletEventKind.PeerCopied]: ({digest}) => this.secure(digest, true),
     [WalletEventKind.PeerDrop]: ({from, digests}) =>
       this.copies.drop(from, digests),
-    [WalletEventKind.Peers]: ({peers}) => this.asks.setPeers(peers),
+    [WalletEventKind.Peers]: ({peers}) => this.peers.setPeers(peers),
     [WalletEventKind.Tick]: (_event, now) => this.tick(now),
     [WalletEventKind.Drain]: () => {
       this.draining = true;
@@ -195,12 +199,20 @@
   }
 
   private wait(budget: string, waiter: Waiter, now: Millis): void {
+    this.account(budget);
     this.line.add(budget, waiter);
+    const atLedger = this.searches.get(budget)?.at() === SearchStage.Ledger;
+    if (waiter.kind === WaiterKind.Peer || atLedger) {
+      this.askLedger(budget, now);
+    }
+  }
+
+  /** Asks the ledger, unless its last answer is recent and says no. */
+  private askLedger(budget: string, now: Millis): void {
     const {answeredAt} = this.table.of(budget).state();
-    if (answeredAt < now - REFUSAL_LIFETIME || this.room(budget)) {
+    if (answeredAt < now - SEARCH_LIFETIME || this.room(budget)) {
       this.table.dueFor(budget, now);
     }
-    this.askPeers(budget, now);
   }
 
   /** Whether the last known ledger has tokens left for a budget. */
@@ -213,22 +225,97 @@
     return Math.max(0, this.line.tokens(budget) - this.available(budget));
   }
 
-  private askPeers(budget: string, now: Millis): void {
-    const fresh = now - this.asks.askedAt(budget) < REFUSAL_LIFETIME;
+  /** The other entry to ask first, if there is one. */
+  private homeOf(budget: string): string | undefined {
+    const home = this.peers.home(this.table.numberOf(budget));
+    const own = home === this.settings.holder;
     const {joined} = this.table.of(budget).state();
-    const own = this.line.hasRequest(budget);
-    if (!own || fresh || !joined || !this.rule.asksPeers) {
+    return own || !joined || !this.rule.asksPeers ? undefined : home;
+  }
+
+  /** Takes the search for a budget as far as it gets now. */
+  private search(budget: string, now: Millis): void {
+    if (!this.line.hasRequest(budget)) {
       return;
     }
-    const ahead = this.account(budget).spendingRate() * PEER_AHEAD;
+    const need = this.line.first(budget)?.tokens ?? 0;
+    let search = this.searches.get(budget);
+    if (search === undefined || search.useless(need, now)) {
+      search = this.beginSearch(budget, need, now);
+    }
+    let before: SearchStage;
+    do {
+      before = search.at();
+      this.stages[before](budget, search, now);
+    } while (search.at() !== before);
+  }
+
+  private beginSearch(budget: string, need: number, now: Millis): Search {
+    const home = this.homeOf(budget);
+    const search = new Search(now, need, home);
+    this.searches.set(budget, search);
+    if (home === undefined) {
+      this.askLedger(budget, now);
+    } else {
+      this.ask(home, budget);
+    }
+    return search;
+  }
+
+  private ask(to: string, budget: string): void {
+    const ahead = this.isScarce(budget) ? 0 : this.aheadOf(budget);
     const tokens = Math.ceil(this.shortfall(budget) + ahead);
-    for (const to of this.asks.ask(budget, now)) {
-      this.out.push({kind: WalletEffectKind.SendAsk, to, budget, tokens});
+    this.out.push({kind: WalletEffectKind.SendAsk, to, budget, tokens});
+  }
+
+  /** Tokens to ask of peers beyond the need; never more than may be kept. */
+  private aheadOf(budget: string): number {
+    const record = this.table.view(budget)?.budgets[budget];
+    const most = (record?.granted ?? 0) * this.settings.limits.cap;
+    const ahead = this.account(budget).spendingRate() * PEER_AHEAD;
+    return Math.min(ahead, most / 2);
+  }
+
+  private readonly stages: Record<
+    SearchStage,
+    (budget: string, search: Search, now: Millis) => void
+  > = {
+    [SearchStage.Home]: (budget, search, now) => {
+      if (search.waitedEnough(now)) {
+        search.toLedger(now);
+        this.askLedger(budget, now);
+      }
+    },
+    [SearchStage.Ledger]: (budget, search, now) => {
+      const no = this.ledgerNo(budget, search.need, search.begun);
+      if (no || this.table.failing()) {
+        search.exhausted = no;
+        this.askOthers(budget, search, now);
+      }
+    },
+    [SearchStage.Others]: (_budget, search, now) => {
+      if (search.waitedEnough(now)) {
+        search.end(now);
+      }
+    },
+    [SearchStage.Over]: () => undefined,
+  };
+
+  private askOthers(budget: string, search: Search, now: Millis): void {
+    const {joined} = this.table.of(budget).state();
+    const asked =
+      joined && this.rule.asksPeers
+        ? this.peers.pick(this.homeOf(budget) ?? '')
+        : [];
+    search.toOthers(asked, now);
+    for (const to of asked) {
+      this.ask(to, budget);
     }
   }
 
   /** Grants or refuses what waits for a budget. */
   private serve(budget: string, now: Millis): void {
+    this.search(budget, now);
     let waiter = this.line.first(budget);
     while (waiter !== undefined) {
       const fits = this.available(budget) >= waiter.tokens;
@@ -239,6 +326,15 @@
       this.answer(budget, waiter, fits);
       waiter = this.line.first(budget);
     }
+    this.endSearch(budget);
+    this.pushSurplus(budget, now);
+  }
+
+  /** Forgets a search that nobody waits for; a "no" is kept for a while. */
+  private endSearch(budget: string): void {
+    if (this.searches.get(budget)?.at() !== SearchStage.Over) {
+      this.searches.delete(budget);
+    }
   }
 
   /** Whether all who could give have said no, or the wait was too long. */
@@ -246,35 +342,35 @@
     if (now - waiter.began >= this.settings.patience) {
       return true;
     }
-    const no = this.table.failing() || this.ledgerNo(budget, waiter);
-    return no && this.peersNo(budget, waiter, now);
+    if (waiter.kind === WaiterKind.Peer) {
+      const {tokens, began} = waiter;
+      return this.table.failing() || this.ledgerNo(budget, tokens, began);
+    }
+    const search = this.searches.get(budget);
+    const over = search?.at() === SearchStage.Over;
+    const fresh = over && search.begun >= waiter.began - SEARCH_LIFETIME;
+    return fresh && waiter.tokens >= search.need;
   }
 
-  private ledgerNo(budget: string, waiter: Waiter): boolean {
+  /** Whether the ledger, asked lately, can't make up so many tokens. */
+  private ledgerNo(budget: string, tokens: number, since: Millis): boolean {
     const {answeredAt} = this.table.of(budget).state();
     const record = this.table.view(budget)?.budgets[budget];
     const free =
       record === undefined || !this.rule.takesMore ? 0 : unallocated(record);
-    const short = free + this.available(budget) < waiter.tokens;
-    return short && answeredAt >= waiter.began - REFUSAL_LIFETIME;
-  }
-
-  private peersNo(budget: string, waiter: Waiter, now: Millis): boolean {
-    const {joined} = this.table.of(budget).state();
-    const asked = waiter.kind === WaiterKind.Request && joined;
-    if (!asked || !this.rule.asksPeers) {
-      return true;
-    }
-    return this.asks.done(budget, waiter.began - REFUSAL_LIFETIME, now);
+    const short = free + this.available(budget) < tokens;
+    return short && answeredAt >= since - SEARCH_LIFETIME;
   }
 
   private answer(budget: string, waiter: Waiter, fits: boolean): void {
     if (waiter.kind === WaiterKind.Peer) {
-      this.give(waiter.id, budget, waiter.tokens);
+      const no = this.ledgerNo(budget, waiter.tokens, waiter.began);
+      const {Exhausted, Short} = GiveState;
+      this.give(waiter.id, budget, waiter.tokens, no ? Exhausted : Short);
     } else if (fits) {
       this.grant(waiter.id, budget, waiter.tokens);
     } else {
-      const no = this.ledgerNo(budget, waiter);
+      const no = this.searches.get(budget)?.exhausted ?? false;
       const {Exhausted, Unavailable} = BudgetRefusal;
       const reason = no ? Exhausted : Unavailable;
       const kind = WalletEffectKind.Refused;
@@ -282,49 +378,109 @@
     }
   }
 
-  private give(to: string, budget: string, tokens: number): void {
+  /** Sends up to `tokens`; `short` says why it may be less. */
+  private give(
+    to: string,
+    budget: string,
+    tokens: number,
+    short: GiveState,
+  ): void {
     const account = this.account(budget);
     // Without a record in the partition a transfer could not be released.
     const {joined} = this.table.of(budget).state();
-    const amount = Math.min(Math.max(0, account.available()), tokens);
-    if (joined && !this.asks.isClosed(to) && amount > 0) {
+    const allowed = joined && !this.peers.isClosed(to);
+    const most = allowed ? Math.max(0, account.available()) : 0;
+    const amount = Math.min(most, tokens);
+    if (amount > 0) {
       account.send(to, amount);
       this.dirty.add(budget);
     }
     const total = account.sentTo(to);
-    this.out.push({kind: WalletEffectKind.SendGive, to, budget, total});
+    const state = amount < tokens ? short : GiveState.Enough;
+    const kind = WalletEffectKind.SendGive;
+    this.out.push({kind, to, budget, total, state});
   }
 
   private peerAsk(
     {from, budget, tokens}: EventOf<WalletEventKind.PeerAsk>,
     now: Millis,
   ): void {
-    if (this.asks.isClosed(from) || !this.rule.asksPeers) {
+    if (this.peers.isClosed(from) || !this.rule.asksPeers) {
       return;
     }
-    if (this.line.has(budget)) {
-      this.give(from, budget, 0);
-    } else if (this.draining || this.available(budget) >= tokens) {
-      this.give(from, budget, tokens);
-    } else {
+    const enough = this.available(budget) >= tokens;
+    const waits = this.line.has(budget);
+    const source = this.homeOf(budget) === undefined && !this.draining;
+    if (source && (waits || !enough)) {
       const kind = WaiterKind.Peer;
       this.wait(budget, {kind, id: from, tokens, began: now}, now);
+      return;
     }
+    // Of two that look for what the other has left, one must give way.
+    const yields = !waits || from < this.settings.holder;
+    this.give(from, budget, yields ? tokens : 0, GiveState.Short);
   }
 
   private peerGive(
-    {from, budget, total}: EventOf<WalletEventKind.PeerGive>,
+    {from, budget, total, state}: EventOf<WalletEventKind.PeerGive>,
     now: Millis,
   ): void {
     const {joined} = this.table.of(budget).state();
-    if (this.asks.isClosed(from) || !joined) {
+    if (this.peers.isClosed(from) || !joined) {
       return;
     }
     if (this.account(budget).receive(from, total)) {
       this.dirty.add(budget);
-      this.table.dueFor(budget, now + this.settings.settleInterval);
+      this.table.dueFor(budget, now + this.settings.ownInterval);
+    }
+    if (state === GiveState.Exhausted) {
+      this.scarce.set(budget, now + SCARCE_TIME);
+    }
+    this.noteAnswer(budget, from, state, now);
+  }
+
+  /** Takes the search on after an answer. */
+  private noteAnswer(
+    budget: string,
+    from: string,
+    state: GiveState,
+    now: Millis,
+  ): void {
+    const search = this.searches.get(budget);
+    if (!search?.answered(from) || search.at() !== SearchStage.Home) {
+      return;
+    }
+    if (state === GiveState.Enough) {
+      this.searches.delete(budget);
+    } else if (state === GiveState.Exhausted) {
+      search.exhausted = true;
+      this.askOthers(budget, search, now);
+    }
+  }
+
+  private isScarce(budget: string): boolean {
+    return this.scarce.has(budget);
+  }
+
+  /**
+   * Sends what is left to the home entry once the ledger is empty, so that
+   * the rest of a budget is in one place and no request is refused for what
+   * lies elsewhere in pieces.
+   */
+  private pushSurplus(budget: string, now: Millis): void {
+    const until = this.scarce.get(budget);
+    if (until === undefined) {
+      return;
+    }
+    if (now >= until) {
+      this.scarce.delete(budget);
+      return;
+    }
+    const home = this.homeOf(budget);
+    const rest = this.available(budget);
+    if (home !== undefined && rest > 0 && !this.line.has(budget)) {
+      this.give(home, budget, rest, GiveState.Short);
     }
-    this.asks.answered(budget, from);
   }
 
   private free(request: string, now: Millis): void {
@@ -358,7 +514,7 @@
 
   private sendCopy(settlement: Settlement, now: Millis): void {
     const {budget, digest} = settlement;
-    const to = this.asks.keeper(this.table.numberOf(budget));
+    const to = this.peers.keeper(this.table.numberOf(budget));
     if (to === undefined) {
       this.table.dueFor(budget, now);
       return;
@@ -370,6 +526,7 @@
   }
 
   private returnRest(budget: string, now: Millis): void {
+    this.pushSurplus(budget, now);
     const rest = this.available(budget);
     if (!this.rule.returnsAtOnce || rest <= 0 || this.line.has(budget)) {
       return;
@@ -390,7 +547,7 @@
     {from, settlement}: EventOf<WalletEventKind.PeerCopy>,
     now: Millis,
   ): void {
-    if (this.asks.isClosed(from) || this.draining) {
+    if (this.peers.isClosed(from) || this.draining) {
       return;
     }
     const dueAt = now + this.settings.settleInterval;
@@ -405,9 +562,6 @@
       this.secure(digest, false);
       this.table.dueFor(budget, now);
     }
-    for (const budget of this.line.budgets()) {
-      this.askPeers(budget, now);
-    }
     if (now - this.sampledAt >= SAMPLE_INTERVAL) {
       this.sampledAt = now;
       this.sample(now);
@@ -417,13 +571,26 @@
   private sample(now: Millis): void {
     for (const [budget, account] of this.accounts) {
       account.sample(now);
-      if (this.wantOf(budget) !== undefined && this.room(budget)) {
-        this.table.dueFor(budget, now + REFILL_DELAY);
-      }
+      this.refill(budget, now);
       this.returnIdle(budget, account, now);
     }
   }
 
+  /** Gets more before it is needed. */
+  private refill(budget: string, now: Millis): void {
+    const want = this.wantOf(budget);
+    if (want === undefined || this.isScarce(budget) || !this.room(budget)) {
+      return;
+    }
+    const to = this.homeOf(budget);
+    if (to === undefined) {
+      this.table.dueFor(budget, now + REFILL_DELAY);
+    } else {
+      const tokens = Math.ceil(want.desired);
+      this.out.push({kind: WalletEffectKind.SendAsk, to, budget, tokens});
+    }
+  }
+
   private returnIdle(budget: string, account: Account, now: Millis): void {
     const record = this.table.view(budget)?.budgets[budget];
     if (record === undefined || !this.rule.asksPeers) {
@@ -435,11 +602,17 @@
     const target = IDLE_MULTIPLE * account.spendingRate() * horizon;
     const keep = scarce ? Math.min(most, target) : most;
     const extra = Math.floor(account.available() - keep);
-    if (extra > 0 && !this.line.has(budget)) {
-      account.giveBack(extra);
-      this.dirty.add(budget);
-      this.table.dueFor(budget, now + this.settings.settleInterval);
+    if (extra <= 0 || this.line.has(budget)) {
+      return;
     }
+    const home = this.homeOf(budget);
+    if (home !== undefined) {
+      this.give(home, budget, extra, GiveState.Short);
+      return;
+    }
+    account.giveBack(extra);
+    this.dirty.add(budget);
+    this.table.dueFor(budget, now + REFILL_DELAY);
   }
 
   private wantOf(budget: string): Want | undefined {
@@ -516,6 +689,28 @@
     }
   }
 
+  /** Whether a batch would hold nothing but wants that can't be met. */
+  hopeless(number: number): boolean {
+    const ledger = this.table.at(number).view();
+    const copies = this.copies.take(
+      budget => this.table.numberOf(budget) === number,
+    );
+    const {joined} = this.table.at(number).state();
+    if (!joined || copies.length > 0 || ledger === undefined) {
+      return false;
+    }
+    if (this.draining || ledger.closes > (this.seenCloses.get(number) ?? 0)) {
+      return false;
+    }
+    const used = [...this.table.used(number)];
+    return used.every(budget => {
+      const record = ledger.budgets[budget];
+      const free = record === undefined ? 0 : unallocated(record);
+      const unsettled = this.account(budget).unsettled().length > 0;
+      return free <= 0 && !unsettled && !this.dirty.has(budget);
+    });
+  }
+
   /** Stops dealing with holders that an operator closed. */
   private noteCloses(number: number): void {
     const ledger = this.table.at(number).view();
@@ -525,28 +720,48 @@
     this.seenCloses.set(number, ledger.closes);
     for (const [id, holder] of Object.entries(ledger.holders)) {
       if (holder.status === HolderStatus.Closing) {
-        this.asks.close(id);
+        this.peers.close(id);
       }
     }
   }
 
   /** Takes over the ledger's counts. Called by the partition. */
   absorb(number: number, ledger: Ledger, batch: Batch): void {
-    const settled = new Set(batch.settlements);
+    const written = new Set(batch.settlements);
+    this.takeOver(number, ledger, written);
+    this.confirm(batch.settlements);
+    if (batch.leave) {
+      this.table.leave(number);
+    } else if (ledger.closes > batch.seenCloses) {
+      this.table.due(number, batch.now);
+    }
+  }
+
+  /** Takes over a ledger that was only read. Called by the partition. */
+  refreshed(number: number, ledger: Ledger): void {
+    this.takeOver(number, ledger, new Set());
+  }
+
+  /**
+   * Takes over the ledger's counts. A charge that the keeper has written, or
+   * that somebody else was billed for, is dealt with although it was in none
+   * of our own batches; counting it as well would withhold it twice.
+   */
+  private takeOver(
+    number: number,
+    ledger: Ledger,
+    written: ReadonlySet<Settlement>,
+  ): void {
+    const isSettled = (settlement: Settlement) =>
+      written.has(settlement) || ledger.bills[settlement.digest] !== undefined;
     for (const budget of this.table.used(number)) {
       const shares = ledger.budgets[budget]?.shares ?? {};
       const own = shares[this.settings.holder];
       if (own !== undefined) {
-        this.account(budget).absorb(own, settled);
+        this.confirm(this.account(budget).absorb(own, isSettled));
         this.collect(budget, shares);
       }
     }
-    this.confirm(batch.settlements);
-    if (batch.leave) {
-      this.table.leave(number);
-    } else if (ledger.closes > batch.seenCloses) {
-      this.table.due(number, batch.now);
-    }
   }
 
   /** Takes what others sent and what got lost on its way. */
@@ -554,7 +769,7 @@
     const {holder} = this.settings;
     const account = this.account(budget);
     for (const [from, {sent}] of Object.entries(shares)) {
-      const total = this.asks.isClosed(from) ? 0 : (sent[holder] ?? 0);
+      const total = this.peers.isClosed(from) ? 0 : (sent[holder] ?? 0);
       if (account.receive(from, total)) {
         this.dirty.add(budget);
       }
--- a/packages/decisions/src/lib/wallet_messages.ts
+++ b/packages/decisions/src/lib/wallet_messages.ts
@@ -1,5 +1,6 @@
 /** Messages into and out of the wallet. All amounts are in tokens. */
 import type {Ledger, Settlement} from './ledger.js';
+import type {GiveState} from './search.js';
 import type {Millis} from './clock.js';
 
 /** Kinds of events that a wallet takes. */
@@ -75,6 +76,7 @@
       budget: string;
       /** Total ever sent by `from` to this holder. */
       total: number;
+      state: GiveState;
     }
   | {kind: WalletEventKind.PeerCopy; from: string; settlement: Settlement}
   | {kind: WalletEventKind.PeerCopied; from: string; digest: string}
@@ -134,6 +136,7 @@
       to: string;
       budget: string;
       total: number;
+      state: GiveState;
     }
   | {kind: WalletEffectKind.SendCopy; to: string; settlement: Settlement}
   | {kind: WalletEffectKind.SendCopied; to: string; digest: string}
--- a/packages/entry/src/lib/account_book.ts
+++ b/packages/entry/src/lib/account_book.ts
@@ -4,6 +4,7 @@
 import type {
   ClientAccount,
   Configuration,
+  UpstreamKind,
   WorkClass,
 } from '@citrontrestle/decisions';
 
@@ -29,15 +30,15 @@
     }
   }
 
-  /** Whether an API key may use a class. */
-  permit(apiKey: string, className: string): Permission {
+  /** Whether an API key may use a class of work for a kind of upstream. */
+  permit(apiKey: string, className: string, kind: UpstreamKind): Permission {
     // Found by digest: no comparison depends on how much of a key is right.
     const account = this.accounts.get(sha256(apiKey));
     if (account === undefined) {
       return {ok: false, code: RefusalCode.UnknownKey};
     }
     const workClass = this.classes.get(className);
-    if (workClass === undefined) {
+    if (workClass?.kind !== kind) {
       return {ok: false, code: RefusalCode.UnknownClass};
     }
     if (!account.classes.includes(className)) {
--- a/packages/entry/src/lib/entry.ts
+++ b/packages/entry/src/lib/entry.ts
@@ -1,5 +1,10 @@
 /** One entry: its tasks, wired together. */
-import {RetryBudget, Suspects, WALLET_DEFAULTS} from '@citrontrestle/decisions';
+import {
+  RetryBudget,
+  Suspects,
+  UpstreamKind,
+  WALLET_DEFAULTS,
+} from '@citrontrestle/decisions';
 import {CallerListener, RefusalCode} from '@citrontrestle/caller';
 import {EngineClient} from '@citrontrestle/engine';
 import {Fleet, MessageKind} from '@citrontrestle/fleet';
@@ -200,7 +205,8 @@
   async chat(request: ChatRequest, reply: Reply): Promise<void> {
     const {model, messages, maxTokens} = request;
     const body = JSON.stringify([model, messages, maxTokens ?? null]);
-    const job = this.job(request, model, body, reply);
+    const {Engine} = UpstreamKind;
+    const job = this.job(request, model, Engine, body, reply);
     if (job !== undefined) {
       await this.count(this.model.serve(job, request, reply));
     }
@@ -210,7 +216,8 @@
   async work(request: WorkRequest, reply: Reply): Promise<void> {
     const {method, query, body} = request;
     const text = `${method} ${query}\n${body.toString('latin1')}`;
-    const job = this.job(request, request.name, text, reply);
+    const {Service} = UpstreamKind;
+    const job = this.job(request, request.name, Service, text, reply);
     if (job === undefined) {
       return;
     }
@@ -252,6 +259,7 @@
   private job(
     request: Credentials & {id: string},
     className: string,
+    kind: UpstreamKind,
     body: string,
     reply: Reply,
   ): Job | undefined {
@@ -265,7 +273,7 @@
     if (this.book === undefined) {
       return refuse(RefusalCode.NotConfigured);
     }
-    const permission = this.book.permit(request.apiKey, className);
+    const permission = this.book.permit(request.apiKey, className, kind);
     if (!permission.ok) {
       return refuse(permission.code);
     }
--- a/packages/entry/src/lib/fleet_task.ts
+++ b/packages/entry/src/lib/fleet_task.ts
@@ -102,12 +102,13 @@
         budget,
         tokens,
       }),
-    [MessageKind.Give]: ({holder}, {budget, total}) =>
+    [MessageKind.Give]: ({holder}, {budget, total, state}) =>
       this.around.wallet.handle({
         kind: WalletEventKind.PeerGive,
         from: holder,
         budget,
         total,
+        state,
       }),
     [MessageKind.Copy]: ({holder}, {settlement}) =>
       this.around.wallet.handle({
--- a/packages/entry/src/lib/wallet_task.ts
+++ b/packages/entry/src/lib/wallet_task.ts
@@ -154,8 +154,8 @@
     [WalletEffectKind.SendAsk]: ({to, budget, tokens}) => {
       this.around.send(to, {kind: MessageKind.Ask, budget, tokens});
     },
-    [WalletEffectKind.SendGive]: ({to, budget, total}) => {
-      this.around.send(to, {kind: MessageKind.Give, budget, total});
+    [WalletEffectKind.SendGive]: ({to, budget, total, state}) => {
+      this.around.send(to, {kind: MessageKind.Give, budget, total, state});
     },
     [WalletEffectKind.SendCopy]: ({to, settlement}) => {
       this.around.send(to, {kind: MessageKind.Copy, settlement});
--- a/packages/fleet/src/lib/message.ts
+++ b/packages/fleet/src/lib/message.ts
@@ -1,5 +1,6 @@
 /** Messages between entries, and their checks. */
 import {z} from 'zod';
+import {GiveState} from '@citrontrestle/decisions';
 
 /** Kinds of messages between entries. */
 export enum MessageKind {
@@ -43,7 +44,12 @@
     budget: name,
     tokens,
   }),
-  z.object({kind: z.literal(MessageKind.Give), budget: name, total: tokens}),
+  z.object({
+    kind: z.literal(MessageKind.Give),
+    budget: name,
+    total: tokens,
+    state: z.enum(GiveState),
+  }),
   z.object({kind: z.literal(MessageKind.Copy), settlement}),
   z.object({kind: z.literal(MessageKind.Copied), digest: name}),
   z.object({
--- a/packages/load/src/lib/driver.ts
+++ b/packages/load/src/lib/driver.ts
@@ -15,6 +15,8 @@
   sent: number;
   /** Whether the budget had room when it was refused. */
   hadRoom: boolean;
+  /** Tokens of the budget used or possibly in use when it ended. */
+  usedThen: number;
 }
 
 /** Where requests may be sent. */
@@ -89,6 +91,7 @@
       wholeMs: Date.now() - intended,
       sent,
       hadRoom: hadRoom && BUDGET_CODES.has(sight.code),
+      usedThen: this.granted(budget) - this.room(budget),
     });
   }
 
--- a/packages/load/src/lib/table.ts
+++ b/packages/load/src/lib/table.ts
@@ -42,6 +42,7 @@
     one.billed,
     one.out,
     one.refused,
+    `${(one.usable * 100).toFixed(1)}%`,
   ]);
   return [
     `budget policy ${policies.budget}, routing policy ${policies.routing}`,
@@ -62,7 +63,10 @@
       ...classes,
     ]),
     '',
-    ...table([['budget', 'granted', 'billed', 'held', 'refused'], ...budgets]),
+    ...table([
+      ['budget', 'granted', 'billed', 'held', 'refused', 'usable'],
+      ...budgets,
+    ]),
     '',
     ...promises(result),
   ];
--- a/packages/load/src/lib/verdict.ts
+++ b/packages/load/src/lib/verdict.ts
@@ -39,6 +39,8 @@
   answered: number;
   out: number;
   refused: number;
+  /** Part of the grant in use at the first false refusal; 1 for none. */
+  usable: number;
 }
 
 /** Promises and counts of one run. */
@@ -155,7 +157,10 @@
   );
   const {name, granted, billed, out} = view;
   const refused = own.filter(one => one.sight.code.startsWith('budget-'));
-  return {name, granted, billed, answered, out, refused: refused.length};
+  const early = own.find(one => one.hadRoom);
+  const usable = early === undefined ? 1 : early.usedThen / granted;
+  const counts = {granted, billed, answered, out, refused: refused.length};
+  return {name, ...counts, usable};
 }
 
 function classRows(finished: Finished[]): ClassRow[] {
--- /dev/null
+++ b/packages/load/src/test/bad_input_test.ts
@@ -0,0 +1,257 @@
+/** Strangers and bad input: a clear error, nothing run, nothing billed. */
+import {connect} from 'node:net';
+import {request} from 'node:http';
+import {expect} from 'chai';
+import {BudgetPolicy, RoutingPolicy} from '@citrontrestle/decisions';
+import {encodeFrame, MOST_FRAME_BYTES} from '@citrontrestle/fleet';
+import {readLedger, viewLedger} from '@citrontrestle/operator';
+import {readBody, splitAddress} from '@citrontrestle/runtime';
+import {EmbeddedFleet, PARTITIONS} from '../lib/embedded_fleet.js';
+import {readExperiment} from '../lib/experiment.js';
+import type {Experiment} from '../lib/experiment.js';
+import type {OutgoingHttpHeaders} from 'node:http';
+
+const SCENARIO = 'examples/scenarios/try.yaml';
+const CHAT = '/v1/chat/completions';
+const KEY = 'restringing-counter-buda-key';
+const POLL = 20;
+
+interface Case {
+  name: string;
+  path: string;
+  method?: string;
+  headers?: OutgoingHttpHeaders;
+  body?: string;
+  status: number;
+  code: string;
+}
+
+const auth = (key: string) => ({authorization: `Bearer ${key}`});
+const chat = (model: string, content = 'marker:bad words:2') =>
+  JSON.stringify({model, messages: [{role: 'user', content}]});
+
+const CASES: Case[] = [
+  {
+    name: 'unknown key',
+    path: CHAT,
+    headers: auth('nobody'),
+    body: chat('advice'),
+    status: 401,
+    code: 'unknown-key',
+  },
+  {
+    name: 'no key',
+    path: CHAT,
+    body: chat('advice'),
+    status: 401,
+    code: 'unknown-key',
+  },
+  {
+    name: 'class of other accounts',
+    path: CHAT,
+    headers: auth('restringing-school-north-key'),
+    body: chat('advice'),
+    status: 403,
+    code: 'class-not-allowed',
+  },
+  {
+    name: 'unknown class',
+    path: CHAT,
+    headers: auth(KEY),
+    body: chat('poetry'),
+    status: 404,
+    code: 'unknown-class',
+  },
+  {
+    name: 'engine class as a service',
+    path: '/v1/work/advice',
+    headers: auth(KEY),
+    body: '{}',
+    status: 404,
+    code: 'unknown-class',
+  },
+  {
+    name: 'service class as an engine',
+    path: CHAT,
+    headers: auth(KEY),
+    body: chat('status'),
+    status: 404,
+    code: 'unknown-class',
+  },
+  {
+    name: 'malformed JSON',
+    path: CHAT,
+    headers: auth(KEY),
+    body: '{"model": "adv',
+    status: 400,
+    code: 'malformed',
+  },
+  {
+    name: 'messages of the wrong shape',
+    path: CHAT,
+    headers: auth(KEY),
+    body: '{"model": "advice", "messages": [{"role": 1}]}',
+    status: 400,
+    code: 'malformed',
+  },
+  {
+    name: 'oversized body',
+    path: CHAT,
+    headers: auth(KEY),
+    body: chat('advice', 'x'.repeat(1_200_000)),
+    status: 413,
+    code: 'body-too-large',
+  },
+  {
+    name: 'oversized idempotency key',
+    path: CHAT,
+    headers: {...auth(KEY), 'idempotency-key': 'k'.repeat(300)},
+    body: chat('advice'),
+    status: 400,
+    code: 'malformed',
+  },
+  {
+    name: 'order without an idempotency key',
+    path: '/v1/work/order',
+    headers: auth(KEY),
+    body: '{"item": "marker:bad"}',
+    status: 428,
+    code: 'idempotency-key-required',
+  },
+  {
+    name: 'unknown path',
+    path: '/v2/anything',
+    headers: auth(KEY),
+    body: '{}',
+    status: 404,
+    code: 'unknown-path',
+  },
+];
+
+interface Answer {
+  status: number;
+  body: {error?: {code: string}};
+}
+
+function send(address: string, one: Partial<Case>): Promise<Answer> {
+  return new Promise((resolve, reject) => {
+    const outgoing = request({
+      ...splitAddress(address),
+      method: one.method ?? 'POST',
+      path: one.path,
+      headers: one.headers ?? {},
+    });
+    outgoing.on('response', incoming => {
+      readBody(incoming, 1_000_000).then(bytes => {
+        const text = bytes.toString();
+        const body = (text ? JSON.parse(text) : {}) as Answer['body'];
+        resolve({status: incoming.statusCode ?? 0, body});
+      }, reject);
+    });
+    outgoing.on('error', reject);
+    outgoing.end(one.body);
+  });
+}
+
+describe('bad input', () => {
+  let fleet: EmbeddedFleet;
+  let address: string;
+
+  before(async () => {
+    const experiment: Experiment = readExperiment(SCENARIO);
+    const policies = {
+      budget: BudgetPolicy.Shares,
+      routing: RoutingPolicy.Estimate,
+    };
+    const size = {...experiment.scenario.fleet, entries: 2};
+    fleet = await EmbeddedFleet.start(size, experiment.declarations, policies);
+    address = fleet.entries[0]?.addresses.callers ?? '';
+  });
+
+  after(() => fleet.stop());
+
+  /** Nothing ran, nothing is billed, and the entry still serves. */
+  async function expectUnharmed(): Promise<void> {
+    expect(fleet.group.truth.runs).to.have.length(0);
+    for (let number = 0; number < PARTITIONS; number++) {
+      const ledger = await readLedger(fleet.keyValue, number);
+      for (const budget of ledger ? viewLedger(ledger) : []) {
+        expect(budget.billed).to.equal(0);
+      }
+    }
+    expect(fleet.entries[0]?.entry.ready()).to.equal(true);
+  }
+
+  for (const one of CASES) {
+    it(one.name, async () => {
+      const {status, body} = await send(address, one);
+      expect(status).to.equal(one.status);
+      expect(body.error?.code).to.equal(one.code);
+      await expectUnharmed();
+    });
+  }
+
+  it('oversized header', async () => {
+    const headers = {...auth(KEY), 'x-large': 'x'.repeat(40_000)};
+    const {status} = await send(address, {path: CHAT, headers, body: '{}'});
+    expect(status).to.equal(431);
+    await expectUnharmed();
+  });
+
+  const frames = [
+    {name: 'a frame that is too large', bytes: largeHeader()},
+    {name: 'a frame that is no CBOR', bytes: Buffer.from([0, 0, 0, 1, 0xff])},
+    {name: 'a first frame that is no hello', bytes: encodeFrame({a: 1})},
+    {
+      name: 'a peer without the fleet key',
+      bytes: Buffer.concat([
+        encodeFrame({
+          kind: 'hello',
+          holder: 'stranger',
+          address: '127.0.0.1:1',
+          zone: 'bud-1',
+          nonce: 'n',
+        }),
+        encodeFrame({kind: 'proof', proof: 'guessed'}),
+      ]),
+    },
+  ];
+  for (const {name, bytes} of frames) {
+    it(`link: ${name}`, async () => {
+      const peers = fleet.entries[0]?.entry.status().peers;
+      const socket = connect(
+        splitAddress(fleet.entries[0]?.addresses.fleet ?? ''),
+      );
+      socket.resume();
+      socket.write(bytes);
+      await new Promise(resolve => socket.once('close', resolve));
+      expect(fleet.entries[0]?.entry.status().peers).to.deep.equal(peers);
+      await expectUnharmed();
+    });
+  }
+
+  it('operators without the token', async () => {
+    const operators = fleet.entries[0]?.addresses.operators ?? '';
+    const {status} = await send(operators, {method: 'GET', path: '/status'});
+    expect(status).to.equal(401);
+  });
+
+  it('the same idempotency key with another body', async () => {
+    const headers = {...auth(KEY), 'idempotency-key': 'once'};
+    const path = '/v1/work/order';
+    const first = await send(address, {path, headers, body: '{"item": 1}'});
+    expect(first.status).to.equal(200);
+    const other = await send(address, {path, headers, body: '{"item": 2}'});
+    expect(other.status).to.equal(422);
+    expect(other.body.error?.code).to.equal('idempotency-key-reused');
+    const ran = fleet.group.truth.runs.length;
+    await new Promise(resolve => setTimeout(resolve, POLL));
+    expect(ran).to.equal(1);
+  });
+});
+
+function largeHeader(): Buffer {
+  const header = Buffer.alloc(4);
+  header.writeUInt32BE(MOST_FRAME_BYTES + 1);
+  return header;
+}
--- a/packages/model/src/lib/model_entry.ts
+++ b/packages/model/src/lib/model_entry.ts
@@ -193,8 +193,9 @@
         return send(to, {kind: WalletEventKind.PeerAsk, from, budget, tokens});
       }
       case WalletEffectKind.SendGive: {
-        const {to, budget, total} = effect;
-        return send(to, {kind: WalletEventKind.PeerGive, from, budget, total});
+        const {to, budget, total, state} = effect;
+        const kind = WalletEventKind.PeerGive;
+        return send(to, {kind, from, budget, total, state});
       }
       case WalletEffectKind.SendCopy: {
         const {to, settlement} = effect;
--- a/packages/runtime/src/lib/settings.ts
+++ b/packages/runtime/src/lib/settings.ts
@@ -1,6 +1,6 @@
 /** YAML files checked against a schema, with file, line and column. */
 import {readFileSync} from 'node:fs';
-import {isNode, LineCounter, parseDocument} from 'yaml';
+import {isMap, isNode, isScalar, LineCounter, parseDocument} from 'yaml';
 import type {Document} from 'yaml';
 import type {z} from 'zod';
 
@@ -31,14 +31,32 @@
 
 function offsetOf(document: Document, path: PropertyKey[]): number {
   for (let length = path.length; length > 0; length--) {
-    const node: unknown = document.getIn(path.slice(0, length), true);
-    if (isNode(node) && node.range) {
-      return node.range[0];
+    const part = path.slice(0, length);
+    const node: unknown = document.getIn(part, true);
+    const own = isNode(node) ? node.range?.[0] : undefined;
+    const offset = keyOffset(document, part) ?? own;
+    if (offset !== undefined) {
+      return offset;
     }
   }
   return 0;
 }
 
+/** Where the last key of a path stands, if it stands in a map. */
+function keyOffset(
+  document: Document,
+  path: PropertyKey[],
+): number | undefined {
+  const parent: unknown = document.getIn(path.slice(0, -1), true);
+  if (!isMap(parent)) {
+    return undefined;
+  }
+  const pair = parent.items.find(
+    item => isScalar(item.key) && item.key.value === path.at(-1),
+  );
+  return isScalar(pair?.key) ? pair.key.range?.[0] : undefined;
+}
+
 /** Checks YAML text; `file` is only named in faults. */
 export function parseSettings<T>(
   text: string,
