--- a/packages/decisions/src/lib/account.ts
+++ b/packages/decisions/src/lib/account.ts
@@ -80,7 +80,6 @@
   /** Sends tokens to another holder; returns the total ever sent to it. */
   send(to: string, tokens: number): number {
     this.sent[to] = (this.sent[to] ?? 0) + tokens;
-    this.used += tokens;
     return this.sent[to];
   }
 
--- a/packages/decisions/src/lib/upstreams.ts
+++ b/packages/decisions/src/lib/upstreams.ts
@@ -1,9 +1,8 @@
 /** The table of upstreams: who may get work, and what was seen of each. */
-import {ROUTING_RULES, estimate} from './routing.js';
+import {affinity, estimate, ROUTING_RULES, UpstreamKind} from './routing.js';
 import type {
   LoadReport,
   RoutingView,
-  UpstreamKind,
   UpstreamState,
   RoutingPolicy,
 } from './routing.js';
@@ -30,6 +29,9 @@
   Cancelled = 'cancelled',
 }
 
+/** Upstreams of a kind that one entry uses at the most. */
+const MOST_USED = 48;
+
 /** Weight of a new sample in the running averages. */
 const SAMPLE_WEIGHT = 0.2;
 
@@ -44,12 +46,55 @@
 /** The upstreams known to one entry. */
 export class Upstreams {
   private readonly states = new Map<string, UpstreamState>();
+  private readonly listed = new Map<UpstreamKind, number>();
   private turn = 0;
 
-  constructor(private readonly policy: RoutingPolicy) {}
+  constructor(
+    private readonly policy: RoutingPolicy,
+    /** Identity of this entry; entries differ in the upstreams they use. */
+    private readonly self: string,
+    /** Most upstreams of a kind that this entry uses. */
+    private readonly most = MOST_USED,
+  ) {}
+
+  /**
+   * Takes over the instance list; what is not on it any more is removed. Of
+   * many upstreams an entry uses a part, so that its costs stay flat.
+   */
+  list(all: UpstreamEntry[]): void {
+    const entries = Object.values(UpstreamKind).flatMap(kind =>
+      this.part(
+        kind,
+        all.filter(entry => entry.kind === kind),
+      ),
+    );
+    this.update(entries);
+  }
+
+  /**
+   * Entries that use each upstream of a kind, on average.
+   * @param entries number of live entries.
+   */
+  sharers(kind: UpstreamKind, entries: number): number {
+    const listed = this.listed.get(kind) ?? 0;
+    const part = listed > this.most ? this.most / listed : 1;
+    return Math.max(1, entries * part);
+  }
+
+  private part(kind: UpstreamKind, entries: UpstreamEntry[]): UpstreamEntry[] {
+    this.listed.set(kind, entries.length);
+    if (entries.length <= this.most) {
+      return entries;
+    }
+    const live = entries.filter(entry => !entry.leaving);
+    return live
+      .map(entry => ({entry, rank: affinity(this.self, entry.id)}))
+      .sort((a, b) => b.rank - a.rank)
+      .slice(0, this.most)
+      .map(({entry}) => entry);
+  }
 
-  /** Takes over the instance list; what is not on it any more is removed. */
-  list(entries: UpstreamEntry[]): void {
+  private update(entries: UpstreamEntry[]): void {
     const present = new Set(entries.map(entry => entry.id));
     for (const id of this.states.keys()) {
       if (!present.has(id)) {
--- a/packages/decisions/src/lib/wallet.ts
+++ b/packages/decisions/src/lib/wallet.ts
@@ -32,6 +32,9 @@
 /** How long a budget counts as nearly used up after its home said so. */
 const SCARCE_TIME: Millis = 2 * SECOND;
 
+/** Pause of refills after the home entry had too little. */
+const REFILL_PAUSE: Millis = 2 * SECOND;
+
 /** Interval between samples of the spending rate. */
 const SAMPLE_INTERVAL: Millis = SECOND;
 
@@ -62,6 +65,8 @@
   private readonly line = new WaitingLine();
   private readonly peers: PeerTable;
   private readonly searches = new Map<string, Search>();
+  /** Until when the home entry is not asked for more than is needed. */
+  private readonly noRefill = new Map<string, Millis>();
   /** Until when a budget is known to be nearly used up. */
   private readonly scarce = new Map<string, Millis>();
   private readonly charges = new Charges();
@@ -433,6 +438,9 @@
       this.dirty.add(budget);
       this.table.dueFor(budget, now + this.settings.ownInterval);
     }
+    if (state !== GiveState.Enough && from === this.homeOf(budget)) {
+      this.noRefill.set(budget, now + REFILL_PAUSE);
+    }
     if (state === GiveState.Exhausted) {
       this.scarce.set(budget, now + SCARCE_TIME);
     }
@@ -579,7 +587,9 @@
   /** Gets more before it is needed. */
   private refill(budget: string, now: Millis): void {
     const want = this.wantOf(budget);
-    if (want === undefined || this.isScarce(budget) || !this.room(budget)) {
+    const paused = now < (this.noRefill.get(budget) ?? 0);
+    const late = paused || this.isScarce(budget) || !this.room(budget);
+    if (want === undefined || late) {
       return;
     }
     const to = this.homeOf(budget);
--- a/packages/entry/src/lib/entry.ts
+++ b/packages/entry/src/lib/entry.ts
@@ -295,9 +295,10 @@
 
   private createUpstreams(): UpstreamTask {
     const {zone, routing} = this.settings;
-    const {policy, zoneMs, reportMs} = routing;
+    const {policy, zoneMs, reportsPerSecond} = routing;
+    const {holder} = this;
     return new UpstreamTask(
-      {policy, zone, zoneMs, reportMs},
+      {policy, zone, zoneMs, reportsPerSecond, holder},
       this.clock,
       () => 1 + (this.members?.live().length ?? 0),
       upstream =>
--- a/packages/entry/src/lib/gate.ts
+++ b/packages/entry/src/lib/gate.ts
@@ -42,7 +42,7 @@
 
   /** Admits a request to a place, or refuses it. */
   async enter(account: string, workClass: WorkClass): Promise<GateResult> {
-    const view = this.upstreams.view(undefined);
+    const view = this.upstreams.view(this.kind, undefined);
     const candidates = this.upstreams.table.candidates(
       this.kind,
       view.now,
--- a/packages/entry/src/lib/model_work.ts
+++ b/packages/entry/src/lib/model_work.ts
@@ -212,7 +212,7 @@
     );
     const avoided = suspects.avoided(fingerprint, clock.now());
     const except = new Set([...tried, ...avoided]);
-    const view = upstreams.view(prefix);
+    const view = upstreams.view(UpstreamKind.Engine, prefix);
     return upstreams.table.choose(UpstreamKind.Engine, view, except);
   }
 
--- a/packages/entry/src/lib/service_work.ts
+++ b/packages/entry/src/lib/service_work.ts
@@ -238,7 +238,7 @@
     tried: Set<string>,
   ): Promise<Ended | undefined> {
     const {upstreams, services, clock} = this.around;
-    const view = upstreams.view(undefined);
+    const view = upstreams.view(UpstreamKind.Service, undefined);
     const {table} = upstreams;
     const upstream = table.choose(UpstreamKind.Service, view, tried);
     if (upstream === undefined) {
--- a/packages/entry/src/lib/settings.ts
+++ b/packages/entry/src/lib/settings.ts
@@ -49,7 +49,8 @@
       policy: z.enum(RoutingPolicy).default(RoutingPolicy.Estimate),
       /** One-way time between zones. */
       zoneMs: z.number().nonnegative().default(0.5),
-      reportMs: z.number().positive().default(500),
+      /** Load reports read each second, over all upstreams. */
+      reportsPerSecond: z.number().positive().default(8),
     })
     .prefault({}),
   /** Longest time for running requests on a planned stop. */
--- a/packages/entry/src/lib/upstream_task.ts
+++ b/packages/entry/src/lib/upstream_task.ts
@@ -1,6 +1,6 @@
 /** Owns the table of upstreams: polls load reports, picks for requests. */
 import {Agent} from 'node:http';
-import {UpstreamKind, Upstreams} from '@citrontrestle/decisions';
+import {SECOND, UpstreamKind, Upstreams} from '@citrontrestle/decisions';
 import {readLoad} from '@citrontrestle/engine';
 import {InstanceKind, InstanceState} from '@citrontrestle/platform';
 import type {
@@ -17,9 +17,15 @@
   policy: RoutingPolicy;
   zone: string;
   zoneMs: Millis;
-  reportMs: Millis;
+  /** Load reports read each second, over all upstreams. */
+  reportsPerSecond: number;
+  /** Identity of this entry. */
+  holder: string;
 }
 
+/** Longest wait for a load report. */
+const REPORT_TIMEOUT: Millis = 500;
+
 const KINDS: Partial<Record<InstanceKind, UpstreamKind>> = {
   [InstanceKind.Engine]: UpstreamKind.Engine,
   [InstanceKind.Service]: UpstreamKind.Service,
@@ -30,6 +36,7 @@
   readonly table: Upstreams;
   private readonly agent = new Agent({keepAlive: true});
   private timer: NodeJS.Timeout | undefined;
+  private turn = 0;
 
   constructor(
     private readonly settings: UpstreamSettings,
@@ -38,14 +45,14 @@
     private readonly entries: () => number,
     private readonly leaving: (upstream: string) => void,
   ) {
-    this.table = new Upstreams(settings.policy);
+    this.table = new Upstreams(settings.policy, settings.holder);
   }
 
   /** Starts to poll. */
   start(): void {
     this.timer = setInterval(() => {
-      this.poll();
-    }, this.settings.reportMs);
+      this.pollNext();
+    }, SECOND / this.settings.reportsPerSecond);
   }
 
   /** Stops to poll. */
@@ -63,16 +70,15 @@
       return kind === undefined ? [] : [{id, zone, address, kind, leaving}];
     });
     this.table.list(entries);
-    this.poll();
   }
 
   /** What routing may look at now. */
-  view(prefix: string | undefined): RoutingView {
+  view(kind: UpstreamKind, prefix: string | undefined): RoutingView {
     return {
       zone: this.settings.zone,
       now: this.clock.now(),
       zoneMs: this.settings.zoneMs,
-      entries: this.entries(),
+      entries: this.table.sharers(kind, this.entries()),
       prefix,
       random: Math.random,
     };
@@ -84,15 +90,18 @@
     this.leaving(id);
   }
 
-  private poll(): void {
-    for (const state of this.table.all()) {
+  /** One after the other, so that the cost does not grow with their number. */
+  private pollNext(): void {
+    const states = this.table.all();
+    const state = states[this.turn % Math.max(1, states.length)];
+    this.turn += 1;
+    if (state !== undefined) {
       void this.pollOne(state);
     }
   }
 
   private async pollOne(state: UpstreamState): Promise<void> {
-    const {reportMs} = this.settings;
-    const load = await readLoad(state.address, reportMs, this.agent);
+    const load = await readLoad(state.address, REPORT_TIMEOUT, this.agent);
     if (load === undefined) {
       return;
     }
--- /dev/null
+++ b/packages/load/src/bench_main.ts
@@ -0,0 +1,41 @@
+#!/usr/bin/env node
+/** The citrontrestle-bench command. */
+import {Builtins, Cli, Command, Option} from 'clipanion';
+import {runBench} from './lib/bench.js';
+import {table} from './lib/table.js';
+
+class BenchCommand extends Command {
+  static override paths = [Command.Default];
+  static override usage = Command.Usage({
+    description: 'Measure the costs of decisions as their load grows.',
+    details: 'Run with node --expose-gc, so that memory is measured well.',
+  });
+
+  json = Option.Boolean('--json', false, {description: 'Print JSON.'});
+
+  override async execute(): Promise<number> {
+    const measures = runBench();
+    if (this.json) {
+      this.context.stdout.write(`${JSON.stringify({measures})}\n`);
+      return 0;
+    }
+    for (const {name, unit, points, slope} of measures) {
+      const rows = points.map(({size, ns, bytes}) => [
+        size,
+        Math.round(ns),
+        bytes,
+      ]);
+      const lines = table([[unit, 'ns', 'bytes'], ...rows]);
+      const grows =
+        `each one more: ${slope.ns.toFixed(3)} ns, ` +
+        `${slope.bytes.toFixed(1)} bytes`;
+      this.context.stdout.write(`${name}\n${lines.join('\n')}\n${grows}\n\n`);
+    }
+    return 0;
+  }
+}
+
+const cli = new Cli({binaryName: 'citrontrestle-bench'});
+cli.register(BenchCommand);
+cli.register(Builtins.HelpCommand);
+process.exitCode = await cli.run(process.argv.slice(2));
--- a/packages/load/src/lib/embedded_fleet.ts
+++ b/packages/load/src/lib/embedded_fleet.ts
@@ -162,7 +162,11 @@
         cap: 0.008,
         settleMs: 5_000,
       },
-      routing: {policy: this.policies.routing, zoneMs: 0.5, reportMs: 500},
+      routing: {
+        policy: this.policies.routing,
+        zoneMs: 0.5,
+        reportsPerSecond: 8,
+      },
       drainMs: 60_000,
       log: 'error',
     };
