Tighten admission, remember prompt heads, average others' load

Ruled out: prefix affinity (heads are unique in this load; it picked at random before, and is now used only for heads seen lately).

--- a/packages/decisions/src/lib/limits.ts
+++ b/packages/decisions/src/lib/limits.ts
@@ -32,10 +32,10 @@
 const SCARCE = 0.7;
 
 /** Part of the capacity up to which the least important work is admitted. */
-const LEAST_IMPORTANT = 0.8;
+const LEAST_IMPORTANT = 0.6;
 
 /** Further part admitted for the most important work. */
-const IMPORTANCE_RANGE = 0.6;
+const IMPORTANCE_RANGE = 0.4;
 
 const MOST_IMPORTANCE = 100;
 
--- a/packages/decisions/src/lib/routing.ts
+++ b/packages/decisions/src/lib/routing.ts
@@ -58,8 +58,10 @@
   zoneMs: Millis;
   /** Number of live entries. */
   entries: number;
-  /** Digest of the prompt's head, for cached prefixes. */
-  prefix: string | undefined;
+  /** Upstream that lately ran a prompt with the same head, if any. */
+  cached: string | undefined;
+  /** Own requests in flight at an upstream of the kind, on average. */
+  meanInFlight: number;
   /** Uniform random number in [0, 1). */
   random(): number;
 }
@@ -93,7 +95,10 @@
  * itself, corrected by own requests since the report.
  */
 export function loadOf(upstream: UpstreamState, view: RoutingView): number {
-  const own = upstream.inFlight * Math.max(1, view.entries);
+  // Others are taken to load all upstreams alike: one's own few requests at
+  // this one say little of theirs.
+  const others = view.meanInFlight * Math.max(0, view.entries - 1);
+  const own = upstream.inFlight + others;
   if (upstream.report === undefined) {
     return own;
   }
@@ -126,22 +131,6 @@
   return distance + wait + upstream.firstTokenMs * crowding;
 }
 
-function home(
-  candidates: UpstreamState[],
-  prefix: string,
-): UpstreamState | undefined {
-  let best: UpstreamState | undefined;
-  let bestRank = -1;
-  for (const candidate of candidates) {
-    const rank = affinity(prefix, candidate.id);
-    if (rank > bestRank) {
-      best = candidate;
-      bestRank = rank;
-    }
-  }
-  return best;
-}
-
 function pick(candidates: UpstreamState[], view: RoutingView): UpstreamState {
   const index = Math.floor(view.random() * candidates.length);
   return candidates[index] as UpstreamState;
@@ -154,10 +143,7 @@
   const one = pick(candidates, view);
   const two = pick(candidates, view);
   const better = estimate(one, view) <= estimate(two, view) ? one : two;
-  if (view.prefix === undefined) {
-    return better;
-  }
-  const cached = home(candidates, view.prefix);
+  const cached = candidates.find(one => one.id === view.cached);
   if (cached === undefined || cached === better) {
     return better;
   }
--- a/packages/decisions/src/lib/upstreams.ts
+++ b/packages/decisions/src/lib/upstreams.ts
@@ -32,6 +32,9 @@
 /** Upstreams of a kind that one entry uses at the most. */
 const MOST_USED = 48;
 
+/** Heads of prompts remembered; the oldest are forgotten first. */
+const MOST_PREFIXES = 2_000;
+
 /** Weight of a new sample in the running averages. */
 const SAMPLE_WEIGHT = 0.2;
 
@@ -46,6 +49,7 @@
 /** The upstreams known to one entry. */
 export class Upstreams {
   private readonly states = new Map<string, UpstreamState>();
+  private readonly prefixes = new Map<string, string>();
   private readonly listed = new Map<UpstreamKind, number>();
   private turn = 0;
 
@@ -147,6 +151,34 @@
     return ROUTING_RULES[this.policy](candidates, view, this.turn);
   }
 
+  /** Own requests in flight at an upstream of a kind, on average. */
+  meanInFlight(kind: UpstreamKind): number {
+    let count = 0;
+    let total = 0;
+    for (const state of this.states.values()) {
+      if (state.kind === kind) {
+        count += 1;
+        total += state.inFlight;
+      }
+    }
+    return count === 0 ? 0 : total / count;
+  }
+
+  /** Notes which upstream ran a prompt with some head. */
+  remember(prefix: string, id: string): void {
+    this.prefixes.delete(prefix);
+    this.prefixes.set(prefix, id);
+    if (this.prefixes.size > MOST_PREFIXES) {
+      const [oldest] = this.prefixes.keys();
+      this.prefixes.delete(oldest ?? '');
+    }
+  }
+
+  /** The upstream that lately ran a prompt with some head. */
+  cachedAt(prefix: string): string | undefined {
+    return this.prefixes.get(prefix);
+  }
+
   /** Expected time to the first token at an upstream, in milliseconds. */
   expect(state: UpstreamState, view: RoutingView): Millis {
     return estimate(state, view);
--- a/packages/entry/src/lib/gate.ts
+++ b/packages/entry/src/lib/gate.ts
@@ -10,8 +10,8 @@
 } from '@citrontrestle/decisions';
 import type {UpstreamTask} from './upstream_task.js';
 
-/** Spare places for work that other entries do not use. */
-const SPARE = 1.25;
+/** Places of an entry as a multiple of its part of the slots. */
+const SPARE = 1;
 
 /** Longest wait for a place as a part of what is left of the target. */
 const WAIT_PART = 0.5;
--- a/packages/entry/src/lib/model_work.ts
+++ b/packages/entry/src/lib/model_work.ts
@@ -206,14 +206,16 @@
     tried: ReadonlySet<string>,
   ): UpstreamState | undefined {
     const {upstreams, suspects, clock} = this.around;
-    const prefix = (request.messages[0]?.content ?? '').slice(
-      0,
-      PREFIX_CHARACTERS,
-    );
+    const head = request.messages[0]?.content ?? '';
+    const prefix = shortDigest(head.slice(0, PREFIX_CHARACTERS));
     const avoided = suspects.avoided(fingerprint, clock.now());
     const except = new Set([...tried, ...avoided]);
     const view = upstreams.view(UpstreamKind.Engine, prefix);
-    return upstreams.table.choose(UpstreamKind.Engine, view, except);
+    const chosen = upstreams.table.choose(UpstreamKind.Engine, view, except);
+    if (chosen !== undefined) {
+      upstreams.table.remember(prefix, chosen.id);
+    }
+    return chosen;
   }
 
   private async run(
--- a/packages/entry/src/lib/upstream_task.ts
+++ b/packages/entry/src/lib/upstream_task.ts
@@ -79,7 +79,8 @@
       now: this.clock.now(),
       zoneMs: this.settings.zoneMs,
       entries: this.table.sharers(kind, this.entries()),
-      prefix,
+      cached: prefix === undefined ? undefined : this.table.cachedAt(prefix),
+      meanInFlight: this.table.meanInFlight(kind),
       random: Math.random,
     };
   }
--- a/packages/load/src/lib/bench.ts
+++ b/packages/load/src/lib/bench.ts
@@ -187,7 +187,8 @@
     now: 100,
     zoneMs: 0.5,
     entries: 9,
-    prefix: undefined,
+    cached: undefined,
+    meanInFlight: 1,
     random: seededRandom(1),
   };
   const none = new Set<string>();
