--- a/packages/decisions/src/lib/routing.ts
+++ b/packages/decisions/src/lib/routing.ts
@@ -140,8 +140,12 @@
   candidates: UpstreamState[],
   view: RoutingView,
 ): UpstreamState {
-  const one = pick(candidates, view);
-  const two = pick(candidates, view);
+  // Own requests are known without lag, so they are spread first; reports,
+  // which all entries see alike and late, only decide between equals.
+  const least = Math.min(...candidates.map(state => state.inFlight));
+  const idle = candidates.filter(state => state.inFlight === least);
+  const one = pick(idle, view);
+  const two = pick(idle, view);
   const better = estimate(one, view) <= estimate(two, view) ? one : two;
   const cached = candidates.find(one => one.id === view.cached);
   if (cached === undefined || cached === better) {
--- a/packages/decisions/src/lib/upstreams.ts
+++ b/packages/decisions/src/lib/upstreams.ts
@@ -22,13 +22,21 @@
   Answered = 'answered',
   /** No byte was sent. */
   Refused = 'refused',
-  /** The connection broke, or the answer was wrong. */
+  /** The connection broke before the whole answer. */
   Broken = 'broken',
+  /** The answer named another request. */
+  Foreign = 'foreign',
   /** The upstream said that it is leaving and did not run the request. */
   Leaving = 'leaving',
   Cancelled = 'cancelled',
 }
 
+/** Outcomes after which the request may have run. */
+export const MAY_HAVE_RUN: ReadonlySet<AttemptOutcome> = new Set([
+  AttemptOutcome.Broken,
+  AttemptOutcome.Foreign,
+]);
+
 /** Upstreams of a kind that one entry uses at the most. */
 const MOST_USED = 48;
 
@@ -257,6 +265,7 @@
     state.wholeMs += SAMPLE_WEIGHT * (span - state.wholeMs);
   },
   [AttemptOutcome.Refused]: (state, _span, now) => shun(state, now),
+  [AttemptOutcome.Foreign]: (state, _span, now) => shun(state, now),
   [AttemptOutcome.Broken]: (state, _span, now) => shun(state, now),
   [AttemptOutcome.Leaving]: state => {
     state.leaving = true;
--- a/packages/engine/src/lib/engine.ts
+++ b/packages/engine/src/lib/engine.ts
@@ -64,6 +64,9 @@
   }
 }
 
+/** Raised inside a run when an answer names another request. */
+class ForeignAnswer extends Error {}
+
 /** One run of a completion. */
 class Run {
   readonly result: Promise<CompletionResult>;
@@ -132,8 +135,12 @@
       this.end(AttemptOutcome.Cancelled, 'cancelled');
       return;
     }
+    const {Refused, Broken, Foreign} = AttemptOutcome;
+    if (error instanceof ForeignAnswer) {
+      this.end(Foreign, message);
+      return;
+    }
     const refused = !this.sent || UNCONNECTED.has(code ?? '');
-    const {Refused, Broken} = AttemptOutcome;
     this.end(refused ? Refused : Broken, code ?? message);
   }
 
@@ -184,7 +191,7 @@
       usage?: {prompt_tokens: number; completion_tokens: number} | null;
     };
     if (event.id !== this.completion.id) {
-      throw new Error('answer to another request');
+      throw new ForeignAnswer('answer to another request');
     }
     if (event.usage) {
       const {prompt_tokens, completion_tokens} = event.usage;
--- a/packages/entry/src/lib/model_work.ts
+++ b/packages/entry/src/lib/model_work.ts
@@ -1,5 +1,9 @@
 /** Engine work: admit, reserve, run, stream, bill. */
-import {AttemptOutcome, UpstreamKind} from '@citrontrestle/decisions';
+import {
+  AttemptOutcome,
+  MAY_HAVE_RUN,
+  UpstreamKind,
+} from '@citrontrestle/decisions';
 import {RefusalCode} from '@citrontrestle/caller';
 import {shortDigest} from '@citrontrestle/runtime';
 import {Gate} from './gate.js';
@@ -181,8 +185,7 @@
   }
 
   private judge(outcome: AttemptOutcome, before: RefusalCode): RefusalCode {
-    const broken = outcome === AttemptOutcome.Broken;
-    return broken ? RefusalCode.UpstreamFailed : before;
+    return MAY_HAVE_RUN.has(outcome) ? RefusalCode.UpstreamFailed : before;
   }
 
   /** Nothing is run again once the caller got a byte. */
@@ -196,8 +199,7 @@
     if (run.started() || suspects.isBlocked(fingerprint, clock.now())) {
       return false;
     }
-    const unsent = outcome !== AttemptOutcome.Broken;
-    return unsent || retries.take(job.workClass.name);
+    return !MAY_HAVE_RUN.has(outcome) || retries.take(job.workClass.name);
   }
 
   private choose(
--- a/packages/entry/src/lib/service_work.ts
+++ b/packages/entry/src/lib/service_work.ts
@@ -1,6 +1,7 @@
 /** Work for plain services: reads are retried, orders run at most once. */
 import {
   AttemptOutcome,
+  MAY_HAVE_RUN,
   OrderStatus,
   OrderVerdict,
   UpstreamKind,
@@ -97,7 +98,7 @@
       return;
     }
     this.around.wallet.free(job.id);
-    const broken = ended.outcome === AttemptOutcome.Broken;
+    const broken = MAY_HAVE_RUN.has(ended.outcome);
     const {NoUpstream, UpstreamFailed} = RefusalCode;
     this.refuse(job, reply, broken ? UpstreamFailed : NoUpstream);
   }
@@ -180,7 +181,7 @@
       this.answered(job, ended.upstream);
       return;
     }
-    if (ended.outcome === AttemptOutcome.Broken) {
+    if (MAY_HAVE_RUN.has(ended.outcome)) {
       // It may have run: the price stays out of use until it is known.
       this.around.wallet.withhold(job.id);
       await task.end(OrderStatus.Unknown);
@@ -223,7 +224,7 @@
       }
       ended = result;
       const done = result.outcome === AttemptOutcome.Answered;
-      const broken = result.outcome === AttemptOutcome.Broken;
+      const broken = MAY_HAVE_RUN.has(result.outcome);
       const allowed = again && this.around.retries.take(job.workClass.name);
       if (done || (broken && !allowed)) {
         break;
--- a/packages/service/src/lib/service.ts
+++ b/packages/service/src/lib/service.ts
@@ -70,7 +70,7 @@
   }
   if (headers['x-request-id'] !== id) {
     const reason = 'answer to another request';
-    return {outcome: AttemptOutcome.Broken, reason};
+    return {outcome: AttemptOutcome.Foreign, reason};
   }
   const contentType = headers['content-type'] ?? 'application/octet-stream';
   return {outcome: AttemptOutcome.Answered, status, contentType, body};
