--- a/packages/decisions/src/lib/wallet_messages.ts
+++ b/packages/decisions/src/lib/wallet_messages.ts
@@ -85,6 +85,12 @@
   | {kind: WalletEventKind.Tick}
   | {kind: WalletEventKind.Drain};
 
+/** The event of a kind. */
+export type EventOf<K extends WalletEventKind> = Extract<
+  WalletEvent,
+  {kind: K}
+>;
+
 /** Why a reservation was refused. */
 export enum BudgetRefusal {
   /** Local share, peers and ledger all said no. */
