Replay a recorded order also when its budget is used up

Cause: the price was reserved before the record was looked at, so a used-up budget refused the replay. A charge without a reservation is now answered as not secured instead of never. Seen in review; the test covers both entries.

--- a/packages/decisions/src/lib/supply.ts
+++ b/packages/decisions/src/lib/supply.ts
@@ -7,7 +7,6 @@
 import {unallocated} from './ledger.js';
 import {WaiterKind} from './waiting_line.js';
 import {BudgetRefusal, WalletEffectKind} from './wallet_messages.js';
-import type {Account} from './account.js';
 import type {Books} from './books.js';
 import type {EventOf, WalletEventKind} from './wallet_messages.js';
 import type {Millis} from './clock.js';
@@ -22,15 +21,6 @@
 /** Pause of refills after the home entry had too little. */
 const REFILL_PAUSE: Millis = 2 * SECOND;
 
-/** Wait before a refill that nobody needs yet. */
-const REFILL_DELAY: Millis = 500;
-
-/** A budget with less than this part left takes back idle shares. */
-const SCARCE_PART = 0.25;
-
-/** Shares above this multiple of the target are idle. */
-const IDLE_MULTIPLE = 3;
-
 /** The supply of tokens of one wallet; internal to it. */
 export class Supply {
   private readonly searches = new Map<string, Search>();
@@ -210,12 +200,7 @@
   }
 
   /** Sends up to `tokens`; `short` says why it may be less. */
-  private give(
-    to: string,
-    budget: string,
-    tokens: number,
-    short: GiveState,
-  ): void {
+  give(to: string, budget: string, tokens: number, short: GiveState): void {
     const account = this.books.account(budget);
     // Without a record in the partition a transfer could not be released.
     const {joined} = this.books.table.of(budget).state();
@@ -315,47 +300,4 @@
       this.give(home, budget, rest, GiveState.Short);
     }
   }
-
-  /** Gets more before it is needed. */
-  refill(budget: string, now: Millis): void {
-    const want = this.books.wantOf(budget);
-    const paused = now < (this.books.noRefill.get(budget) ?? 0);
-    const late =
-      paused || this.books.isScarce(budget) || !this.books.room(budget);
-    if (want === undefined || late) {
-      return;
-    }
-    const to = this.books.homeOf(budget);
-    if (to === undefined) {
-      this.books.table.dueFor(budget, now + REFILL_DELAY);
-    } else {
-      const tokens = Math.ceil(want.desired);
-      this.books.out.push({kind: WalletEffectKind.SendAsk, to, budget, tokens});
-    }
-  }
-
-  /** Passes on what this entry does not need. */
-  returnIdle(budget: string, account: Account, now: Millis): void {
-    const record = this.books.table.view(budget)?.budgets[budget];
-    if (record === undefined || !this.books.rule.asksPeers) {
-      return;
-    }
-    const {cap, horizon} = this.books.settings.limits;
-    const most = record.granted * cap;
-    const scarce = unallocated(record) < record.granted * SCARCE_PART;
-    const target = IDLE_MULTIPLE * account.spendingRate() * horizon;
-    const keep = scarce ? Math.min(most, target) : most;
-    const extra = Math.floor(account.available() - keep);
-    if (extra <= 0 || this.books.line.has(budget)) {
-      return;
-    }
-    const home = this.books.homeOf(budget);
-    if (home !== undefined) {
-      this.give(home, budget, extra, GiveState.Short);
-      return;
-    }
-    account.giveBack(extra);
-    this.books.dirty.add(budget);
-    this.books.table.dueFor(budget, now + REFILL_DELAY);
-  }
 }
--- a/packages/decisions/src/lib/wallet.ts
+++ b/packages/decisions/src/lib/wallet.ts
@@ -6,6 +6,7 @@
 import {Books} from './books.js';
 import {SECOND} from './clock.js';
 import {Supply} from './supply.js';
+import {Upkeep} from './upkeep.js';
 import {WaiterKind} from './waiting_line.js';
 import {
   BudgetRefusal,
@@ -32,11 +33,13 @@
 export class Wallet {
   private readonly books: Books;
   private readonly supply: Supply;
+  private readonly upkeep: Upkeep;
   private sampledAt: Millis = 0;
 
   constructor(settings: WalletSettings) {
     this.books = new Books(settings, books => new Batches(books));
     this.supply = new Supply(this.books);
+    this.upkeep = new Upkeep(this.books, this.supply);
   }
 
   /** Takes one event and returns what is to be done. */
@@ -158,6 +161,8 @@
   ): void {
     const hold = this.books.charges.take(request);
     if (hold === undefined) {
+      const kind = WalletEffectKind.Secured;
+      this.books.out.push({kind, request, secured: false});
       return;
     }
     const {budget} = hold;
@@ -222,15 +227,7 @@
     }
     if (now - this.sampledAt >= SAMPLE_INTERVAL) {
       this.sampledAt = now;
-      this.sample(now);
-    }
-  }
-
-  private sample(now: Millis): void {
-    for (const [budget, account] of this.books.accounts) {
-      account.sample(now);
-      this.supply.refill(budget, now);
-      this.supply.returnIdle(budget, account, now);
+      this.upkeep.sample(now);
     }
   }
 
--- a/packages/entry/src/lib/entry.ts
+++ b/packages/entry/src/lib/entry.ts
@@ -25,6 +25,7 @@
 import {ModelWork} from './model_work.js';
 import {OperatorListener} from './operator_listener.js';
 import {ServiceWork} from './service_work.js';
+import {pause, within} from './timing.js';
 import {UpstreamTask} from './upstream_task.js';
 import {WalletTask} from './wallet_task.js';
 import type {
@@ -337,17 +338,3 @@
     };
   }
 }
-
-function pause(span: Millis): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, span));
-}
-
-/** Waits for work, but no longer than `span` milliseconds. */
-async function within(work: Promise<void>, span: Millis): Promise<void> {
-  let timer: NodeJS.Timeout | undefined;
-  const late = new Promise<void>(resolve => {
-    timer = setTimeout(resolve, span);
-  });
-  await Promise.race([work, late]);
-  clearTimeout(timer);
-}
--- a/packages/entry/src/lib/service_work.ts
+++ b/packages/entry/src/lib/service_work.ts
@@ -7,6 +7,7 @@
   UpstreamKind,
 } from '@citrontrestle/decisions';
 import {RefusalCode} from '@citrontrestle/caller';
+import {KeyValueOutcome, orderKey} from '@citrontrestle/platform';
 import {randomId, sha256} from '@citrontrestle/runtime';
 import {BUDGET_REFUSALS} from './budget_refusals.js';
 import {Gate} from './gate.js';
@@ -16,6 +17,7 @@
 import type {
   Clock,
   Millis,
+  OrderRecord,
   RecordedAnswer,
   RetryBudget,
 } from '@citrontrestle/decisions';
@@ -132,7 +134,17 @@
     request: WorkRequest,
     reply: Reply,
   ): Promise<void> {
-    if (!(await this.reserve(job, reply))) {
+    const {priceTokens} = job.workClass;
+    const refusal =
+      priceTokens === 0
+        ? undefined
+        : await this.around.wallet.reserve(
+            job.id,
+            job.account.budget,
+            priceTokens,
+          );
+    if (refusal !== undefined) {
+      await this.recall(job, request, reply, BUDGET_REFUSALS[refusal]);
       return;
     }
     const task = this.orderTask(job, request);
@@ -148,14 +160,33 @@
     }
   }
 
+  /** A recorded answer is replayed also when the budget is used up. */
+  private async recall(
+    job: Job,
+    request: WorkRequest,
+    reply: Reply,
+    code: RefusalCode,
+  ): Promise<void> {
+    const key = orderKey(orderDigest(job, request));
+    const result = await this.around.keyValue.read(key);
+    const found = result.outcome === KeyValueOutcome.Found;
+    const record = found ? (result.value as OrderRecord) : undefined;
+    const same = record?.body === bodyDigest(request);
+    if (!same || record.answer === undefined) {
+      this.refuse(job, reply, code);
+      return;
+    }
+    this.sendRecorded(job, reply, record.answer);
+  }
+
   private orderTask(job: Job, request: WorkRequest): OrderTask {
     const {holder, keyValue} = this.around;
     const task: OrderTask = new OrderTask(
-      `${job.account.name}/${sha256(request.key ?? '')}`,
+      orderDigest(job, request),
       {
         nonce: randomId(),
         holder,
-        body: sha256(`${request.method} ${request.query}\n${request.body}`),
+        body: bodyDigest(request),
         at: job.begun,
         isAlive: id => id === holder || this.around.isAlive(id),
       },
@@ -200,6 +231,10 @@
     answer: RecordedAnswer,
   ): Promise<void> {
     await this.settle(job);
+    this.sendRecorded(job, reply, answer);
+  }
+
+  private sendRecorded(job: Job, reply: Reply, answer: RecordedAnswer): void {
     const body = Buffer.from(answer.body, 'base64');
     reply.whole(answer.status, answer.contentType, body);
     this.answered(job, undefined);
@@ -294,3 +329,13 @@
   const {status, contentType, body} = ended;
   return {status, contentType, body: body.toString('base64')};
 }
+
+/** Identifies an order by its account and idempotency key. */
+function orderDigest(job: Job, request: WorkRequest): string {
+  return `${job.account.name}/${sha256(request.key ?? '')}`;
+}
+
+function bodyDigest(request: WorkRequest): string {
+  const {method, query, body} = request;
+  return sha256(`${method} ${query}\n${body.toString('latin1')}`);
+}
--- a/packages/load/src/test/promises_test.ts
+++ b/packages/load/src/test/promises_test.ts
@@ -12,6 +12,9 @@
 const POLL = 20;
 const PATIENCE = 9_000;
 
+/** Price of an order in the example, in tokens. */
+const ORDER_PRICE = 20;
+
 describe('promises of the whole path', () => {
   let fleet: EmbeddedFleet;
   let client: Client;
@@ -20,6 +23,8 @@
   beforeEach(async () => {
     const experiment = readExperiment(SCENARIO);
     ({declarations} = experiment);
+    const desk = declarations.budgets.find(one => one.name === 'tournaments');
+    Object.assign(desk ?? {}, {initialTokens: ORDER_PRICE});
     client = new Client();
     fleet = await EmbeddedFleet.start(experiment.scenario.fleet, declarations, {
       budget: BudgetPolicy.Shares,
@@ -103,6 +108,25 @@
     });
   }
 
+  it('replays an order also when the budget is used up', async () => {
+    const order = (entry: number, key: string) =>
+      client.send(fleet.entries[entry]?.addresses.callers ?? '', {
+        method: 'POST',
+        path: '/v1/work/order',
+        apiKey: 'restringing-tournament-desk-key',
+        key,
+        body: '{"item": "marker:t"}',
+        timeout: 20_000,
+      });
+    const first = await order(0, 't');
+    const again = await order(1, 't');
+    const other = await order(2, 'u');
+    expect(first.seen).to.equal(Seen.Answered);
+    expect(again.content).to.equal(first.content);
+    expect(other.code).to.equal('budget-exhausted');
+    expect(fleet.group.truth.runs).to.have.length(1);
+  });
+
   it('sends nothing to an upstream that says it is leaving', async () => {
     const [id, engine] = [...fleet.group.upstreams][0] ?? [];
     engine?.setFaults({leaving: true});
