--- a/packages/decisions/src/lib/copy_store.ts
+++ b/packages/decisions/src/lib/copy_store.ts
@@ -5,11 +5,6 @@
 export class CopyStore {
   private readonly copies = new Map<string, Settlement>();
 
-  /** Number of copies held. */
-  size(): number {
-    return this.copies.size;
-  }
-
   /** Keeps a charge. */
   add(settlement: Settlement): void {
     this.copies.set(keyOf(settlement), settlement);
--- a/packages/entry/src/lib/wallet_task.ts
+++ b/packages/entry/src/lib/wallet_task.ts
@@ -1,6 +1,5 @@
 /** Owns the wallet: carries its effects out and answers reservations. */
 import {
-  partitionOf,
   Wallet,
   WalletEffectKind,
   WalletEventKind,
@@ -50,11 +49,8 @@
     private readonly around: WalletSurroundings,
   ) {
     this.wallet = new Wallet(settings);
-    this.partitions = settings.partitions;
   }
 
-  private readonly partitions: number;
-
   /** Starts to tick. */
   start(): void {
     this.handle({kind: WalletEventKind.Tick});
@@ -120,11 +116,6 @@
     }
   }
 
-  /** Partition of a budget. */
-  partitionOf(budget: string): number {
-    return partitionOf(budget, this.partitions);
-  }
-
   private carryOut(effect: WalletEffect): void {
     const carry = this.effects[effect.kind] as (effect: WalletEffect) => void;
     carry(effect);
--- a/packages/model/src/lib/store.ts
+++ b/packages/model/src/lib/store.ts
@@ -39,8 +39,6 @@
 /** Model of the key-value service. */
 export class Store {
   readonly faults: StoreFaults = {down: false, slow: 0, lost: 0};
-  /** Calls served. */
-  calls = 0;
   private readonly values = new Map<
     string,
     {version: number; value: unknown}
@@ -110,7 +108,6 @@
     timeout: StoreOutcome,
     act: () => StoreAnswer | undefined,
   ): void {
-    this.calls += 1;
     const way = WAY + this.faults.slow / 2;
     let over = false;
     const end = (result: StoreAnswer) => {
--- a/packages/stand_ins/src/lib/key_value_store.ts
+++ b/packages/stand_ins/src/lib/key_value_store.ts
@@ -76,11 +76,6 @@
     this.leases.set(id, {until: this.clock.now() + ttl, ttl});
   }
 
-  /** All keys; for tests. */
-  keys(): string[] {
-    return [...this.values.keys()];
-  }
-
   private wake(key: string): void {
     for (const watcher of [...(this.watchers.get(key) ?? [])]) {
       watcher();
