--- a/packages/decisions/src/lib/batches.ts
+++ b/packages/decisions/src/lib/batches.ts
@@ -25,9 +25,7 @@
       instance,
       sequence,
       seenCloses: this.seenCloses.get(number) ?? 0,
-      settlements: this.books.copies.take(
-        budget => this.books.table.numberOf(budget) === number,
-      ),
+      settlements: this.copiesOf(number),
       positions: {},
       wants: {},
       leave: this.mayLeave(number),
@@ -72,9 +70,7 @@
   /** Whether a batch would hold nothing but wants that can't be met. */
   hopeless(number: number): boolean {
     const ledger = this.books.table.at(number).view();
-    const copies = this.books.copies.take(
-      budget => this.books.table.numberOf(budget) === number,
-    );
+    const copies = this.copiesOf(number);
     const {joined} = this.books.table.at(number).state();
     if (!joined || copies.length > 0 || ledger === undefined) {
       return false;
@@ -94,6 +90,12 @@
     });
   }
 
+  /** Copies of other entries' charges against a partition's budgets. */
+  private copiesOf(number: number): Settlement[] {
+    const {copies, table} = this.books;
+    return copies.take(budget => table.numberOf(budget) === number);
+  }
+
   /** Stops dealing with holders that an operator closed. */
   private noteCloses(number: number): void {
     const ledger = this.books.table.at(number).view();
--- a/packages/load/src/lib/bench.ts
+++ b/packages/load/src/lib/bench.ts
@@ -261,19 +261,8 @@
   };
 }
 
-function ledgerWriteAt(bills: number): Omit<Point, 'size'> {
-  const ledger = ledgerWith(bills, 140, 9);
-  const codec = new Codec();
-  const ns = time(() => {
-    const next = structuredClone(ledger);
-    applyBatch(next, batchOf('entry-0.0a1b2c3d', 2, []));
-    codec.encode(next);
-  }, 20);
-  return {ns, bytes: codec.encode(ledger).length};
-}
-
-function ledgerHoldersAt(holders: number): Omit<Point, 'size'> {
-  const ledger = ledgerWith(100, 140, holders);
+/** Costs of one write of a ledger. */
+function ledgerWrite(ledger: Ledger): Omit<Point, 'size'> {
   const codec = new Codec();
   const ns = time(() => {
     const next = structuredClone(ledger);
@@ -308,13 +297,13 @@
       'apply and encode a ledger write; bytes of the value',
       'bills in the window',
       [0, 500, 1_500, 4_000],
-      ledgerWriteAt,
+      bills => ledgerWrite(ledgerWith(bills, 140, 9)),
     ),
     measure(
       'apply and encode a ledger write; bytes of the value',
       'holders',
       [3, 9, 30, 100, 410],
-      ledgerHoldersAt,
+      holders => ledgerWrite(ledgerWith(100, 140, holders)),
     ),
   ];
 }
--- a/packages/operator/src/lib/budget.ts
+++ b/packages/operator/src/lib/budget.ts
@@ -4,6 +4,7 @@
   awaitedHolders,
   billed,
   close,
+  emptyLedger,
   HolderStatus,
   partitionOf,
   topUp,
@@ -104,7 +105,7 @@
   for (let number = 0; number < partitions; number++) {
     const done = await update<Ledger>(keyValue, ledgerKey(number), ledger => {
       const closed = closeAll(ledger, instance, holders);
-      awaitedHolders(ledger ?? EMPTY).forEach(id => awaited.add(id));
+      awaitedHolders(ledger ?? emptyLedger()).forEach(id => awaited.add(id));
       return closed ? ledger : undefined;
     });
     outcome = worse(outcome, done);
@@ -112,14 +113,6 @@
   return {outcome, holders: [...holders], awaited: [...awaited]};
 }
 
-const EMPTY: Ledger = {
-  closes: 0,
-  holders: {},
-  budgets: {},
-  bills: {},
-  prunedBefore: 0,
-};
-
 function closeAll(
   ledger: Ledger | undefined,
   instance: string,
