--- a/eslint.config.js
+++ b/eslint.config.js
@@ -6,12 +6,12 @@
 const NO_IO = 'Decisions are pure: time and random numbers are handed in.';
 
 export default tseslint.config(
-  {ignores: ['**/dist/**', 'node_modules/**']},
+  {ignores: ['**/dist/**', 'target/**', 'node_modules/**']},
   js.configs.recommended,
   ...tseslint.configs.strict,
   prettier,
   {
-    files: ['packages/*/src/**/*.ts'],
+    files: ['packages/*/src/**/*.ts', 'platform/src/**/*.ts'],
     plugins: {jsdoc},
     rules: {
       eqeqeq: 'error',
--- /dev/null
+++ b/packages/decisions/src/lib/placement.ts
@@ -0,0 +1,319 @@
+/**
+ * Choice of an upstream by what the instance knows of load and of cached
+ * prompt parts. Load patterns: many requests share a long prompt part; one
+ * prompt part becomes popular; an upstream fails or turns slow.
+ */
+import {affinity} from './routing.js';
+import type {Millis} from './clock.js';
+import type {UpstreamListing} from './upstream_registry.js';
+
+/** One part of a prompt; requests share parts. */
+export interface PromptPart {
+  id: string;
+  tokens: number;
+}
+
+/** What is to be placed. */
+export interface PlacementRequest {
+  /** Parts of the prompt in order; empty for plain services. */
+  parts: PromptPart[];
+  /** Tokens of the prompt; 0 for plain services. */
+  promptTokens: number;
+}
+
+/** Load of one upstream as an instance saw it. */
+export interface UpstreamLoad {
+  /** Requests in flight. */
+  running: number;
+  /** Prompt tokens of requests without a first token yet. */
+  prefillTokens: number;
+}
+
+/** Load that an upstream reported on an answer. */
+export interface ReportedLoad {
+  running: number;
+  waiting: number;
+  slots: number;
+}
+
+/** What placement looks at besides its own state. */
+export interface PlacementView {
+  now: Millis;
+  zone: string;
+  /** Upstreams that this request must not go to. */
+  avoid: ReadonlySet<string>;
+}
+
+/** How one attempt at an upstream ended. */
+export enum PlacementEnd {
+  Answered = 'answered',
+  /** The upstream stated that it did not run the request. */
+  Rejected = 'rejected',
+  /** No connection, a broken answer or one of another request. */
+  Failed = 'failed',
+  /** The caller left, or the instance gave up. */
+  Cancelled = 'cancelled',
+}
+
+/** Where a request was placed, and the counts to give back. */
+export interface Placed {
+  upstream: UpstreamListing;
+  /** Tokens that the upstream is expected to read. */
+  prefillTokens: number;
+}
+
+interface State {
+  own: UpstreamLoad;
+  peers: Map<string, {load: UpstreamLoad; at: Millis}>;
+  reported: ReportedLoad | undefined;
+  reportedAt: Millis;
+  strikes: number;
+  shunnedUntil: Millis;
+  /** When each prompt part was last used there, by its chain. */
+  parts: Map<string, Millis>;
+}
+
+/** Cached prompt parts are taken to stay this long after their last use. */
+const PART_MEMORY: Millis = 30_000;
+
+/** Most prompt parts that are remembered of one upstream. */
+const MOST_PARTS = 2_000;
+
+/** Age after which what a peer said of its load counts for nothing. */
+const PEER_LOAD_MEMORY: Millis = 1_500;
+
+/** Age after which a reported load counts for nothing. */
+const REPORT_MEMORY: Millis = 1_000;
+
+/** First pause after a failure; it doubles with each further one. */
+const SHUN_FIRST: Millis = 250;
+
+/** Longest pause after failures. */
+const SHUN_MOST: Millis = 4_000;
+
+/** Most failures that are counted. */
+const MOST_STRIKES = 6;
+
+/** Failures that one good answer makes up for. */
+const STRIKES_FORGIVEN = 0.34;
+
+/** Tokens that an engine reads in one millisecond. */
+const READ_TOKENS_PER_MS = 100;
+
+/** Delay that each running request adds to a first token, in milliseconds. */
+const RUNNING_COST: Millis = 2;
+
+/** Delay of one request that waits for a place, in milliseconds. */
+const WAITING_COST: Millis = 40;
+
+/** Cost of another zone, in milliseconds. */
+const ZONE_COST: Millis = 3;
+
+/** Cost of leaving the preferred upstream of a prompt part, in milliseconds. */
+const STRAY_COST: Millis = 15;
+
+/** Places requests and keeps count of them. */
+export class Placement {
+  private readonly states = new Map<string, State>();
+
+  /** Picks an upstream; undefined when none may get the request. */
+  choose(
+    request: PlacementRequest,
+    candidates: readonly UpstreamListing[],
+    view: PlacementView,
+  ): Placed | undefined {
+    const allowed = candidates.filter(one => !view.avoid.has(one.id));
+    const sound = allowed.filter(
+      one => this.of(one.id).shunnedUntil <= view.now,
+    );
+    const from = sound.length > 0 ? sound : allowed;
+    const key = affinityKey(request);
+    let best: Placed | undefined;
+    let bestCost = Infinity;
+    const preferred = preferredOf(key, from);
+    for (const upstream of from) {
+      const prefillTokens = this.toRead(request, upstream.id, view.now);
+      const stray = upstream === preferred ? 0 : STRAY_COST;
+      const rank = affinity(key, upstream.id) / 2 ** 32;
+      const cost = this.cost(upstream, prefillTokens, view) + stray - rank;
+      if (cost < bestCost) {
+        bestCost = cost;
+        best = {upstream, prefillTokens};
+      }
+    }
+    return best;
+  }
+
+  /** Counts a request as in flight. */
+  started(request: PlacementRequest, placed: Placed, now: Millis): void {
+    const state = this.of(placed.upstream.id);
+    state.own.running += 1;
+    state.own.prefillTokens += placed.prefillTokens;
+    this.remember(state, request, now);
+  }
+
+  /** Counts the first token of a request. */
+  firstToken(placed: Placed): void {
+    const {own} = this.of(placed.upstream.id);
+    own.prefillTokens = Math.max(0, own.prefillTokens - placed.prefillTokens);
+  }
+
+  /** Counts a request as ended; `begun` tells whether a token had come. */
+  ended(placed: Placed, end: PlacementEnd, begun: boolean, now: Millis): void {
+    const state = this.of(placed.upstream.id);
+    state.own.running = Math.max(0, state.own.running - 1);
+    if (!begun) {
+      this.firstToken(placed);
+    }
+    ENDINGS[end](state, now);
+  }
+
+  /** Notes what an upstream reported of its load. */
+  reported(id: string, load: ReportedLoad, now: Millis): void {
+    const state = this.of(id);
+    state.reported = load;
+    state.reportedAt = now;
+  }
+
+  /** Notes what a peer has in flight. */
+  peerLoad(
+    peer: string,
+    loads: ReadonlyMap<string, UpstreamLoad>,
+    now: Millis,
+  ): void {
+    for (const state of this.states.values()) {
+      state.peers.delete(peer);
+    }
+    for (const [id, load] of loads) {
+      this.of(id).peers.set(peer, {load, at: now});
+    }
+  }
+
+  /** Own requests in flight, by upstream. */
+  ownLoad(): Map<string, UpstreamLoad> {
+    const loads = new Map<string, UpstreamLoad>();
+    for (const [id, {own}] of this.states) {
+      if (own.running > 0) {
+        loads.set(id, own);
+      }
+    }
+    return loads;
+  }
+
+  /** Forgets upstreams that `isListed` doesn't know and that are idle. */
+  prune(isListed: (id: string) => boolean): void {
+    for (const [id, state] of this.states) {
+      if (state.own.running === 0 && !isListed(id)) {
+        this.states.delete(id);
+      }
+    }
+  }
+
+  private cost(
+    upstream: UpstreamListing,
+    prefillTokens: number,
+    view: PlacementView,
+  ): Millis {
+    const state = this.of(upstream.id);
+    const load = this.loadOf(state, view.now);
+    const reading = (prefillTokens + load.prefillTokens) / READ_TOKENS_PER_MS;
+    const zone = upstream.zone === view.zone ? 0 : ZONE_COST;
+    const full = Math.max(0, load.running + 1 - upstream.slots) * WAITING_COST;
+    return reading + load.running * RUNNING_COST + full + zone;
+  }
+
+  private loadOf(state: State, now: Millis): UpstreamLoad {
+    const total = {...state.own};
+    for (const {load, at} of state.peers.values()) {
+      if (now - at < PEER_LOAD_MEMORY) {
+        total.running += load.running;
+        total.prefillTokens += load.prefillTokens;
+      }
+    }
+    const {reported} = state;
+    if (reported !== undefined && now - state.reportedAt < REPORT_MEMORY) {
+      const running = reported.running + reported.waiting;
+      total.running = Math.max(total.running, running);
+    }
+    return total;
+  }
+
+  /** Tokens of a prompt that an upstream is expected to read. */
+  private toRead(request: PlacementRequest, id: string, now: Millis): number {
+    const {parts} = this.of(id);
+    let kept = 0;
+    for (const part of request.parts) {
+      const usedAt = parts.get(part.id);
+      if (usedAt === undefined || now - usedAt > PART_MEMORY) {
+        break;
+      }
+      kept += part.tokens;
+    }
+    return Math.max(0, request.promptTokens - kept);
+  }
+
+  private remember(state: State, request: PlacementRequest, now: Millis): void {
+    for (const part of request.parts) {
+      state.parts.delete(part.id);
+      state.parts.set(part.id, now);
+    }
+    while (state.parts.size > MOST_PARTS) {
+      const [oldest] = state.parts.keys();
+      state.parts.delete(oldest ?? '');
+    }
+  }
+
+  private of(id: string): State {
+    let state = this.states.get(id);
+    if (state === undefined) {
+      state = {
+        own: {running: 0, prefillTokens: 0},
+        peers: new Map(),
+        reported: undefined,
+        reportedAt: 0,
+        strikes: 0,
+        shunnedUntil: 0,
+        parts: new Map(),
+      };
+      this.states.set(id, state);
+    }
+    return state;
+  }
+}
+
+/** The last part that other requests share; the last part is a request's own. */
+function affinityKey(request: PlacementRequest): string {
+  const {parts} = request;
+  return (parts.at(-2) ?? parts.at(-1))?.id ?? '';
+}
+
+function preferredOf(
+  key: string,
+  from: readonly UpstreamListing[],
+): UpstreamListing | undefined {
+  let best: UpstreamListing | undefined;
+  let bestRank = -1;
+  for (const upstream of key === '' ? [] : from) {
+    const rank = affinity(key, upstream.id);
+    if (rank > bestRank) {
+      bestRank = rank;
+      best = upstream;
+    }
+  }
+  return best;
+}
+
+const ENDINGS: Record<PlacementEnd, (state: State, now: Millis) => void> = {
+  [PlacementEnd.Answered]: state => {
+    state.strikes = Math.max(0, state.strikes - STRIKES_FORGIVEN);
+  },
+  [PlacementEnd.Rejected]: (state, now) => {
+    state.shunnedUntil = Math.max(state.shunnedUntil, now + SHUN_FIRST);
+  },
+  [PlacementEnd.Failed]: (state, now) => {
+    const pause = SHUN_FIRST * 2 ** state.strikes;
+    state.shunnedUntil = now + Math.min(SHUN_MOST, pause);
+    state.strikes = Math.min(MOST_STRIKES, state.strikes + 1);
+  },
+  [PlacementEnd.Cancelled]: () => undefined,
+};
--- a/packages/decisions/src/lib/suspects.ts
+++ b/packages/decisions/src/lib/suspects.ts
@@ -21,6 +21,9 @@
   private readonly suspects = new Map<string, Suspect>();
   private readonly isolated = new Map<string, string>();
 
+  /** @param mostFailures upstreams that may fail before it is refused. */
+  constructor(private readonly mostFailures = MOST_FAILURES) {}
+
   /** Notes that an upstream failed while it ran a request. */
   failed(fingerprint: string, upstream: string, now: Millis): void {
     const known = this.find(fingerprint, now);
@@ -48,7 +51,7 @@
   /** Whether the request is to be refused. */
   isBlocked(fingerprint: string, now: Millis): boolean {
     const suspect = this.find(fingerprint, now);
-    return (suspect?.upstreams.size ?? 0) >= MOST_FAILURES;
+    return (suspect?.upstreams.size ?? 0) >= this.mostFailures;
   }
 
   /**
--- a/packages/entry/src/lib/entry.ts
+++ b/packages/entry/src/lib/entry.ts
@@ -7,7 +7,7 @@
 } from '@citrontrestle/decisions';
 import {CallerListener, RefusalCode} from '@citrontrestle/caller';
 import {EngineClient} from '@citrontrestle/engine';
-import {Fleet, MessageKind} from '@citrontrestle/fleet';
+import {Fleet, MESSAGE_SCHEMA, MessageKind} from '@citrontrestle/fleet';
 import {InstanceList, KeyValue} from '@citrontrestle/platform';
 import {ServiceClient} from '@citrontrestle/service';
 import {
@@ -36,6 +36,7 @@
   WorkRequest,
 } from '@citrontrestle/caller';
 import type {Clock, Millis, WalletSettings} from '@citrontrestle/decisions';
+import type {Message} from '@citrontrestle/fleet';
 import type {Log, Metrics} from '@citrontrestle/runtime';
 import type {EntrySettings} from './settings.js';
 import type {EntryStatus} from './status.js';
@@ -68,7 +69,7 @@
   private readonly configuration: ConfigurationTask;
   private readonly wallet: WalletTask;
   private readonly upstreams: UpstreamTask;
-  private readonly fleet: Fleet;
+  private readonly fleet: Fleet<Message>;
   private readonly fleetTask: FleetTask;
   private readonly model: ModelWork;
   private readonly service: ServiceWork;
@@ -118,7 +119,12 @@
       configuration: this.configuration,
       members: () => this.members,
     });
-    this.fleet = new Fleet(this.fleetSettings(), this.fleetTask, log);
+    this.fleet = new Fleet(
+      this.fleetSettings(),
+      MESSAGE_SCHEMA,
+      this.fleetTask,
+      log,
+    );
     this.fleetTask.attach(this.fleet);
     const shared = this.sharedSurroundings();
     this.model = new ModelWork({
--- a/packages/entry/src/lib/fleet_task.ts
+++ b/packages/entry/src/lib/fleet_task.ts
@@ -21,14 +21,14 @@
 type MessageOf<K extends MessageKind> = Extract<Message, {kind: K}>;
 
 /** Passes messages between the peers and the tasks of this entry. */
-export class FleetTask implements FleetOwner {
-  private fleet: Fleet | undefined;
+export class FleetTask implements FleetOwner<Message> {
+  private fleet: Fleet<Message> | undefined;
   private readonly addresses = new Map<string, string>();
 
   constructor(private readonly around: FleetSurroundings) {}
 
   /** Sets the links to send over. */
-  attach(fleet: Fleet): void {
+  attach(fleet: Fleet<Message>): void {
     this.fleet = fleet;
   }
 
--- a/packages/fleet/src/lib/fleet.ts
+++ b/packages/fleet/src/lib/fleet.ts
@@ -4,12 +4,12 @@
 import {Link} from './link.js';
 import type {Identity, LinkOwner} from './link.js';
 import type {Log} from '@citrontrestle/runtime';
-import type {Message} from './message.js';
 import type {AddressInfo, Server, Socket} from 'node:net';
+import type {z} from 'zod';
 
 /** What the fleet tells its owner. */
-export interface FleetOwner {
-  message(from: Identity, message: Message): void;
+export interface FleetOwner<M> {
+  message(from: Identity, message: M): void;
 }
 
 /** Settings of the links. */
@@ -28,17 +28,19 @@
 const MOST_QUEUED = 1_000;
 
 /** The links of one entry to other entries. */
-export class Fleet implements LinkOwner {
+export class Fleet<M> implements LinkOwner<M> {
   private readonly server: Server;
-  private readonly links = new Map<string, Link>();
-  private readonly open = new Set<Link>();
-  private readonly dialling = new Map<string, Message[]>();
-  private readonly dialled = new Map<Link, string>();
+  private readonly links = new Map<string, Link<M>>();
+  private readonly open = new Set<Link<M>>();
+  private readonly dialling = new Map<string, M[]>();
+  private readonly dialled = new Map<Link<M>, string>();
   private self: Identity | undefined;
 
   constructor(
     private readonly settings: FleetSettings,
-    private readonly owner: FleetOwner,
+    /** Shape of the messages that pass. */
+    private readonly schema: z.ZodType<M>,
+    private readonly owner: FleetOwner<M>,
     private readonly log: Log,
   ) {
     this.server = createServer(socket => {
@@ -61,7 +63,7 @@
   }
 
   /** Sends a message to the entry at an address; it may be lost. */
-  send(address: string, message: Message): void {
+  send(address: string, message: M): void {
     const link = this.links.get(address);
     if (link?.send(message)) {
       return;
@@ -77,6 +79,11 @@
     this.dial(address);
   }
 
+  /** Ends the link to an address; the next message opens another. */
+  drop(address: string, reason: string): void {
+    this.links.get(address)?.close(reason);
+  }
+
   /** Ends all links. */
   stop(): void {
     this.server.close();
@@ -86,7 +93,7 @@
   }
 
   /** Called by a link. */
-  ready(link: Link): void {
+  ready(link: Link<M>): void {
     const peer = link.peer();
     if (peer === undefined) {
       return;
@@ -101,7 +108,7 @@
   }
 
   /** Called by a link. */
-  message(link: Link, message: Message): void {
+  message(link: Link<M>, message: M): void {
     const peer = link.peer();
     if (peer !== undefined) {
       this.owner.message(peer, message);
@@ -109,7 +116,7 @@
   }
 
   /** Called by a link. */
-  closed(link: Link, reason: string): void {
+  closed(link: Link<M>, reason: string): void {
     this.open.delete(link);
     const address = this.dialled.get(link);
     this.dialled.delete(link);
@@ -130,9 +137,10 @@
     this.dialled.set(link, address);
   }
 
-  private link(socket: Socket): Link {
+  private link(socket: Socket): Link<M> {
     const {self} = this;
     const identity = self ?? {holder: '', address: '', zone: ''};
-    return new Link(socket, identity, this.settings.key, this);
+    const {key} = this.settings;
+    return new Link(socket, identity, key, this.schema, this);
   }
 }
--- a/packages/fleet/src/lib/link.ts
+++ b/packages/fleet/src/lib/link.ts
@@ -2,10 +2,11 @@
 import {createHmac} from 'node:crypto';
 import {randomId, sameSecret} from '@citrontrestle/runtime';
 import {encodeFrame, FrameReader} from './frame.js';
-import {HELLO_SCHEMA, MESSAGE_SCHEMA, PROOF_SCHEMA} from './message.js';
-import type {Hello, Message} from './message.js';
+import {HELLO_SCHEMA, PROOF_SCHEMA} from './message.js';
+import type {Hello} from './message.js';
 import type {Millis} from '@citrontrestle/decisions';
 import type {Socket} from 'node:net';
+import type {z} from 'zod';
 
 /** Who an entry is towards other entries. */
 export interface Identity {
@@ -16,10 +17,10 @@
 }
 
 /** What a link tells its owner. */
-export interface LinkOwner {
-  ready(link: Link): void;
-  message(link: Link, message: Message): void;
-  closed(link: Link, reason: string): void;
+export interface LinkOwner<M> {
+  ready(link: Link<M>): void;
+  message(link: Link<M>, message: M): void;
+  closed(link: Link<M>, reason: string): void;
 }
 
 /** Longest time for both sides to prove the fleet key. */
@@ -29,7 +30,7 @@
 const MOST_WAITING_BYTES = 1024 * 1024;
 
 /** One connection; messages pass once both sides proved the fleet key. */
-export class Link {
+export class Link<M> {
   private readonly reader = new FrameReader();
   private readonly nonce = randomId(16);
   private remote: Hello | undefined;
@@ -41,7 +42,9 @@
     private readonly socket: Socket,
     private readonly self: Identity,
     private readonly key: string,
-    private readonly owner: LinkOwner,
+    /** Shape of the messages that pass. */
+    private readonly schema: z.ZodType<M>,
+    private readonly owner: LinkOwner<M>,
   ) {
     socket.setNoDelay(true);
     socket.on('data', bytes => this.take(bytes));
@@ -60,7 +63,7 @@
   }
 
   /** Sends a message; returns false when the link can't take it. */
-  send(message: Message): boolean {
+  send(message: M): boolean {
     const full = this.socket.writableLength > MOST_WAITING_BYTES;
     if (!this.proven || full || this.socket.destroyed) {
       return false;
@@ -131,7 +134,7 @@
   }
 
   private takeMessage(value: unknown): void {
-    const checked = MESSAGE_SCHEMA.safeParse(value);
+    const checked = this.schema.safeParse(value);
     if (!checked.success) {
       this.close('malformed message');
       return;
--- /dev/null
+++ b/packages/gateway/src/lib/caller_answer.ts
@@ -0,0 +1,86 @@
+/** The answer to one caller: sent whole, or visibly broken off. */
+import {REFUSALS} from './refusal.js';
+import type {Dialect} from './ports.js';
+import type {RefusalReason} from './refusal.js';
+import type {OutgoingHttpHeaders, ServerResponse} from 'node:http';
+import type {Millis} from '@citrontrestle/decisions';
+
+/** Writes the answer to one caller. */
+export class CallerAnswer {
+  private closed = false;
+
+  constructor(
+    private readonly response: ServerResponse,
+    private readonly dialect: Dialect,
+    /** Whether the connection ends after this answer. */
+    private readonly closing: () => boolean,
+  ) {
+    response.sendDate = false;
+  }
+
+  /** Whether the head has been written. */
+  begun(): boolean {
+    return this.response.headersSent;
+  }
+
+  /** Writes the head of a streamed answer. */
+  begin(status: number, headers: OutgoingHttpHeaders): void {
+    this.response.writeHead(status, this.withClose(headers));
+  }
+
+  /** Writes bytes; returns false while the caller can't take more. */
+  write(bytes: Buffer): boolean {
+    return this.response.write(bytes);
+  }
+
+  /** Calls back when the caller can take more. */
+  onDrain(callback: () => void): void {
+    this.response.once('drain', callback);
+  }
+
+  /** Ends a streamed answer as complete. */
+  end(): void {
+    this.closed = true;
+    this.response.end();
+  }
+
+  /** Sends a whole answer. */
+  send(status: number, headers: OutgoingHttpHeaders, body: Buffer): void {
+    this.closed = true;
+    this.response.writeHead(status, this.withClose(headers));
+    this.response.end(body);
+  }
+
+  /** Sends an answer of the gateway's own. */
+  refuse(reason: RefusalReason, retryAfter?: Millis): void {
+    const rule = REFUSALS[reason];
+    const after = retryAfter ?? rule.retryAfter;
+    const body = Buffer.from(JSON.stringify({error: reason}));
+    const headers: OutgoingHttpHeaders = {
+      'Content-Type': 'application/json',
+      'Content-Length': body.length,
+      ...(after === undefined ? {} : this.dialect.retryHeaders(after)),
+    };
+    this.send(rule.status, headers, body);
+  }
+
+  /** Breaks the answer off so that it can't pass for a whole one. */
+  breakOff(): void {
+    this.closed = true;
+    const {socket} = this.response;
+    if (socket === null) {
+      this.response.destroy();
+    } else {
+      socket.resetAndDestroy();
+    }
+  }
+
+  /** Whether nothing more is written. */
+  isClosed(): boolean {
+    return this.closed;
+  }
+
+  private withClose(headers: OutgoingHttpHeaders): OutgoingHttpHeaders {
+    return this.closing() ? {...headers, Connection: 'close'} : headers;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/lib/forwarding.ts
@@ -0,0 +1,439 @@
+/** One request of a caller on its way through the upstreams. */
+import {PlacementEnd, pickTarget, RouteKind} from '@citrontrestle/decisions';
+import {EventReader} from './event_reader.js';
+import {RefusalReason} from './refusal.js';
+import {CallFailure, UpstreamCall} from './upstream_call.js';
+import type {CallerAnswer} from './caller_answer.js';
+import type {CallerRequest} from './ports.js';
+import type {ReceivedHead} from './upstream_call.js';
+import type {Surroundings} from './surroundings.js';
+import type {
+  Millis,
+  Placed,
+  PlacementRequest,
+  PrepaidAccount,
+  Route,
+} from '@citrontrestle/decisions';
+
+/** A request that has been read and admitted. */
+export interface AdmittedRequest {
+  caller: CallerRequest;
+  method: string;
+  /** Path with query as received. */
+  target: string;
+  rawHeaders: readonly string[];
+  body: Buffer;
+  route: Route;
+  account: PrepaidAccount | undefined;
+  arrivedAt: Millis;
+  /** Digest of what the caller asks for, without its identifier. */
+  fingerprint: string;
+}
+
+/** How the forwarding of a request ended. */
+export interface ForwardingEnd {
+  /** Outcome as logs and metrics show it. */
+  outcome: string;
+  upstream: string | undefined;
+  attempts: number;
+  /** Whether an upstream may have begun to run the request. */
+  mayHaveRun: boolean;
+  /** Events delivered to the caller. */
+  events: number;
+  firstByteAt: Millis | undefined;
+}
+
+/** Least time that must be left for an attempt. */
+const LEAST_PATIENCE: Millis = 20;
+
+/** Attempts that never reached an upstream, at most. */
+const MOST_UNSENT = 4;
+
+/** Largest answer that is kept back until it is whole, in bytes. */
+const MOST_HELD_BYTES = 256 * 1024;
+
+/** Outcome of a request that was answered whole by an upstream. */
+export const ANSWERED = 'answered';
+
+/** Outcome of a request whose caller left. */
+export const CALLER_LEFT = 'caller-left';
+
+/** Outcome of a stream that broke midway. */
+export const BROKEN_OFF = 'broken-off';
+
+/** Forwards one request until it has its final answer. */
+export class Forwarding {
+  private call: UpstreamCall | undefined;
+  private placed: Placed | undefined;
+  private received: ReceivedHead | undefined;
+  private events = new EventReader();
+  private held: Buffer[] = [];
+  private heldBytes = 0;
+  private passing = false;
+  private tokenSeen = false;
+  private readonly tried = new Set<string>();
+  private readonly ran = new Set<string>();
+  private unsent = 0;
+  private lastEvent: string | undefined;
+  private readonly end: ForwardingEnd = {
+    outcome: '',
+    upstream: undefined,
+    attempts: 0,
+    mayHaveRun: false,
+    events: 0,
+    firstByteAt: undefined,
+  };
+  private timer: NodeJS.Timeout | undefined;
+  private finished = false;
+  private readonly deadline: Millis;
+  private readonly service: string;
+  private readonly placement: PlacementRequest;
+
+  constructor(
+    private readonly request: AdmittedRequest,
+    private readonly answer: CallerAnswer,
+    private readonly around: Surroundings,
+    private readonly onEnd: (end: ForwardingEnd) => void,
+  ) {
+    const {caller, route, arrivedAt} = request;
+    const patience = Math.min(caller.patience ?? Infinity, route.timeout);
+    this.deadline = arrivedAt + patience;
+    this.service = pickTarget(route, around.random()) ?? '';
+    this.placement = {
+      parts: caller.parts,
+      promptTokens: caller.usage?.input ?? 0,
+    };
+    this.lastEvent = caller.lastEvent;
+  }
+
+  /** Begins. */
+  start(): void {
+    const now = this.around.clock.now();
+    this.around.repeats.request(this.service, now);
+    const wait = Math.max(0, this.deadline - now);
+    this.timer = setTimeout(() => this.expire(), wait);
+    this.attempt();
+  }
+
+  /** The caller has left: what runs for it is cancelled at once. */
+  callerLeft(): void {
+    if (!this.finished) {
+      this.release(PlacementEnd.Cancelled);
+      this.finish(CALLER_LEFT);
+    }
+  }
+
+  /** Upstream that works on the request now. */
+  upstream(): string | undefined {
+    return this.placed?.upstream.id;
+  }
+
+  /** The upstream is known to be gone: its answer won't come. */
+  upstreamGone(reason: string): void {
+    if (!this.finished && this.call !== undefined) {
+      this.call.cancel();
+      this.failed(CallFailure.Lost, reason);
+    }
+  }
+
+  private attempt(): void {
+    const {around, request} = this;
+    const now = around.clock.now();
+    if (this.deadline - now < LEAST_PATIENCE) {
+      this.giveUp(RefusalReason.TimedOut);
+      return;
+    }
+    const placed = around.placement.choose(
+      this.placement,
+      around.upstreams.usable(this.service, now),
+      {now, zone: around.zone, avoid: this.tried},
+    );
+    if (placed === undefined) {
+      this.giveUp(RefusalReason.NoUpstream);
+      return;
+    }
+    this.placed = placed;
+    this.received = undefined;
+    this.events = new EventReader();
+    this.held = [];
+    this.heldBytes = 0;
+    this.tokenSeen = false;
+    this.end.attempts += 1;
+    this.end.upstream = placed.upstream.id;
+    around.placement.started(this.placement, placed, now);
+    const {caller, account} = request;
+    this.call = new UpstreamCall(
+      {
+        address: placed.upstream.address,
+        method: request.method,
+        target: request.target,
+        headers: around.dialect.upstreamHeaders(request.rawHeaders, {
+          upstream: placed.upstream.id,
+          account: account?.name,
+          patience: this.deadline - now,
+          lastEvent: this.lastEvent,
+        }),
+        body: request.body,
+        requestId: caller.id,
+        agent: around.agent,
+      },
+      around.dialect,
+      {
+        head: received => this.takeHead(received),
+        data: bytes => this.take(bytes),
+        done: () => this.done(),
+        failed: (failure, reason) => this.failed(failure, reason),
+      },
+    );
+  }
+
+  private takeHead(received: ReceivedHead): void {
+    this.received = received;
+    const {load} = received.head;
+    if (this.placed !== undefined && load !== undefined) {
+      const now = this.around.clock.now();
+      this.around.placement.reported(this.placed.upstream.id, load, now);
+    }
+  }
+
+  private streaming(): boolean {
+    const {route} = this.request;
+    return route.kind === RouteKind.Streaming && this.received?.status === 200;
+  }
+
+  private take(bytes: Buffer): void {
+    if (this.streaming()) {
+      this.takeEvents(bytes);
+      return;
+    }
+    if (this.passing) {
+      this.write(bytes);
+      return;
+    }
+    this.held.push(bytes);
+    this.heldBytes += bytes.length;
+    if (this.heldBytes > MOST_HELD_BYTES) {
+      this.passing = true;
+      this.beginAnswer();
+      for (const part of this.held) {
+        this.write(part);
+      }
+    }
+  }
+
+  private takeEvents(bytes: Buffer): void {
+    const events = this.events.push(bytes);
+    if (this.events.overflown()) {
+      this.call?.cancel();
+      this.failed(CallFailure.Spoiled, 'event too large');
+      return;
+    }
+    for (const event of events) {
+      this.noteToken();
+      this.beginAnswer();
+      this.write(event.bytes);
+      this.end.events += 1;
+      this.lastEvent = event.id ?? this.lastEvent;
+    }
+  }
+
+  private noteToken(): void {
+    if (!this.tokenSeen && this.placed !== undefined) {
+      this.tokenSeen = true;
+      this.around.placement.firstToken(this.placed);
+    }
+  }
+
+  private beginAnswer(): void {
+    const {received} = this;
+    if (received === undefined || this.answer.begun()) {
+      return;
+    }
+    this.end.firstByteAt = this.around.clock.now();
+    const headers = this.around.dialect.answerHeaders(received.raw);
+    this.answer.begin(received.status, headers);
+  }
+
+  private write(bytes: Buffer): void {
+    if (!this.answer.write(bytes)) {
+      const {call} = this;
+      call?.flow(false);
+      this.answer.onDrain(() => call?.flow(true));
+    }
+  }
+
+  private done(): void {
+    if (this.streaming()) {
+      this.doneStream();
+      return;
+    }
+    this.ran.add(this.placed?.upstream.id ?? '');
+    this.end.mayHaveRun = true;
+    this.release(PlacementEnd.Answered);
+    this.sendHeld();
+  }
+
+  private doneStream(): void {
+    if (this.events.partial().length > 0) {
+      this.failed(CallFailure.Lost, 'stream ended within an event');
+      return;
+    }
+    this.end.mayHaveRun = true;
+    this.release(PlacementEnd.Answered);
+    this.beginAnswer();
+    this.answer.end();
+    this.finish(ANSWERED);
+  }
+
+  private sendHeld(): void {
+    const {received} = this;
+    if (received === undefined) {
+      this.giveUp(RefusalReason.UpstreamFailed);
+      return;
+    }
+    if (this.passing) {
+      this.answer.end();
+    } else {
+      this.end.firstByteAt = this.around.clock.now();
+      const body = Buffer.concat(this.held);
+      const headers = this.around.dialect.answerHeaders(received.raw);
+      this.answer.send(received.status, headers, body);
+    }
+    this.finish(received.status < 400 ? ANSWERED : `status-${received.status}`);
+  }
+
+  private failed(failure: CallFailure, reason: string): void {
+    const upstream = this.placed?.upstream;
+    this.around.log.warn('attempt.failed', {
+      request: this.request.caller.id,
+      upstream: upstream?.id ?? '',
+      address: upstream?.address ?? '',
+      failure,
+      reason,
+      attempt: this.end.attempts,
+      events: this.end.events,
+    });
+    this.release(FAILURE_ENDS[failure]);
+    if (failure === CallFailure.NotSent) {
+      this.unsent += 1;
+      this.repeatUnsent();
+      return;
+    }
+    if (failure === CallFailure.NotExecuted) {
+      this.repeat(() => this.giveUp(RefusalReason.Overloaded));
+      return;
+    }
+    this.end.mayHaveRun = true;
+    this.ran.add(upstream?.id ?? '');
+    this.around.suspects.lost(this.request.fingerprint, upstream?.id ?? '');
+    const failed = () => this.giveUp(RefusalReason.UpstreamFailed);
+    if (this.mayRepeat()) {
+      this.repeat(failed);
+    } else {
+      failed();
+    }
+  }
+
+  private repeatUnsent(): void {
+    if (this.unsent > MOST_UNSENT) {
+      this.giveUp(RefusalReason.NoUpstream);
+    } else {
+      this.attempt();
+    }
+  }
+
+  /** Whether the request may run at one more upstream. */
+  private mayRepeat(): boolean {
+    const {route} = this.request;
+    const idempotent = route.kind === RouteKind.Idempotent;
+    const streaming = route.kind === RouteKind.Streaming;
+    const resumable = streaming && route.resumable;
+    const fresh = !this.answer.begun() || (resumable && this.canResume());
+    const left = this.ran.size < route.mostUpstreams;
+    return (idempotent || resumable) && fresh && left;
+  }
+
+  private canResume(): boolean {
+    return this.end.events === 0 || this.lastEvent !== undefined;
+  }
+
+  /** Attempts once more if the fleet's bound on repeats allows it. */
+  private repeat(otherwise: () => void): void {
+    const {around} = this;
+    const now = around.clock.now();
+    const instances = around.instances();
+    const left = this.deadline - now > LEAST_PATIENCE;
+    if (left && around.repeats.take(this.service, instances, now)) {
+      this.attempt();
+    } else {
+      otherwise();
+    }
+  }
+
+  private expire(): void {
+    if (!this.finished) {
+      this.call?.cancel();
+      this.release(PlacementEnd.Cancelled);
+      this.giveUp(RefusalReason.TimedOut);
+    }
+  }
+
+  /** Gives the final answer that the state allows. */
+  private giveUp(reason: RefusalReason): void {
+    if (this.answer.begun()) {
+      this.answer.breakOff();
+      this.finish(`${BROKEN_OFF}:${reason}`);
+      return;
+    }
+    this.answer.refuse(this.truthful(reason));
+    this.finish(reason);
+  }
+
+  /** A promise not to have run is only made if no upstream may have run it. */
+  private truthful(reason: RefusalReason): RefusalReason {
+    if (this.end.mayHaveRun && PROMISES.has(reason)) {
+      return RefusalReason.UpstreamFailed;
+    }
+    const unsent = !this.end.mayHaveRun && reason === RefusalReason.TimedOut;
+    return unsent ? RefusalReason.Overloaded : reason;
+  }
+
+  private release(end: PlacementEnd): void {
+    if (this.call !== undefined && end === PlacementEnd.Cancelled) {
+      this.end.mayHaveRun = true;
+    }
+    this.call?.cancel();
+    this.call = undefined;
+    const {placed} = this;
+    if (placed !== undefined) {
+      this.tried.add(placed.upstream.id);
+      const now = this.around.clock.now();
+      this.around.placement.ended(placed, end, this.tokenSeen, now);
+      this.placed = undefined;
+    }
+  }
+
+  private finish(outcome: string): void {
+    if (this.finished) {
+      return;
+    }
+    this.finished = true;
+    clearTimeout(this.timer);
+    this.end.outcome = outcome;
+    this.onEnd(this.end);
+  }
+}
+
+const FAILURE_ENDS: Readonly<Record<CallFailure, PlacementEnd>> = {
+  [CallFailure.NotSent]: PlacementEnd.Failed,
+  [CallFailure.NotExecuted]: PlacementEnd.Rejected,
+  [CallFailure.Lost]: PlacementEnd.Failed,
+  [CallFailure.Spoiled]: PlacementEnd.Failed,
+};
+
+/** Reasons whose answers promise that the request never runs. */
+const PROMISES = new Set([
+  RefusalReason.NoUpstream,
+  RefusalReason.Overloaded,
+  RefusalReason.Stopping,
+]);
--- /dev/null
+++ b/packages/gateway/src/lib/gateway_metrics.ts
@@ -0,0 +1,88 @@
+/** Counters and latency histograms of one gateway, served as text. */
+import {createServer} from 'node:http';
+import {splitAddress} from '@citrontrestle/runtime';
+import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+import type {Store} from './ports.js';
+import type {Server} from 'node:http';
+import type {Millis} from '@citrontrestle/decisions';
+
+/** Upper bounds of the latency buckets, in milliseconds. */
+const BUCKETS: Millis[] = [
+  5, 10, 20, 50, 100, 200, 300, 400, 600, 1_000, 2_000, 5_000, 10_000,
+];
+
+/** Metrics of one gateway. */
+export class GatewayMetrics {
+  private readonly registry = new Registry();
+  private readonly requests: Counter;
+  private readonly whole: Histogram;
+  private readonly first: Histogram;
+  private readonly server: Server;
+
+  constructor(store: Store) {
+    const registers = [this.registry];
+    this.requests = new Counter({
+      name: 'citrontrestle_requests_total',
+      help: 'Requests by route and outcome',
+      labelNames: ['route', 'outcome'],
+      registers,
+    });
+    this.whole = new Histogram({
+      name: 'citrontrestle_request_whole_ms',
+      help: 'Time from the arrival of a request to the end of its answer',
+      labelNames: ['route'],
+      buckets: BUCKETS,
+      registers,
+    });
+    this.first = new Histogram({
+      name: 'citrontrestle_request_first_byte_ms',
+      help: 'Time from the arrival of a request to the first byte',
+      labelNames: ['route'],
+      buckets: BUCKETS,
+      registers,
+    });
+    const calls = new Gauge({
+      name: 'citrontrestle_store_calls',
+      help: 'Calls to the store by kind since the start',
+      labelNames: ['kind'],
+      registers,
+      collect: () => {
+        for (const [kind, count] of Object.entries(store.calls())) {
+          calls.set({kind}, count);
+        }
+      },
+    });
+    this.server = createServer((_incoming, response) => {
+      void this.registry.metrics().then(text => {
+        response.writeHead(200, {'Content-Type': this.registry.contentType});
+        response.end(text);
+      });
+    });
+  }
+
+  /** Serves the metrics on an address, if there is one. */
+  listen(address: string | undefined): Promise<void> {
+    if (address === undefined) {
+      return Promise.resolve();
+    }
+    const {host, port} = splitAddress(address);
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen({host, port}, resolve);
+    });
+  }
+
+  /** Counts a request that has its final answer. */
+  ended(
+    route: string,
+    outcome: string,
+    whole: Millis,
+    first: Millis | undefined,
+  ): void {
+    this.requests.inc({route, outcome});
+    this.whole.observe({route}, whole);
+    if (first !== undefined) {
+      this.first.observe({route}, first);
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/lib/peer_message.ts
@@ -0,0 +1,83 @@
+/** Messages between gateways, and their checks. */
+import {z} from 'zod';
+
+/** Kinds of messages between gateways. */
+export enum PeerMessageKind {
+  Beat = 'beat',
+  ConfigurationAsk = 'configuration-ask',
+  ConfigurationGive = 'configuration-give',
+  UpstreamsAsk = 'upstreams-ask',
+  UpstreamsGive = 'upstreams-give',
+  TokensAsk = 'tokens-ask',
+  TokensGive = 'tokens-give',
+  Suspect = 'suspect',
+}
+
+const MOST_NAME = 256;
+const MOST_MEMBERS = 2_000;
+
+const name = z.string().max(MOST_NAME);
+const tokens = z.number().int().nonnegative();
+
+const listing = z.object({
+  id: name,
+  service: name,
+  address: name,
+  zone: name,
+  slots: z.number(),
+  leaving: z.boolean(),
+  startedAt: z.number(),
+  cold: z.number(),
+});
+
+/** Shape of every message between gateways. */
+export const PEER_MESSAGE_SCHEMA = z.discriminatedUnion('kind', [
+  z.object({
+    kind: z.literal(PeerMessageKind.Beat),
+    instance: name,
+    /** Version of the configuration in force; -1 for none. */
+    version: z.number(),
+    /** Newest revision of the list of upstreams. */
+    revision: z.number(),
+    leaving: z.boolean(),
+    /** Addresses of instances heard lately. */
+    members: z.array(name).max(MOST_MEMBERS),
+    /** Requests in flight and prompt tokens to read, by upstream. */
+    loads: z.array(z.tuple([name, z.number(), z.number()])),
+  }),
+  z.object({kind: z.literal(PeerMessageKind.ConfigurationAsk)}),
+  z.object({
+    kind: z.literal(PeerMessageKind.ConfigurationGive),
+    /** The value as it stands in the store. */
+    value: z.instanceof(Uint8Array),
+  }),
+  z.object({kind: z.literal(PeerMessageKind.UpstreamsAsk)}),
+  z.object({
+    kind: z.literal(PeerMessageKind.UpstreamsGive),
+    news: z.array(
+      z.object({
+        id: name,
+        revision: z.number(),
+        listing: listing.optional(),
+      }),
+    ),
+  }),
+  z.object({
+    kind: z.literal(PeerMessageKind.TokensAsk),
+    account: name,
+    tokens,
+  }),
+  z.object({
+    kind: z.literal(PeerMessageKind.TokensGive),
+    account: name,
+    tokens,
+  }),
+  z.object({
+    kind: z.literal(PeerMessageKind.Suspect),
+    fingerprint: name,
+    upstream: name,
+  }),
+]);
+
+/** A message between gateways. Amounts in tokens. */
+export type PeerMessage = z.infer<typeof PEER_MESSAGE_SCHEMA>;
--- /dev/null
+++ b/packages/gateway/src/lib/ready_server.ts
@@ -0,0 +1,32 @@
+/** Tells the balancer whether the instance takes new connections. */
+import {createServer} from 'node:http';
+import {splitAddress} from '@citrontrestle/runtime';
+import type {Server} from 'node:http';
+
+/** Answers 200 while the instance is ready, else 503. */
+export class ReadyServer {
+  private readonly server: Server;
+
+  constructor(ready: () => boolean) {
+    this.server = createServer((_incoming, response) => {
+      const status = ready() ? 200 : 503;
+      response.writeHead(status, {'Content-Length': 0});
+      response.end();
+    });
+  }
+
+  /** Starts to listen on `ip:port`. */
+  listen(address: string): Promise<void> {
+    const {host, port} = splitAddress(address);
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen({host, port}, resolve);
+    });
+  }
+
+  /** Ends all connections. */
+  stop(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/lib/refusal.ts
@@ -0,0 +1,43 @@
+/** Answers that the gateway gives itself. */
+import type {Millis} from '@citrontrestle/decisions';
+
+/** Why the gateway answers a request itself. */
+export enum RefusalReason {
+  BadRequest = 'bad-request',
+  BodyTooLarge = 'body-too-large',
+  NoConfiguration = 'no-configuration',
+  NoRoute = 'no-route',
+  NoAccount = 'no-account',
+  BudgetExhausted = 'budget-exhausted',
+  BudgetUnavailable = 'budget-unavailable',
+  NoUpstream = 'no-upstream',
+  Overloaded = 'overloaded',
+  CrashesUpstreams = 'crashes-upstreams',
+  Stopping = 'stopping',
+  UpstreamFailed = 'upstream-failed',
+  TimedOut = 'timed-out',
+}
+
+/** Status and waiting time of one kind of refusal. */
+export interface RefusalRule {
+  status: number;
+  /** When to come back; undefined where coming back is of no use. */
+  retryAfter: Millis | undefined;
+}
+
+/** Answers by reason. 429 and 503 promise that the request never runs. */
+export const REFUSALS: Readonly<Record<RefusalReason, RefusalRule>> = {
+  [RefusalReason.BadRequest]: {status: 400, retryAfter: undefined},
+  [RefusalReason.BodyTooLarge]: {status: 413, retryAfter: undefined},
+  [RefusalReason.NoConfiguration]: {status: 503, retryAfter: 500},
+  [RefusalReason.NoRoute]: {status: 404, retryAfter: undefined},
+  [RefusalReason.NoAccount]: {status: 401, retryAfter: undefined},
+  [RefusalReason.BudgetExhausted]: {status: 402, retryAfter: undefined},
+  [RefusalReason.BudgetUnavailable]: {status: 503, retryAfter: 1_000},
+  [RefusalReason.NoUpstream]: {status: 503, retryAfter: 500},
+  [RefusalReason.Overloaded]: {status: 503, retryAfter: 500},
+  [RefusalReason.CrashesUpstreams]: {status: 503, retryAfter: 5_000},
+  [RefusalReason.Stopping]: {status: 503, retryAfter: 100},
+  [RefusalReason.UpstreamFailed]: {status: 502, retryAfter: undefined},
+  [RefusalReason.TimedOut]: {status: 504, retryAfter: undefined},
+};
--- /dev/null
+++ b/packages/gateway/src/lib/state_task.ts
@@ -0,0 +1,158 @@
+/** Follows configuration and upstreams: from the store, and from the peers. */
+import {NewsOutcome} from '@citrontrestle/decisions';
+import {StoreFeed} from './store_feed.js';
+import type {Dialect, Store, StoreEvent, StoreItem} from './ports.js';
+import type {
+  Clock,
+  Millis,
+  RouteTable,
+  UpstreamNews,
+  UpstreamRegistry,
+} from '@citrontrestle/decisions';
+import type {Log} from '@citrontrestle/runtime';
+
+/** What the task tells its owner. */
+export interface StateOwner {
+  /** A newer configuration is in force. */
+  configured(): void;
+  /** The list of upstreams changed. */
+  relisted(): void;
+}
+
+/** The store counts as away after this silence. */
+const AWAY_SILENCE: Millis = 2_600;
+
+/** A removal this soon after an outage may be a lapsed heartbeat. */
+const LAPSE_WINDOW: Millis = 3_000;
+
+/** Keeps the route table and the list of upstreams up to date. */
+export class StateTask {
+  private readonly configurationFeed: StoreFeed;
+  private readonly upstreamFeed: StoreFeed;
+  private value: Buffer | undefined;
+
+  constructor(
+    private readonly table: RouteTable,
+    private readonly upstreams: UpstreamRegistry,
+    private readonly dialect: Dialect,
+    store: Store,
+    private readonly clock: Clock,
+    private readonly log: Log,
+    private readonly owner: StateOwner,
+  ) {
+    const {layout} = dialect;
+    this.configurationFeed = new StoreFeed(
+      layout.configurationPrefix,
+      store,
+      clock,
+      log,
+      {
+        listed: items => items.forEach(item => this.takeOperator(item)),
+        changed: event => this.takeOperator(event),
+      },
+    );
+    this.upstreamFeed = new StoreFeed(
+      layout.upstreamPrefix,
+      store,
+      clock,
+      log,
+      {
+        listed: (items, revision) => this.takeList(items, revision),
+        changed: event => this.takeNews([this.newsOf(event)], 'store'),
+      },
+    );
+  }
+
+  /** Begins. */
+  start(): void {
+    this.configurationFeed.start();
+    this.upstreamFeed.start();
+  }
+
+  /** Ends. */
+  stop(): void {
+    this.configurationFeed.stop();
+    this.upstreamFeed.stop();
+  }
+
+  /** The configuration in force as it stands in the store. */
+  configurationValue(): Buffer | undefined {
+    return this.value;
+  }
+
+  /** Time since the store answered last. */
+  storeSilence(): Millis {
+    return this.upstreamFeed.silence();
+  }
+
+  /** Takes a configuration from the store or from a peer. */
+  takeConfiguration(value: Buffer, source: string): void {
+    const decoded = this.dialect.configuration(value);
+    if (!decoded.ok) {
+      const {reason} = decoded;
+      this.log.error('configuration.unreadable', {source, reason});
+      return;
+    }
+    const {version} = decoded.value;
+    if (this.table.apply(decoded.value)) {
+      this.value = value;
+      this.log.info('configuration.in-force', {version, source});
+      this.owner.configured();
+    }
+  }
+
+  /** Takes news of upstreams from the store or from a peer. */
+  takeNews(news: UpstreamNews[], source: string): void {
+    const now = this.clock.now();
+    const lapsed =
+      this.upstreamFeed.sinceRestored() < LAPSE_WINDOW ||
+      this.upstreamFeed.silence() > AWAY_SILENCE;
+    let changed = false;
+    for (const one of news) {
+      const outcome = this.upstreams.learn(one, now, lapsed);
+      if (outcome !== NewsOutcome.Stale) {
+        changed = true;
+        const {id, revision, listing} = one;
+        const service = listing?.service;
+        this.log.info('upstream.news', {
+          upstream: id,
+          outcome,
+          revision,
+          source,
+          service,
+          lapsed,
+        });
+      }
+    }
+    if (changed) {
+      this.owner.relisted();
+    }
+  }
+
+  private takeOperator(item: StoreEvent): void {
+    const {configurationKey} = this.dialect.layout;
+    if (item.key === configurationKey && item.value !== undefined) {
+      this.takeConfiguration(item.value, 'store');
+    }
+  }
+
+  private takeList(items: StoreItem[], revision: number): void {
+    const news = items.map(item => this.newsOf(item));
+    this.takeNews(this.upstreams.relist(news, revision), 'list');
+  }
+
+  private newsOf(event: StoreEvent): UpstreamNews {
+    const {key, value, revision} = event;
+    const id = key.slice(this.dialect.layout.upstreamPrefix.length);
+    if (value === undefined) {
+      return {id, revision, listing: undefined};
+    }
+    const decoded = this.dialect.upstream(key, value);
+    if (!decoded.ok) {
+      const {reason} = decoded;
+      this.log.warn('upstream.unreadable', {upstream: id, revision, reason});
+      return {id, revision, listing: undefined};
+    }
+    return {id, revision, listing: decoded.value};
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/lib/store_feed.ts
@@ -0,0 +1,122 @@
+/** Follows one prefix of the store: lists it, then watches it. */
+import {StoreOutcome} from './ports.js';
+import type {Store, StoreEvent, StoreItem} from './ports.js';
+import type {Clock, Millis} from '@citrontrestle/decisions';
+import type {Log} from '@citrontrestle/runtime';
+
+/** What a feed tells its owner. */
+export interface FeedOwner {
+  /** All items as of a revision: what is missing is gone. */
+  listed(items: StoreItem[], revision: number): void;
+  /** One change. */
+  changed(event: StoreEvent): void;
+}
+
+/** Longest wait of one watch; a silent connection is found after it. */
+const WATCH_WAIT: Millis = 1_500;
+
+/** First pause after a failed call; it doubles with each further one. */
+const PAUSE_FIRST: Millis = 100;
+
+/** Longest pause after failed calls. */
+const PAUSE_MOST: Millis = 800;
+
+/** Follows one prefix until it is stopped. */
+export class StoreFeed {
+  private stopped = false;
+  private failures = 0;
+  private answeredAt: Millis;
+  private restoredAt: Millis = -Infinity;
+
+  constructor(
+    private readonly prefix: string,
+    private readonly store: Store,
+    private readonly clock: Clock,
+    private readonly log: Log,
+    private readonly owner: FeedOwner,
+  ) {
+    this.answeredAt = clock.now();
+  }
+
+  /** Begins. */
+  start(): void {
+    void this.follow();
+  }
+
+  /** Ends; a call that runs is left alone. */
+  stop(): void {
+    this.stopped = true;
+  }
+
+  /** Time since the store answered last. */
+  silence(): Millis {
+    return this.clock.now() - this.answeredAt;
+  }
+
+  /** Time since the store answered again after an outage. */
+  sinceRestored(): Millis {
+    return this.clock.now() - this.restoredAt;
+  }
+
+  private async follow(): Promise<void> {
+    while (!this.stopped) {
+      const revision = await this.list();
+      if (revision !== undefined) {
+        await this.watch(revision);
+      }
+    }
+  }
+
+  private async list(): Promise<number | undefined> {
+    const reading = await this.store.range(this.prefix);
+    if (reading.outcome !== StoreOutcome.Done) {
+      await this.failed(reading.reason);
+      return undefined;
+    }
+    this.answered();
+    this.owner.listed(reading.entries, reading.revision);
+    return reading.revision;
+  }
+
+  /** Watches from a revision until the history is gone. */
+  private async watch(from: number): Promise<void> {
+    let after = from;
+    while (!this.stopped) {
+      const reading = await this.store.watch(this.prefix, after, WATCH_WAIT);
+      if (reading.outcome === StoreOutcome.Compacted) {
+        this.log.info('store.compacted', {prefix: this.prefix, after});
+        return;
+      }
+      if (reading.outcome !== StoreOutcome.Done) {
+        await this.failed(reading.reason);
+        continue;
+      }
+      this.answered();
+      for (const event of reading.entries) {
+        this.owner.changed(event);
+      }
+      after = Math.max(after, reading.revision);
+    }
+  }
+
+  private answered(): void {
+    if (this.failures > 0) {
+      const silence = Math.round(this.silence());
+      this.log.info('store.regained', {prefix: this.prefix, silence});
+      this.restoredAt = this.clock.now();
+    }
+    this.failures = 0;
+    this.answeredAt = this.clock.now();
+  }
+
+  private async failed(reason: string): Promise<void> {
+    this.failures += 1;
+    if (this.failures === 1) {
+      this.log.warn('store.lost', {prefix: this.prefix, reason});
+    }
+    const pause = PAUSE_FIRST * 2 ** Math.min(10, this.failures - 1);
+    await new Promise(resolve => {
+      setTimeout(resolve, Math.min(PAUSE_MOST, pause));
+    });
+  }
+}
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -1,4 +1,5 @@
 /** What every binary shares. */
+export * from './lib/bounded_output.js';
 export * from './lib/digest.js';
 export * from './lib/http.js';
 export * from './lib/listener.js';
--- a/packages/runtime/src/lib/log.ts
+++ b/packages/runtime/src/lib/log.ts
@@ -1,5 +1,7 @@
-/** Logs as JSON lines on standard error. */
+/** Logs as JSON lines. */
 import {createConsola} from 'consola';
+import {SECOND} from '@citrontrestle/decisions';
+import type {Clock} from '@citrontrestle/decisions';
 import type {ConsolaInstance} from 'consola';
 
 /** Fields of one log line. Never a prompt, an answer or a key. */
@@ -32,9 +34,15 @@
 }
 
 /** Makes a log; `base` is added to each line. */
-export function createLog(level: string, base: LogFields): Log {
+export function createLog(
+  level: string,
+  base: LogFields,
+  write: (line: string) => void = toStandardError,
+): Log {
   const consola = createConsola({
     level: LEVELS[level] ?? 3,
+    // Repeated lines are bounded by `limitLog`, with a count.
+    throttle: 0,
     reporters: [
       {
         log: entry => {
@@ -45,7 +53,7 @@
             ...base,
             ...(fields as object),
           };
-          process.stderr.write(`${JSON.stringify(line)}\n`);
+          write(JSON.stringify(line));
         },
       },
     ],
@@ -53,6 +61,42 @@
   return new JsonLog(consola);
 }
 
+function toStandardError(line: string): void {
+  process.stderr.write(`${line}\n`);
+}
+
+/**
+ * A log that passes on at most `perSecond` lines a second. What was left out
+ * is counted in a line of its own when the next second begins.
+ */
+export function limitLog(log: Log, perSecond: number, clock: Clock): Log {
+  let second = 0;
+  let lines = 0;
+  let leftOut = 0;
+  const pass = (send: () => void) => {
+    const now = Math.floor(clock.now() / SECOND);
+    if (now !== second) {
+      if (leftOut > 0) {
+        log.warn('log.left-out', {lines: leftOut});
+      }
+      second = now;
+      lines = 0;
+      leftOut = 0;
+    }
+    lines += 1;
+    if (lines <= perSecond) {
+      send();
+    } else {
+      leftOut += 1;
+    }
+  };
+  return {
+    info: (event, fields) => pass(() => log.info(event, fields)),
+    warn: (event, fields) => pass(() => log.warn(event, fields)),
+    error: (event, fields) => log.error(event, fields),
+  };
+}
+
 /** A log that writes nothing. */
 export const SILENT_LOG: Log = {
   info: () => undefined,
--- a/packages/runtime/src/lib/system_clock.ts
+++ b/packages/runtime/src/lib/system_clock.ts
@@ -1,8 +1,15 @@
 import type {Clock, Millis} from '@citrontrestle/decisions';
 
-/** The clock of the machine. */
+/** The time of day of the machine; it may jump. */
 export class SystemClock implements Clock {
   now(): Millis {
     return Date.now();
   }
 }
+
+/** A clock that never jumps; its zero is the start of the process. */
+export class SteadyClock implements Clock {
+  now(): Millis {
+    return performance.now();
+  }
+}
