--- a/packages/decisions/src/lib/placement.ts
+++ b/packages/decisions/src/lib/placement.ts
@@ -100,8 +100,11 @@
 /** Tokens that an engine reads in one millisecond. */
 const READ_TOKENS_PER_MS = 100;
 
-/** Delay that each running request adds to a first token, in milliseconds. */
-const RUNNING_COST: Millis = 2;
+/** Delay by each request that runs at an engine, in milliseconds. */
+const BATCH_COST: Millis = 0.5;
+
+/** Delay by each request that runs at a plain upstream, in milliseconds. */
+const RUNNING_COST: Millis = 3;
 
 /** Delay of one request that waits for a place, in milliseconds. */
 const WAITING_COST: Millis = 40;
@@ -109,8 +112,11 @@
 /** Cost of another zone, in milliseconds. */
 const ZONE_COST: Millis = 3;
 
-/** Cost of leaving the preferred upstream of a prompt part, in milliseconds. */
-const STRAY_COST: Millis = 15;
+/**
+ * Weight of tokens that are read again: they also delay the other requests
+ * that run there.
+ */
+const READ_WEIGHT = 2;
 
 /** Places requests and keeps count of them. */
 export class Placement {
@@ -132,10 +138,11 @@
     let bestCost = Infinity;
     const preferred = preferredOf(key, from);
     for (const upstream of from) {
-      const prefillTokens = this.toRead(request, upstream.id, view.now);
-      const stray = upstream === preferred ? 0 : STRAY_COST;
+      const known = this.toRead(request, upstream.id, view.now);
+      const home = upstream === preferred ? ownTokens(request) : Infinity;
+      const prefillTokens = Math.min(known, home);
       const rank = affinity(key, upstream.id) / 2 ** 32;
-      const cost = this.cost(upstream, prefillTokens, view) + stray - rank;
+      const cost = this.cost(upstream, prefillTokens, view) - rank;
       if (cost < bestCost) {
         bestCost = cost;
         best = {upstream, prefillTokens};
@@ -216,10 +223,12 @@
   ): Millis {
     const state = this.of(upstream.id);
     const load = this.loadOf(state, view.now);
-    const reading = (prefillTokens + load.prefillTokens) / READ_TOKENS_PER_MS;
+    const tokens = READ_WEIGHT * prefillTokens + load.prefillTokens;
+    const reading = tokens / READ_TOKENS_PER_MS;
     const zone = upstream.zone === view.zone ? 0 : ZONE_COST;
     const full = Math.max(0, load.running + 1 - upstream.slots) * WAITING_COST;
-    return reading + load.running * RUNNING_COST + full + zone;
+    const each = prefillTokens > 0 ? BATCH_COST : RUNNING_COST;
+    return reading + load.running * each + full + zone;
   }
 
   private loadOf(state: State, now: Millis): UpstreamLoad {
@@ -281,6 +290,13 @@
   }
 }
 
+/** Tokens of a prompt that no other request shares. */
+function ownTokens(request: PlacementRequest): number {
+  const shared = request.parts.slice(0, -1);
+  const kept = shared.reduce((sum, part) => sum + part.tokens, 0);
+  return Math.max(0, request.promptTokens - kept);
+}
+
 /** The last part that other requests share; the last part is a request's own. */
 function affinityKey(request: PlacementRequest): string {
   const {parts} = request;
--- a/packages/gateway/src/lib/budget_task.ts
+++ b/packages/gateway/src/lib/budget_task.ts
@@ -184,6 +184,11 @@
     return this.pageOf(account).shares.available(account);
   }
 
+  /** Tokens that nobody has taken, as last known; for logs. */
+  untaken(account: string): number {
+    return this.pageOf(account).shares.untaken(account, this.view());
+  }
+
   private upkeep(): void {
     const now = this.clock.now();
     for (const page of this.pages) {
--- a/packages/gateway/src/lib/caller_answer.ts
+++ b/packages/gateway/src/lib/caller_answer.ts
@@ -23,6 +23,14 @@
     return this.response.headersSent;
   }
 
+  /**
+   * Leaves the end of the body to the end of the connection, as the upstream
+   * did: its answer may be cut, and then must not look whole.
+   */
+  unframe(): void {
+    this.response.useChunkedEncodingByDefault = false;
+  }
+
   /** Writes the head of a streamed answer. */
   begin(status: number, headers: OutgoingHttpHeaders): void {
     this.response.writeHead(status, this.withClose(headers));
--- a/packages/gateway/src/lib/forwarding.ts
+++ b/packages/gateway/src/lib/forwarding.ts
@@ -212,7 +212,8 @@
     }
     this.held.push(bytes);
     this.heldBytes += bytes.length;
-    if (this.heldBytes > MOST_HELD_BYTES) {
+    const {received} = this;
+    if (this.heldBytes > MOST_HELD_BYTES || received?.unframed === true) {
       this.passing = true;
       this.beginAnswer();
       for (const part of this.held) {
@@ -251,6 +252,9 @@
     }
     this.end.firstByteAt = this.around.clock.now();
     const headers = this.around.dialect.answerHeaders(received.raw);
+    if (received.unframed) {
+      this.answer.unframe();
+    }
     this.answer.begin(received.status, headers);
   }
 
--- a/packages/gateway/src/lib/upstream_call.ts
+++ b/packages/gateway/src/lib/upstream_call.ts
@@ -22,6 +22,8 @@
   status: number;
   raw: readonly string[];
   head: AnswerHead;
+  /** Whether the end of the connection alone marks the end of the body. */
+  unframed: boolean;
 }
 
 /** What a call tells its owner. After `done` or `failed` nothing follows. */
@@ -140,7 +142,11 @@
     incoming.on('end', () => this.end(incoming));
     incoming.on('error', error => this.fail(CallFailure.Lost, error.message));
     incoming.on('close', () => this.fail(CallFailure.Lost, 'cut'));
-    this.owner.head({status, raw: incoming.rawHeaders, head});
+    const {headers, rawHeaders} = incoming;
+    const unframed =
+      headers['content-length'] === undefined &&
+      headers['transfer-encoding'] === undefined;
+    this.owner.head({status, raw: rawHeaders, head, unframed});
   }
 
   private end(incoming: IncomingMessage): void {
