--- a/packages/decisions/src/lib/prepaid_shares.ts
+++ b/packages/decisions/src/lib/prepaid_shares.ts
@@ -24,8 +24,10 @@
   instance: string;
   /** Time that a share lasts at the present rate of spending. */
   horizon: Millis;
-  /** Part of what the store has left that all instances hold together. */
+  /** Part of a budget's rest that one instance may hold at most. */
   heldPart: number;
+  /** Part of a budget's rest that all instances hold without any demand. */
+  idlePart: number;
 }
 
 /** What the shares need to know of the moment. */
@@ -38,10 +40,10 @@
 }
 
 /** Shares below this part of their size are filled up. */
-const REFILL_PART = 0.5;
+const REFILL_PART = 0.8;
 
 /** Shares above this multiple of their size are given back in part. */
-const SURPLUS_MULTIPLE = 2.5;
+const SURPLUS_MULTIPLE = 1.4;
 
 /** Weight of one second's spending in the running average. */
 const RATE_WEIGHT = 0.25;
@@ -152,8 +154,7 @@
     this.sampledAt = now;
     for (const share of this.shares.values()) {
       const rate = share.sinceSample / elapsed;
-      const weight = rate > share.rate ? 2 * RATE_WEIGHT : RATE_WEIGHT;
-      share.rate += weight * (rate - share.rate);
+      share.rate += RATE_WEIGHT * (rate - share.rate);
       share.sinceSample = 0;
     }
   }
@@ -236,11 +237,11 @@
     untaken: number,
     view: ShareView,
   ): number {
-    const {horizon, heldPart} = this.settings;
+    const {horizon, heldPart, idlePart} = this.settings;
     const left = untaken + Math.max(0, available);
-    const equal = (left * heldPart) / Math.max(1, view.instances);
+    const idle = (left * idlePart) / Math.max(1, view.instances);
     const needed = share.rate * horizon;
-    return Math.floor(Math.min(Math.max(needed, equal), left * heldPart));
+    return Math.floor(Math.min(Math.max(needed, idle), left * heldPart));
   }
 
   private returning(account: string): number {
--- a/packages/gateway/src/lib/budget_task.ts
+++ b/packages/gateway/src/lib/budget_task.ts
@@ -27,6 +27,8 @@
   instances(): number;
   /** Asks the peers for tokens. */
   ask(account: string, tokens: number): void;
+  /** Gives tokens to a peer; false if there is none. */
+  handOver(account: string, tokens: number): boolean;
   /** Calls back after a time. */
   after(span: Millis, callback: () => void): void;
 }
@@ -35,13 +37,16 @@
 const PAGE_PREFIX = 'citrontrestle/prepaid/';
 
 /** Number of pages; an account's name decides on its page. */
-const PAGES = 4;
+const PAGES = 2;
 
 /** Time that a share lasts without the store. */
-const HORIZON: Millis = 10_000;
+const HORIZON: Millis = 9_000;
 
-/** Part of a budget's rest that instances hold. */
-const HELD_PART = 0.6;
+/** Part of a budget's rest that one instance may hold at most. */
+const HELD_PART = 0.75;
+
+/** Part of a budget's rest that all instances hold without any demand. */
+const IDLE_PART = 0.1;
 
 /** Interval of the upkeep of shares. */
 const UPKEEP_INTERVAL: Millis = 250;
@@ -58,6 +63,9 @@
 /** Time for the peers to answer before the request is refused. */
 const PEER_WAIT: Millis = 25;
 
+/** Attempts to give a page's shares back to the store. */
+const MOST_RETURNS = 4;
+
 /** Time after the start in which peers are found before shares are taken. */
 const FIRST_CALM: Millis = 1_500;
 
@@ -105,6 +113,7 @@
           instance,
           horizon: HORIZON,
           heldPart: HELD_PART,
+          idlePart: IDLE_PART,
         }),
         busy: false,
         pausedUntil: 0,
@@ -165,18 +174,33 @@
     this.serve();
   }
 
-  /** Gives back all that is not in use, as before a planned stop. */
+  /**
+   * Gives back all that is not in use, as before a planned stop: to the store,
+   * or to the peers if the store is away.
+   */
   async returnShares(): Promise<void> {
     this.leaving = true;
     this.stop();
-    await Promise.all(
-      this.pages.map(async page => {
-        const write = page.busy ? undefined : page.shares.planReturn();
-        if (write !== undefined) {
-          await this.write(page, write);
-        }
-      }),
-    );
+    await Promise.all(this.pages.map(page => this.returnPage(page)));
+    for (const account of this.owner.accounts()) {
+      const {shares} = this.pageOf(account);
+      const spare = Math.floor(shares.available(account));
+      if (spare > 0 && this.owner.handOver(account, spare)) {
+        shares.receive(account, -spare);
+        this.log.info('budget.handed-over', {account, tokens: spare});
+      }
+    }
+  }
+
+  private async returnPage(page: Page): Promise<void> {
+    for (let attempt = 0; attempt < MOST_RETURNS; attempt++) {
+      const away = this.clock.now() < page.pausedUntil;
+      const write = page.busy || away ? undefined : page.shares.planReturn();
+      if (write === undefined) {
+        return;
+      }
+      await this.write(page, write);
+    }
   }
 
   /** Tokens that may be reserved, by account; for logs. */
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -36,6 +36,9 @@
 /** Time in which the balancer stops to send new connections. */
 const BALANCER_NOTICE: Millis = 2_600;
 
+/** Time for the last messages to peers to leave. */
+const LINK_FLUSH: Millis = 20;
+
 /** Interval in which a planned stop looks whether all work is done. */
 const STOP_INTERVAL: Millis = 50;
 
@@ -109,6 +112,7 @@
         const kind = PeerMessageKind.TokensAsk;
         this.peers.tellAll({kind, account, tokens: Math.ceil(tokens)});
       },
+      handOver: (account, tokens) => this.handOver(account, tokens),
       after: (span, callback) => {
         setTimeout(callback, span);
       },
@@ -181,6 +185,7 @@
     });
     const left = most + STOP_RESERVE / 2 - (this.clock.now() - begun);
     await Promise.race([this.budgets.returnShares(), pause(left)]);
+    await pause(LINK_FLUSH);
     this.parts.log.info('gateway.stopped', {active: this.front.active()});
   }
 
@@ -353,6 +358,17 @@
     this.budgets.granted();
   }
 
+  /** Gives tokens to one of the peers that run. */
+  private handOver(account: string, tokens: number): boolean {
+    const live = this.peers.staying();
+    const to = live[Math.floor(Math.random() * live.length)];
+    if (to === undefined) {
+      return false;
+    }
+    this.peers.send(to, {kind: PeerMessageKind.TokensGive, account, tokens});
+    return true;
+  }
+
   private instances(): number {
     return 1 + this.peers.live().length;
   }
--- a/packages/gateway/src/lib/peer_task.ts
+++ b/packages/gateway/src/lib/peer_task.ts
@@ -118,6 +118,16 @@
     return live;
   }
 
+  /** Addresses of the peers that were just heard and don't stop. */
+  staying(): string[] {
+    const now = this.clock.now();
+    return this.live().filter(address => {
+      const peer = this.peers.get(address);
+      const silence = now - (peer?.heardAt ?? -Infinity);
+      return peer?.leaving === false && silence < LINK_SILENCE;
+    });
+  }
+
   /** Sends a message to one peer; it may be lost. */
   send(address: string, message: PeerMessage): void {
     this.fleet.send(address, message);
--- a/packages/gateway/src/lib/refusal.ts
+++ b/packages/gateway/src/lib/refusal.ts
@@ -33,7 +33,7 @@
   [RefusalReason.NoRoute]: {status: 404, retryAfter: undefined},
   [RefusalReason.NoAccount]: {status: 401, retryAfter: undefined},
   [RefusalReason.BudgetExhausted]: {status: 402, retryAfter: undefined},
-  [RefusalReason.BudgetUnavailable]: {status: 503, retryAfter: 1_000},
+  [RefusalReason.BudgetUnavailable]: {status: 503, retryAfter: 2_000},
   [RefusalReason.NoUpstream]: {status: 503, retryAfter: 500},
   [RefusalReason.Overloaded]: {status: 503, retryAfter: 500},
   [RefusalReason.CrashesUpstreams]: {status: 503, retryAfter: 5_000},
