--- a/packages/fleet/src/lib/message.ts
+++ b/packages/fleet/src/lib/message.ts
@@ -1,5 +1,5 @@
 /** Messages between entries, and their checks. */
-import {z} from 'zod';
+import * as z from 'zod';
 import {GiveState} from '@citrontrestle/decisions';
 
 /** Kinds of messages between entries. */
--- a/packages/gateway/src/lib/page_codec.ts
+++ b/packages/gateway/src/lib/page_codec.ts
@@ -1,5 +1,5 @@
 /** Pages of budgets as JSON, the form in which the store keeps them. */
-import {z} from 'zod';
+import * as z from 'zod';
 import type {Decoded, PageCodec} from './ports.js';
 import type {PrepaidPage} from '@citrontrestle/decisions';
 
--- a/packages/gateway/src/lib/peer_message.ts
+++ b/packages/gateway/src/lib/peer_message.ts
@@ -1,5 +1,5 @@
 /** Messages between gateways, and their checks. */
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Kinds of messages between gateways. */
 export enum PeerMessageKind {
--- a/packages/gateway/src/lib/settings.ts
+++ b/packages/gateway/src/lib/settings.ts
@@ -1,5 +1,5 @@
 /** Settings of a gateway, read from YAML. */
-import {z} from 'zod';
+import * as z from 'zod';
 
 const address = z.string().regex(/^[0-9.]+:\d+$/, 'must be ip:port');
 const name = z.string().min(1);
