--- a/packages/decisions/src/lib/prepaid_shares.ts
+++ b/packages/decisions/src/lib/prepaid_shares.ts
@@ -64,6 +64,8 @@
   largest: number;
   /** Average spending in tokens a millisecond. */
   rate: number;
+  /** Samples taken of the rate. */
+  samples: number;
   /** Tokens reserved since the last sample. */
   sinceSample: number;
 }
@@ -154,7 +156,12 @@
     this.sampledAt = now;
     for (const share of this.shares.values()) {
       const rate = share.sinceSample / elapsed;
-      share.rate += RATE_WEIGHT * (rate - share.rate);
+      if (share.samples > 0 || rate > 0) {
+        share.samples += 1;
+      }
+      // The first samples count alike, so that the average starts at once.
+      const weight = Math.max(RATE_WEIGHT, 1 / Math.max(1, share.samples));
+      share.rate += weight * (rate - share.rate);
       share.sinceSample = 0;
     }
   }
@@ -262,6 +269,7 @@
         wanted: 0,
         largest: 0,
         rate: 0,
+        samples: 0,
         sinceSample: 0,
       };
       this.shares.set(account, share);
--- a/packages/gateway/src/lib/budget_task.ts
+++ b/packages/gateway/src/lib/budget_task.ts
@@ -40,10 +40,10 @@
 const PAGES = 2;
 
 /** Time that a share lasts without the store. */
-const HORIZON: Millis = 9_000;
+const HORIZON: Millis = 12_000;
 
 /** Part of a budget's rest that one instance may hold at most. */
-const HELD_PART = 0.75;
+const HELD_PART = 0.5;
 
 /** Part of a budget's rest that all instances hold without any demand. */
 const IDLE_PART = 0.1;
@@ -60,9 +60,15 @@
 /** Longest wait of a request for tokens. */
 const MOST_WAIT: Millis = 120;
 
+/** Time for the store to answer before the peers are asked too. */
+const STORE_WAIT: Millis = 12;
+
 /** Time for the peers to answer before the request is refused. */
 const PEER_WAIT: Millis = 25;
 
+/** Age at which a page is read again before a budget counts as ended. */
+const CONFIRM_INTERVAL: Millis = 500;
+
 /** Attempts to give a page's shares back to the store. */
 const MOST_RETURNS = 4;
 
@@ -83,6 +89,8 @@
   busy: boolean;
   /** No call to the store before this time. */
   pausedUntil: Millis;
+  /** Whether the last call was not served. */
+  failing: boolean;
   wroteAt: Millis;
   /** When the page was last known to be as in the store. */
   confirmedAt: Millis;
@@ -117,6 +125,7 @@
         }),
         busy: false,
         pausedUntil: 0,
+        failing: false,
         wroteAt: -Infinity,
         confirmedAt: -Infinity,
       });
@@ -145,6 +154,7 @@
       const since = this.clock.now();
       this.waiters.push({account, tokens, since, asked: false, resolve});
       this.serve();
+      this.owner.after(STORE_WAIT, () => this.serve());
       this.owner.after(MOST_WAIT, () => this.serve());
     });
   }
@@ -233,6 +243,10 @@
     }
     const view = this.view();
     const urgent = page.shares.urgent(view);
+    if (this.unsure(page, now) && !urgent) {
+      void this.read(page);
+      return;
+    }
     const early = now - this.startedAt < FIRST_CALM;
     const calm = now - page.wroteAt > CALM_INTERVAL && !early;
     if (!urgent && !calm) {
@@ -247,16 +261,22 @@
     }
   }
 
+  /** Whether requests wait for tokens and the page may be out of date. */
+  private unsure(page: Page, now: Millis): boolean {
+    const old = now - page.confirmedAt > CONFIRM_INTERVAL;
+    return old && this.waiters.some(one => this.pageOf(one.account) === page);
+  }
+
   private async read(page: Page): Promise<void> {
     page.busy = true;
     const reading = await this.store.read(page.key);
     page.busy = false;
     if (reading.outcome !== StoreOutcome.Done) {
-      page.pausedUntil = this.clock.now() + FAILURE_PAUSE;
+      this.failed(page);
       this.log.warn('budget.unread', {key: page.key, reason: reading.reason});
     } else if (reading.item === undefined) {
       page.shares.observe(0, emptyPage());
-      page.confirmedAt = this.clock.now();
+      this.confirmed(page);
     } else {
       this.observe(page, reading.item);
     }
@@ -277,7 +297,7 @@
   /** Called by the handlers of write outcomes. */
   written(page: Page, write: PageWrite, revision: number): void {
     page.shares.observe(revision, write.page);
-    page.confirmedAt = this.clock.now();
+    this.confirmed(page);
     this.log.info('budget.written', {
       key: page.key,
       revision,
@@ -297,13 +317,13 @@
   /** Called by the handlers of write outcomes. */
   refused(page: Page, write: PageWrite, reason: string): void {
     page.shares.rejected(write);
-    page.pausedUntil = this.clock.now() + FAILURE_PAUSE;
+    this.failed(page);
     this.log.warn('budget.refused', {key: page.key, reason});
   }
 
   /** Called by the handlers of write outcomes. */
   unanswered(page: Page, reason: string): void {
-    page.pausedUntil = this.clock.now() + FAILURE_PAUSE;
+    this.failed(page);
     this.log.warn('budget.unanswered', {key: page.key, reason});
     if (!this.leaving) {
       void this.read(page);
@@ -321,7 +341,17 @@
       return;
     }
     page.shares.observe(item.revision, decoded.value);
+    this.confirmed(page);
+  }
+
+  private confirmed(page: Page): void {
     page.confirmedAt = this.clock.now();
+    page.failing = false;
+  }
+
+  private failed(page: Page): void {
+    page.pausedUntil = this.clock.now() + FAILURE_PAUSE;
+    page.failing = true;
   }
 
   /** Serves those who wait, in their order, and asks on for the others. */
@@ -351,14 +381,15 @@
     const now = this.clock.now();
     const untaken = page.shares.untaken(account, this.view());
     const missing = tokens - page.shares.available(account);
-    const storeHasNone = page.confirmedAt >= waiter.since && untaken < missing;
-    const storeAway = now < page.pausedUntil;
-    if (!waiter.asked && (storeHasNone || storeAway)) {
+    const confirmed = waiter.since - page.confirmedAt < CONFIRM_INTERVAL;
+    const storeHasNone = confirmed && untaken < missing;
+    const waited = now - waiter.since;
+    const slow = waited >= STORE_WAIT;
+    if (!waiter.asked && (storeHasNone || page.failing || slow)) {
       waiter.asked = true;
       this.owner.ask(account, missing);
       this.owner.after(PEER_WAIT, () => this.serve());
     }
-    const waited = now - waiter.since;
     if (storeHasNone && waiter.asked && waited >= PEER_WAIT) {
       return BudgetAnswer.Exhausted;
     }
