--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -494,6 +494,7 @@
       mayHaveRun: end.mayHaveRun,
       events: end.events,
       tokens: reservationOf(admitted),
+      used: this.used(admitted, end),
       granted: account && this.table.grantedTo(account.name),
       available: account && Math.round(this.budgets.available(account.name)),
       untaken: account && this.budgets.untaken(account.name),
