--- a/packages/decisions/src/lib/prepaid_shares.ts
+++ b/packages/decisions/src/lib/prepaid_shares.ts
@@ -26,7 +26,10 @@
   horizon: Millis;
   /** Part of a budget's rest that one instance may hold at most. */
   heldPart: number;
-  /** Part of a budget's rest that all instances hold without any demand. */
+  /**
+   * Part of a full budget that all instances hold without any demand. It falls
+   * with the square of what is left, as a killed instance loses its share.
+   */
   idlePart: number;
 }
 
@@ -225,7 +228,8 @@
     const share = this.of(account);
     const available = this.available(account);
     const untaken = Math.max(0, this.untaken(account, view));
-    const size = this.sizeOf(share, available, untaken, view);
+    const granted = view.granted(account);
+    const size = this.sizeOf(share, available, untaken, granted, view);
     const least = share.wanted - available;
     if (available < size * REFILL_PART || least > 0) {
       const tokens = Math.max(size - available, least);
@@ -242,11 +246,13 @@
     share: Share,
     available: number,
     untaken: number,
+    granted: number,
     view: ShareView,
   ): number {
     const {horizon, heldPart, idlePart} = this.settings;
     const left = untaken + Math.max(0, available);
-    const idle = (left * idlePart) / Math.max(1, view.instances);
+    const plenty = granted > 0 ? Math.min(1, left / granted) : 0;
+    const idle = (left * plenty * idlePart) / Math.max(1, view.instances);
     const needed = share.rate * horizon;
     return Math.floor(Math.min(Math.max(needed, idle), left * heldPart));
   }
--- a/packages/decisions/src/lib/upstream_registry.ts
+++ b/packages/decisions/src/lib/upstream_registry.ts
@@ -104,6 +104,18 @@
     return news;
   }
 
+  /**
+   * The address of an upstream answered as another incarnation: it gets no
+   * more work unless newer news says otherwise.
+   */
+  replaced(id: string): void {
+    const one = this.known.get(id);
+    if (one !== undefined) {
+      one.listing = undefined;
+      one.goneAt = undefined;
+    }
+  }
+
   /** Upstreams of a service that may get new work. */
   usable(service: string, now: Millis): UpstreamListing[] {
     const listings: UpstreamListing[] = [];
--- a/packages/gateway/src/lib/budget_task.ts
+++ b/packages/gateway/src/lib/budget_task.ts
@@ -45,8 +45,8 @@
 /** Part of a budget's rest that one instance may hold at most. */
 const HELD_PART = 0.5;
 
-/** Part of a budget's rest that all instances hold without any demand. */
-const IDLE_PART = 0.1;
+/** Part of a full budget that all instances hold without any demand. */
+const IDLE_PART = 0.35;
 
 /** Interval of the upkeep of shares. */
 const UPKEEP_INTERVAL: Millis = 250;
--- a/packages/gateway/src/lib/forwarding.ts
+++ b/packages/gateway/src/lib/forwarding.ts
@@ -323,7 +323,10 @@
       this.repeatUnsent();
       return;
     }
-    if (failure === CallFailure.NotExecuted) {
+    if (failure === CallFailure.Replaced) {
+      this.around.upstreams.replaced(upstream?.id ?? '');
+    }
+    if (NOT_RUN.has(failure)) {
       this.repeat(() => this.giveUp(RefusalReason.Overloaded));
       return;
     }
@@ -431,10 +434,14 @@
 const FAILURE_ENDS: Readonly<Record<CallFailure, PlacementEnd>> = {
   [CallFailure.NotSent]: PlacementEnd.Failed,
   [CallFailure.NotExecuted]: PlacementEnd.Rejected,
+  [CallFailure.Replaced]: PlacementEnd.Rejected,
   [CallFailure.Lost]: PlacementEnd.Failed,
   [CallFailure.Spoiled]: PlacementEnd.Failed,
 };
 
+/** Failures that prove that the upstream did not run the request. */
+const NOT_RUN = new Set([CallFailure.NotExecuted, CallFailure.Replaced]);
+
 /** Reasons whose answers promise that the request never runs. */
 const PROMISES = new Set([
   RefusalReason.NoUpstream,
--- a/packages/gateway/src/lib/ports.ts
+++ b/packages/gateway/src/lib/ports.ts
@@ -120,6 +120,8 @@
   sealed: boolean;
   /** Whether the upstream states that it did not run the request. */
   notExecuted: boolean;
+  /** Whether another incarnation than the expected one answers. */
+  replaced: boolean;
   /** Whether the body was changed on the way, as by a compression. */
   encoded: boolean;
   load: ReportedLoad | undefined;
--- a/packages/gateway/src/lib/upstream_call.ts
+++ b/packages/gateway/src/lib/upstream_call.ts
@@ -11,6 +11,8 @@
   NotSent = 'not-sent',
   /** The upstream states that it did not run the request. */
   NotExecuted = 'not-executed',
+  /** Another incarnation has the address; the request did not run. */
+  Replaced = 'replaced',
   /** Sent, and no whole answer came back; it may have run. */
   Lost = 'lost',
   /** What came back is no answer to this request; it may have run. */
@@ -126,7 +128,9 @@
     if (head.notExecuted) {
       incoming.resume();
       this.finish();
-      this.owner.failed(CallFailure.NotExecuted, `status ${status}`);
+      const {NotExecuted, Replaced} = CallFailure;
+      const failure = head.replaced ? Replaced : NotExecuted;
+      this.owner.failed(failure, `status ${status}`);
       return;
     }
     const fault = faultOf(head, status, this.order.requestId);
