--- a/packages/decisions/src/lib/prepaid_shares.ts
+++ b/packages/decisions/src/lib/prepaid_shares.ts
@@ -24,7 +24,10 @@
   instance: string;
   /** Time that a share lasts at the present rate of spending. */
   horizon: Millis;
-  /** Part of a budget's rest that one instance may hold at most. */
+  /**
+   * Most that all instances hold together, as a part of what nobody holds. An
+   * instance's own part of that follows what it took so far.
+   */
   heldPart: number;
   /**
    * Part of a full budget that all instances hold without any demand. It falls
@@ -229,7 +232,9 @@
     const available = this.available(account);
     const untaken = Math.max(0, this.untaken(account, view));
     const granted = view.granted(account);
-    const size = this.sizeOf(share, available, untaken, granted, view);
+    const part = this.partOf(account, view);
+    const left = untaken + Math.max(0, available);
+    const size = this.sizeOf(share, left, granted, part, view);
     const least = share.wanted - available;
     if (available < size * REFILL_PART || least > 0) {
       const tokens = Math.max(size - available, least);
@@ -244,17 +249,25 @@
   /** Tokens that the instance should hold. */
   private sizeOf(
     share: Share,
-    available: number,
-    untaken: number,
+    left: number,
     granted: number,
+    part: number,
     view: ShareView,
   ): number {
     const {horizon, heldPart, idlePart} = this.settings;
-    const left = untaken + Math.max(0, available);
     const plenty = granted > 0 ? Math.min(1, left / granted) : 0;
     const idle = (left * plenty * idlePart) / Math.max(1, view.instances);
     const needed = share.rate * horizon;
-    return Math.floor(Math.min(Math.max(needed, idle), left * heldPart));
+    const most = left * Math.min(1, heldPart * part);
+    return Math.floor(Math.min(Math.max(needed, idle), most));
+  }
+
+  /** The instance's part of what was taken; at least an equal one. */
+  private partOf(account: string, view: ShareView): number {
+    const own = takenBy(this.page, this.settings.holder, account);
+    const all = takenOf(this.page, account);
+    const equal = 1 / Math.max(1, view.instances);
+    return all > 0 ? Math.max(equal, own / all) : equal;
   }
 
   private returning(account: string): number {
--- a/packages/gateway/src/lib/budget_task.ts
+++ b/packages/gateway/src/lib/budget_task.ts
@@ -42,8 +42,8 @@
 /** Time that a share lasts without the store. */
 const HORIZON: Millis = 12_000;
 
-/** Part of a budget's rest that one instance may hold at most. */
-const HELD_PART = 0.5;
+/** Most that all instances hold, as a part of what nobody holds. */
+const HELD_PART = 0.7;
 
 /** Part of a full budget that all instances hold without any demand. */
 const IDLE_PART = 0.35;
