--- a/packages/decisions/src/lib/placement.ts
+++ b/packages/decisions/src/lib/placement.ts
@@ -25,8 +25,8 @@
 export interface UpstreamLoad {
   /** Requests in flight. */
   running: number;
-  /** Prompt tokens of requests without a first token yet. */
-  prefillTokens: number;
+  /** Time to read the prompts of requests without a first token yet. */
+  reading: Millis;
 }
 
 /** Load that an upstream reported on an answer. */
@@ -58,8 +58,8 @@
 /** Where a request was placed, and the counts to give back. */
 export interface Placed {
   upstream: UpstreamListing;
-  /** Tokens that the upstream is expected to read. */
-  prefillTokens: number;
+  /** Time that the upstream is expected to read the prompt. */
+  reading: Millis;
 }
 
 interface State {
@@ -80,7 +80,7 @@
 const MOST_PARTS = 2_000;
 
 /** Age after which what a peer said of its load counts for nothing. */
-const PEER_LOAD_MEMORY: Millis = 1_500;
+const PEER_LOAD_MEMORY: Millis = 4_000;
 
 /** Age after which a reported load counts for nothing. */
 const REPORT_MEMORY: Millis = 1_000;
@@ -100,6 +100,15 @@
 /** Tokens that an engine reads in one millisecond. */
 const READ_TOKENS_PER_MS = 100;
 
+/**
+ * Time for one million pairs of a token that is read and a token before it:
+ * attention makes long prompts cost more than their length.
+ */
+const MILLION_PAIRS_COST: Millis = 0.2;
+
+/** Pairs in one million. */
+const MILLION = 1e6;
+
 /** Delay by each request that runs at an engine, in milliseconds. */
 const BATCH_COST: Millis = 0.5;
 
@@ -140,12 +149,13 @@
     for (const upstream of from) {
       const known = this.toRead(request, upstream.id, view.now);
       const home = upstream === preferred ? ownTokens(request) : Infinity;
-      const prefillTokens = Math.min(known, home);
+      const tokens = Math.min(known, home);
+      const reading = readingTime(tokens, request.promptTokens);
       const rank = affinity(key, upstream.id) / 2 ** 32;
-      const cost = this.cost(upstream, prefillTokens, view) - rank;
+      const cost = this.cost(upstream, reading, view) - rank;
       if (cost < bestCost) {
         bestCost = cost;
-        best = {upstream, prefillTokens};
+        best = {upstream, reading};
       }
     }
     return best;
@@ -155,14 +165,14 @@
   started(request: PlacementRequest, placed: Placed, now: Millis): void {
     const state = this.of(placed.upstream.id);
     state.own.running += 1;
-    state.own.prefillTokens += placed.prefillTokens;
+    state.own.reading += placed.reading;
     this.remember(state, request, now);
   }
 
   /** Counts the first token of a request. */
   firstToken(placed: Placed): void {
     const {own} = this.of(placed.upstream.id);
-    own.prefillTokens = Math.max(0, own.prefillTokens - placed.prefillTokens);
+    own.reading = Math.max(0, own.reading - placed.reading);
   }
 
   /** Counts a request as ended; `begun` tells whether a token had come. */
@@ -218,17 +228,16 @@
 
   private cost(
     upstream: UpstreamListing,
-    prefillTokens: number,
+    reading: Millis,
     view: PlacementView,
   ): Millis {
     const state = this.of(upstream.id);
     const load = this.loadOf(state, view.now);
-    const tokens = READ_WEIGHT * prefillTokens + load.prefillTokens;
-    const reading = tokens / READ_TOKENS_PER_MS;
+    const ahead = READ_WEIGHT * reading + load.reading;
     const zone = upstream.zone === view.zone ? 0 : ZONE_COST;
     const full = Math.max(0, load.running + 1 - upstream.slots) * WAITING_COST;
-    const each = prefillTokens > 0 ? BATCH_COST : RUNNING_COST;
-    return reading + load.running * each + full + zone;
+    const each = reading > 0 ? BATCH_COST : RUNNING_COST;
+    return ahead + load.running * each + full + zone;
   }
 
   private loadOf(state: State, now: Millis): UpstreamLoad {
@@ -236,7 +245,7 @@
     for (const {load, at} of state.peers.values()) {
       if (now - at < PEER_LOAD_MEMORY) {
         total.running += load.running;
-        total.prefillTokens += load.prefillTokens;
+        total.reading += load.reading;
       }
     }
     const {reported} = state;
@@ -276,7 +285,7 @@
     let state = this.states.get(id);
     if (state === undefined) {
       state = {
-        own: {running: 0, prefillTokens: 0},
+        own: {running: 0, reading: 0},
         peers: new Map(),
         reported: undefined,
         reportedAt: 0,
@@ -290,6 +299,13 @@
   }
 }
 
+/** Time to read the last `tokens` of a prompt. */
+export function readingTime(tokens: number, promptTokens: number): Millis {
+  const pairs = tokens * (promptTokens - tokens / 2);
+  const attention = (pairs / MILLION) * MILLION_PAIRS_COST;
+  return tokens / READ_TOKENS_PER_MS + attention;
+}
+
 /** Tokens of a prompt that no other request shares. */
 function ownTokens(request: PlacementRequest): number {
   const shared = request.parts.slice(0, -1);
--- a/packages/gateway/src/lib/budget_task.ts
+++ b/packages/gateway/src/lib/budget_task.ts
@@ -43,10 +43,10 @@
 const HORIZON: Millis = 12_000;
 
 /** Most that all instances hold, as a part of what nobody holds. */
-const HELD_PART = 0.7;
+const HELD_PART = 0.65;
 
 /** Part of a full budget that all instances hold without any demand. */
-const IDLE_PART = 0.35;
+const IDLE_PART = 0.6;
 
 /** Interval of the upkeep of shares. */
 const UPKEEP_INTERVAL: Millis = 250;
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -45,6 +45,12 @@
 /** Interval in which what is no longer needed is forgotten. */
 const PRUNE_INTERVAL: Millis = 1_000;
 
+/** Least interval in which peers hear of placed load. */
+const LOAD_INTERVAL: Millis = 50;
+
+/** Interval of news of load for each instance that must be told. */
+const LOAD_PAUSE: Millis = 6;
+
 /** Body bound before a configuration is known, in bytes. */
 const FIRST_BODY_BYTES = 4 * 1024 * 1024;
 
@@ -72,6 +78,8 @@
   private readonly readiness: ReadyServer;
   private readonly surroundings: Surroundings;
   private stoppingAt: Millis | undefined;
+  private toldLoad = '';
+  private loadRepeats = 0;
 
   constructor(private readonly parts: GatewayParts) {
     const {settings, store, dialect, log} = parts;
@@ -153,6 +161,7 @@
       this.metrics.listen(settings.metrics),
     ]);
     this.budgets.start();
+    this.tellLoad();
     setInterval(() => this.prune(), PRUNE_INTERVAL);
     log.info('gateway.started', {
       callers: settings.listen.callers,
@@ -267,7 +276,6 @@
       version: this.table.version(),
       revision: this.registry.revision(),
       leaving: this.stoppingAt !== undefined,
-      loads: this.placement.ownLoad(),
     };
   }
 
@@ -276,13 +284,6 @@
     from: string,
     message: PeerMessage & {kind: PeerMessageKind.Beat},
   ): void {
-    const loads = new Map(
-      message.loads.map(([id, running, prefillTokens]) => [
-        id,
-        {running, prefillTokens},
-      ]),
-    );
-    this.placement.peerLoad(from, loads, this.clock.now());
     if (message.version > this.table.version()) {
       this.peers.send(from, {kind: PeerMessageKind.ConfigurationAsk});
     }
@@ -296,6 +297,17 @@
     PEER_HANDLERS[message.kind](this, from, message);
   }
 
+  /** Takes the load that a peer has placed. */
+  takeLoad(
+    message: PeerMessage & {kind: PeerMessageKind.Load},
+    from: string,
+  ): void {
+    const loads = new Map(
+      message.loads.map(([id, running, reading]) => [id, {running, reading}]),
+    );
+    this.placement.peerLoad(from, loads, this.clock.now());
+  }
+
   /** Answers a peer that asks for the configuration. */
   giveConfiguration(to: string): void {
     const value = this.state.configurationValue();
@@ -373,6 +385,25 @@
     return 1 + this.peers.live().length;
   }
 
+  /** Tells the peers what this instance has placed, if that changed. */
+  private tellLoad(): void {
+    const loads = [...this.placement.ownLoad()].map(
+      ([id, {running, reading}]): [string, number, number] => [
+        id,
+        running,
+        Math.round(reading),
+      ],
+    );
+    const text = JSON.stringify(loads);
+    if (text !== this.toldLoad || this.loadRepeats > 0) {
+      this.loadRepeats = text === this.toldLoad ? this.loadRepeats - 1 : 1;
+      this.toldLoad = text;
+      this.peers.tellAll({kind: PeerMessageKind.Load, loads});
+    }
+    const span = Math.max(LOAD_INTERVAL, LOAD_PAUSE * this.instances());
+    setTimeout(() => this.tellLoad(), span);
+  }
+
   private prune(): void {
     const now = this.clock.now();
     this.registry.prune(now);
@@ -552,6 +583,9 @@
   [PeerMessageKind.Beat]: on(PeerMessageKind.Beat, (gateway, from, message) =>
     gateway.beat(from, message),
   ),
+  [PeerMessageKind.Load]: on(PeerMessageKind.Load, (gateway, from, message) =>
+    gateway.takeLoad(message, from),
+  ),
   [PeerMessageKind.ConfigurationAsk]: (gateway, from) =>
     gateway.giveConfiguration(from),
   [PeerMessageKind.ConfigurationGive]: on(
--- a/packages/gateway/src/lib/peer_message.ts
+++ b/packages/gateway/src/lib/peer_message.ts
@@ -4,6 +4,7 @@
 /** Kinds of messages between gateways. */
 export enum PeerMessageKind {
   Beat = 'beat',
+  Load = 'load',
   ConfigurationAsk = 'configuration-ask',
   ConfigurationGive = 'configuration-give',
   UpstreamsAsk = 'upstreams-ask',
@@ -42,7 +43,10 @@
     leaving: z.boolean(),
     /** Addresses of instances heard lately. */
     members: z.array(name).max(MOST_MEMBERS),
-    /** Requests in flight and prompt tokens to read, by upstream. */
+  }),
+  z.object({
+    kind: z.literal(PeerMessageKind.Load),
+    /** Requests in flight and milliseconds of reading, by upstream. */
     loads: z.array(z.tuple([name, z.number(), z.number()])),
   }),
   z.object({kind: z.literal(PeerMessageKind.ConfigurationAsk)}),
--- a/packages/gateway/src/lib/peer_task.ts
+++ b/packages/gateway/src/lib/peer_task.ts
@@ -4,7 +4,7 @@
 import {PEER_MESSAGE_SCHEMA, PeerMessageKind} from './peer_message.js';
 import type {PeerMessage} from './peer_message.js';
 import type {FleetOwner, Identity} from '@citrontrestle/fleet';
-import type {Clock, Millis, UpstreamLoad} from '@citrontrestle/decisions';
+import type {Clock, Millis} from '@citrontrestle/decisions';
 import type {Log} from '@citrontrestle/runtime';
 
 /** What an instance tells in its beats. */
@@ -12,7 +12,6 @@
   version: number;
   revision: number;
   leaving: boolean;
-  loads: ReadonlyMap<string, UpstreamLoad>;
 }
 
 /** What the task needs of its owner. */
@@ -195,7 +194,7 @@
   }
 
   private beatMessage(): PeerMessage {
-    const {version, revision, leaving, loads} = this.owner.content();
+    const {version, revision, leaving} = this.owner.content();
     return {
       kind: PeerMessageKind.Beat,
       instance: this.settings.instance,
@@ -203,11 +202,6 @@
       revision,
       leaving,
       members: this.live(),
-      loads: [...loads].map(([id, load]) => [
-        id,
-        load.running,
-        Math.round(load.prefillTokens),
-      ]),
     };
   }
 }
