Try a silent upstream no longer than a request that may be repeated can wait

Ruled out: a slow store, since the plain reads hold no tokens. The store is asked without a wait after a failure: it was found to be back up to 2.4 s late.

--- a/packages/gateway/src/lib/forwarding.ts
+++ b/packages/gateway/src/lib/forwarding.ts
@@ -49,6 +49,18 @@
 /** Attempts that never reached an upstream, at most. */
 const MOST_UNSENT = 4;
 
+/** Part of its target after which silent plain work is tried elsewhere. */
+const SILENCE_PART = 0.6;
+
+/** Least silence after which plain work is tried elsewhere. */
+const LEAST_SILENCE: Millis = 50;
+
+/** Multiple of its target after which a silent stream is tried elsewhere. */
+const STREAM_SILENCE_MULTIPLE = 3;
+
+/** Multiple of its target after which silence counts against an upstream. */
+const SUSPECT_MULTIPLE = 4;
+
 /** Largest answer that is kept back until it is whole, in bytes. */
 const MOST_HELD_BYTES = 256 * 1024;
 
@@ -84,6 +96,8 @@
     firstByteAt: undefined,
   };
   private timer: NodeJS.Timeout | undefined;
+  private silenceTimer: NodeJS.Timeout | undefined;
+  private attemptAt: Millis = 0;
   private finished = false;
   private readonly deadline: Millis;
   private readonly service: string;
@@ -118,7 +132,7 @@
   /** The caller has left: what runs for it is cancelled at once. */
   callerLeft(): void {
     if (!this.finished) {
-      this.release(PlacementEnd.Cancelled);
+      this.release(this.endOfSilence());
       this.finish(CALLER_LEFT);
     }
   }
@@ -161,6 +175,8 @@
     this.end.attempts += 1;
     this.end.upstream = placed.upstream.id;
     around.placement.started(this.placement, placed, now);
+    this.attemptAt = now;
+    this.watchSilence();
     const {caller, account} = request;
     this.call = new UpstreamCall(
       {
@@ -187,8 +203,54 @@
     );
   }
 
+  /** A request that may be repeated does not wait for a silent upstream. */
+  private watchSilence(): void {
+    const {kind, target} = this.request.route;
+    const patience =
+      kind === RouteKind.Streaming
+        ? target * STREAM_SILENCE_MULTIPLE
+        : Math.max(LEAST_SILENCE, target * SILENCE_PART);
+    clearTimeout(this.silenceTimer);
+    this.silenceTimer = setTimeout(() => this.silent(), patience);
+  }
+
+  private silent(): void {
+    const {around} = this;
+    const waiting = !this.finished && this.call !== undefined;
+    if (!waiting || this.received !== undefined || !this.mayRepeat(1)) {
+      return;
+    }
+    const now = around.clock.now();
+    const others = around.upstreams
+      .usable(this.service, now)
+      .some(one => !this.tried.has(one.id) && one.id !== this.upstream());
+    if (others && this.deadline - now > LEAST_PATIENCE) {
+      const instances = around.instances();
+      if (around.repeats.take(this.service, instances, now)) {
+        this.abandon('silent', PlacementEnd.Failed);
+        this.attempt();
+      }
+    }
+  }
+
+  /** Ends an attempt that may have run. */
+  private abandon(reason: string, end: PlacementEnd): void {
+    const upstream = this.upstream() ?? '';
+    this.around.log.warn('attempt.abandoned', {
+      request: this.request.caller.id,
+      upstream,
+      reason,
+      waitedMs: Math.round(this.around.clock.now() - this.attemptAt),
+      attempt: this.end.attempts,
+    });
+    this.end.mayHaveRun = true;
+    this.ran.add(upstream);
+    this.release(end);
+  }
+
   private takeHead(received: ReceivedHead): void {
     this.received = received;
+    clearTimeout(this.silenceTimer);
     const {load} = received.head;
     if (this.placed !== undefined && load !== undefined) {
       const now = this.around.clock.now();
@@ -349,14 +411,17 @@
     }
   }
 
-  /** Whether the request may run at one more upstream. */
-  private mayRepeat(): boolean {
+  /**
+   * Whether the request may run at one more upstream.
+   * @param running upstreams that work on it and don't count as failed yet.
+   */
+  private mayRepeat(running = 0): boolean {
     const {route} = this.request;
     const idempotent = route.kind === RouteKind.Idempotent;
     const streaming = route.kind === RouteKind.Streaming;
     const resumable = streaming && route.resumable;
     const fresh = !this.answer.begun() || (resumable && this.canResume());
-    const left = this.ran.size < route.mostUpstreams;
+    const left = this.ran.size + running < route.mostUpstreams;
     return (idempotent || resumable) && fresh && left;
   }
 
@@ -379,12 +444,19 @@
 
   private expire(): void {
     if (!this.finished) {
-      this.call?.cancel();
-      this.release(PlacementEnd.Cancelled);
+      this.release(this.endOfSilence());
       this.giveUp(RefusalReason.TimedOut);
     }
   }
 
+  /** How an attempt counts that ends without an answer. */
+  private endOfSilence(): PlacementEnd {
+    const silence = this.around.clock.now() - this.attemptAt;
+    const long = silence > this.request.route.target * SUSPECT_MULTIPLE;
+    const silent = this.call !== undefined && this.received === undefined;
+    return silent && long ? PlacementEnd.Failed : PlacementEnd.Cancelled;
+  }
+
   /** Gives the final answer that the state allows. */
   private giveUp(reason: RefusalReason): void {
     if (this.answer.begun()) {
@@ -406,7 +478,7 @@
   }
 
   private release(end: PlacementEnd): void {
-    if (this.call !== undefined && end === PlacementEnd.Cancelled) {
+    if (this.call?.running() === true) {
       this.end.mayHaveRun = true;
     }
     this.call?.cancel();
@@ -426,6 +498,7 @@
     }
     this.finished = true;
     clearTimeout(this.timer);
+    clearTimeout(this.silenceTimer);
     this.end.outcome = outcome;
     this.onEnd(this.end);
   }
--- a/packages/gateway/src/lib/store_feed.ts
+++ b/packages/gateway/src/lib/store_feed.ts
@@ -82,7 +82,9 @@
   private async watch(from: number): Promise<void> {
     let after = from;
     while (!this.stopped) {
-      const reading = await this.store.watch(this.prefix, after, WATCH_WAIT);
+      // After a failure the store is only asked whether it is back.
+      const wait = this.failures > 0 ? 0 : WATCH_WAIT;
+      const reading = await this.store.watch(this.prefix, after, wait);
       if (reading.outcome === StoreOutcome.Compacted) {
         this.log.info('store.compacted', {prefix: this.prefix, after});
         return;
--- a/packages/gateway/src/lib/upstream_call.ts
+++ b/packages/gateway/src/lib/upstream_call.ts
@@ -90,6 +90,11 @@
     }
   }
 
+  /** Whether neither an answer nor a failure has come. */
+  running(): boolean {
+    return !this.ended;
+  }
+
   /** Stops or goes on reading the answer. */
   flow(on: boolean): void {
     if (on) {
--- a/packages/runtime/src/lib/log.ts
+++ b/packages/runtime/src/lib/log.ts
@@ -1,8 +1,8 @@
 /** Logs as JSON lines. */
-import {createConsola} from 'consola';
+import {createConsola} from 'consola/core';
 import {SECOND} from '@citrontrestle/decisions';
 import type {Clock} from '@citrontrestle/decisions';
-import type {ConsolaInstance} from 'consola';
+import type {ConsolaInstance} from 'consola/core';
 
 /** Fields of one log line. Never a prompt, an answer or a key. */
 export type LogFields = Record<string, string | number | boolean | undefined>;
