--- /dev/null
+++ b/packages/decisions/src/test/placement_test.ts
@@ -0,0 +1,190 @@
+/** Placement under its load patterns. */
+import {expect} from 'chai';
+import {Placement, PlacementEnd, readingTime} from '../lib/placement.js';
+import type {PlacementRequest} from '../lib/placement.js';
+import type {UpstreamListing} from '../lib/upstream_registry.js';
+
+const ZONES = ['north', 'south'];
+const NOBODY: ReadonlySet<string> = new Set();
+const SHARED_TOKENS = 13_300;
+const PROMPT_TOKENS = 17_000;
+
+function engines(count: number): UpstreamListing[] {
+  return Array.from({length: count}, (_, index) => ({
+    id: `e${index}`,
+    service: 'models',
+    address: `10.0.0.${index}:1`,
+    zone: ZONES[index % ZONES.length] ?? '',
+    slots: 8,
+    leaving: false,
+    startedAt: 0,
+    cold: 0,
+  }));
+}
+
+/** A prompt whose first part is shared by all of a topic. */
+function prompt(topic: string, own: string): PlacementRequest {
+  return {
+    parts: [
+      {id: topic, tokens: SHARED_TOKENS},
+      {id: own, tokens: PROMPT_TOKENS - SHARED_TOKENS},
+    ],
+    promptTokens: PROMPT_TOKENS,
+  };
+}
+
+const PLAIN: PlacementRequest = {parts: [], promptTokens: 0};
+
+/** Places a request, counts it as running and returns the upstream. */
+function place(
+  placement: Placement,
+  request: PlacementRequest,
+  candidates: UpstreamListing[],
+  now: number,
+): string {
+  const view = {now, zone: 'north', avoid: NOBODY};
+  const placed = placement.choose(request, candidates, view);
+  if (placed === undefined) {
+    return '';
+  }
+  placement.started(request, placed, now);
+  return placed.upstream.id;
+}
+
+describe('placement', () => {
+  it('agrees between instances that have not talked', () => {
+    const candidates = engines(8);
+    for (let topic = 0; topic < 50; topic++) {
+      const request = prompt(`topic ${topic}`, 'own');
+      const one = place(new Placement(), request, candidates, 0);
+      const two = place(new Placement(), request, candidates, 0);
+      expect(one).to.equal(two);
+    }
+  });
+
+  it('spreads topics over all engines', () => {
+    const used = new Set(
+      Array.from({length: 200}, (_, topic) =>
+        place(new Placement(), prompt(`t${topic}`, 'own'), engines(8), 0),
+      ),
+    );
+    expect(used.size).to.equal(8);
+  });
+
+  it('hot key: spreads one topic once its engine has a queue', () => {
+    const placement = new Placement();
+    const used = new Set<string>();
+    for (let count = 0; count < 40; count++) {
+      used.add(place(placement, prompt('hot', `o${count}`), engines(8), 0));
+    }
+    expect(used.size).to.be.at.least(3);
+  });
+
+  it('shared parts: reads a topic again less than once in ten', () => {
+    const placement = new Placement();
+    const candidates = engines(8);
+    const read = new Set<string>();
+    let again = 0;
+    let now = 0;
+    for (let count = 0; count < 1_000; count++) {
+      now += 20;
+      const topic = `t${count % 60}`;
+      const request = prompt(topic, `o${count}`);
+      const view = {now, zone: 'north', avoid: NOBODY};
+      const placed = placement.choose(request, candidates, view);
+      if (placed === undefined) {
+        continue;
+      }
+      placement.started(request, placed, now);
+      placement.firstToken(placed);
+      placement.ended(placed, PlacementEnd.Answered, true, now);
+      const place = `${topic}@${placed.upstream.id}`;
+      again += read.has(place) ? 0 : 1;
+      read.add(place);
+    }
+    expect(again).to.be.below(100);
+  });
+
+  it('counts what peers have placed', () => {
+    const placement = new Placement();
+    const candidates = engines(2);
+    const first = place(new Placement(), prompt('t', 'o'), candidates, 0);
+    const load = new Map([[first, {running: 6, reading: 2_000}]]);
+    placement.peerLoad('peer', load, 0);
+    const second = place(placement, prompt('t', 'o'), candidates, 0);
+    expect(second).not.to.equal(first);
+  });
+
+  it('forgets what a silent peer had placed', () => {
+    const placement = new Placement();
+    const candidates = engines(2);
+    const first = place(new Placement(), prompt('t', 'o'), candidates, 0);
+    placement.peerLoad(
+      'peer',
+      new Map([[first, {running: 6, reading: 2e3}]]),
+      0,
+    );
+    const later = 10_000;
+    const second = place(placement, prompt('t', 'o'), candidates, later);
+    expect(second).to.equal(first);
+  });
+
+  it('failing upstream: pauses it longer with each failure', () => {
+    const placement = new Placement();
+    const candidates = engines(2);
+    const failing = 'e0';
+    let now = 0;
+    let failures = 0;
+    for (let count = 0; count < 400; count++) {
+      now += 25;
+      const view = {now, zone: 'north', avoid: NOBODY};
+      const placed = placement.choose(PLAIN, candidates, view);
+      if (placed === undefined) {
+        continue;
+      }
+      placement.started(PLAIN, placed, now);
+      const bad = placed.upstream.id === failing;
+      failures += bad ? 1 : 0;
+      const end = bad ? PlacementEnd.Failed : PlacementEnd.Answered;
+      placement.ended(placed, end, false, now);
+    }
+    expect(failures).to.be.below(10);
+  });
+
+  it('serves with a paused upstream when there is no other', () => {
+    const placement = new Placement();
+    const candidates = engines(1);
+    const view = {now: 0, zone: 'north', avoid: NOBODY};
+    const placed = placement.choose(PLAIN, candidates, view);
+    if (placed !== undefined) {
+      placement.ended(placed, PlacementEnd.Failed, false, 0);
+    }
+    expect(place(placement, PLAIN, candidates, 1)).to.equal('e0');
+  });
+
+  it('plain work: fills the slots of all upstreams alike', () => {
+    const placement = new Placement();
+    const candidates = engines(4);
+    const counts = new Map<string, number>();
+    for (let count = 0; count < 16; count++) {
+      const id = place(placement, PLAIN, candidates, 0);
+      counts.set(id, (counts.get(id) ?? 0) + 1);
+    }
+    const most = Math.max(...counts.values());
+    const least = Math.min(...counts.values());
+    expect(most - least).to.be.at.most(2);
+  });
+
+  const times = [
+    {tokens: 0, prompt: 10_000, least: 0, most: 0},
+    {tokens: 1_000, prompt: 1_000, least: 10, most: 11},
+    {tokens: 50_000, prompt: 50_000, least: 700, most: 800},
+    {tokens: 3_700, prompt: 17_000, least: 45, most: 60},
+  ];
+  for (const {tokens, prompt: all, least, most} of times) {
+    it(`expects ${tokens} of ${all} tokens in ${least} to ${most} ms`, () => {
+      const time = readingTime(tokens, all);
+      expect(time).to.be.within(least, most);
+    });
+  }
+});
--- /dev/null
+++ b/packages/decisions/src/test/route_table_test.ts
@@ -0,0 +1,86 @@
+/** Routes, accounts and grants of one configuration after another. */
+import {expect} from 'chai';
+import {pickTarget, RouteKind, RouteTable} from '../lib/route_table.js';
+import type {Route, RoutingConfiguration} from '../lib/route_table.js';
+
+function route(prefix: string, host = 'desk.example'): Route {
+  return {
+    name: prefix,
+    host,
+    prefix,
+    kind: RouteKind.Idempotent,
+    timeout: 1_000,
+    target: 100,
+    rank: 0,
+    targets: [{service: 'desk', weight: 1}],
+    mostUpstreams: 1,
+    open: false,
+    resumable: false,
+    eventPause: 0,
+  };
+}
+
+function configuration(
+  version: number,
+  granted: number,
+  routes = [route('/a/'), route('/a/b/')],
+): RoutingConfiguration {
+  return {
+    version,
+    routes,
+    services: [],
+    accounts: [{name: 'club', apiKeys: ['k'], rank: undefined, granted}],
+    limits: {
+      headerBytes: 1,
+      bodyBytes: 1,
+      headerTimeout: 1,
+      idleTimeout: 1,
+    },
+  };
+}
+
+describe('route table', () => {
+  const paths = [
+    {path: '/a/x', host: 'desk.example', prefix: '/a/'},
+    {path: '/a/b/x', host: 'desk.example', prefix: '/a/b/'},
+    {path: '/a', host: 'desk.example', prefix: undefined},
+    {path: '/ab/', host: 'desk.example', prefix: undefined},
+    {path: '/a/x', host: 'other.example', prefix: undefined},
+  ];
+  for (const {path, host, prefix} of paths) {
+    it(`${host}${path}: ${prefix ?? 'no route'}`, () => {
+      const table = new RouteTable();
+      table.apply(configuration(1, 10));
+      expect(table.route(host, path)?.prefix).to.equal(prefix);
+    });
+  }
+
+  const versions = [
+    {name: 'newer', version: 3, applied: true, grant: 5, expected: 10},
+    {name: 'the same', version: 2, applied: false, grant: 50, expected: 10},
+    {name: 'older', version: 1, applied: false, grant: 50, expected: 10},
+    {name: 'top-up', version: 9, applied: true, grant: 50, expected: 50},
+  ];
+  for (const {name, version, applied, grant, expected} of versions) {
+    it(`${name}: ${applied ? 'in force' : 'ignored'}`, () => {
+      const table = new RouteTable();
+      table.apply(configuration(2, 10));
+      expect(table.apply(configuration(version, grant))).to.equal(applied);
+      expect(table.grantedTo('club')).to.equal(expected);
+    });
+  }
+
+  it('picks services by their weights', () => {
+    const split = {
+      ...route('/a/'),
+      targets: [
+        {service: 'one', weight: 90},
+        {service: 'two', weight: 10},
+      ],
+    };
+    expect(pickTarget(split, 0)).to.equal('one');
+    expect(pickTarget(split, 0.89)).to.equal('one');
+    expect(pickTarget(split, 0.91)).to.equal('two');
+    expect(pickTarget(split, 0.9999)).to.equal('two');
+  });
+});
