Admit short reads before long ones; only crashes make a request a suspect

Refused before: any request whose fingerprint had lost answers at three upstreams, as plain reads of one path share it.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -25,6 +25,7 @@
 export * from './lib/upstream_registry.js';
 export * from './lib/upstreams.js';
 export * from './lib/waiting_line.js';
+export * from './lib/urgency.js';
 export * from './lib/wallet.js';
 export * from './lib/wallet_messages.js';
 export * from './lib/wallet_settings.js';
--- a/packages/gateway/src/lib/forwarding.ts
+++ b/packages/gateway/src/lib/forwarding.ts
@@ -1,5 +1,10 @@
 /** One request of a caller on its way through the upstreams. */
-import {PlacementEnd, pickTarget, RouteKind} from '@citrontrestle/decisions';
+import {
+  PlacementEnd,
+  pickTarget,
+  RouteKind,
+  urgencyOf,
+} from '@citrontrestle/decisions';
 import {EventReader} from './event_reader.js';
 import {RefusalReason} from './refusal.js';
 import {CallFailure, UpstreamCall} from './upstream_call.js';
@@ -187,6 +192,7 @@
           upstream: placed.upstream.id,
           account: account?.name,
           patience: this.deadline - now,
+          urgency: this.urgency(placed),
           lastEvent: this.lastEvent,
         }),
         body: request.body,
@@ -203,6 +209,12 @@
     );
   }
 
+  private urgency({reading}: Placed): number | undefined {
+    const {target} = this.request.route;
+    const engine = this.placement.promptTokens > 0;
+    return engine ? urgencyOf({reading, target}) : undefined;
+  }
+
   /** A request that may be repeated does not wait for a silent upstream. */
   private watchSilence(): void {
     const {kind, target} = this.request.route;
@@ -382,11 +394,13 @@
     this.release(FAILURE_ENDS[failure]);
     if (failure === CallFailure.NotSent) {
       this.unsent += 1;
+      this.around.suspects.down(upstream?.id ?? '');
       this.repeatUnsent();
       return;
     }
     if (failure === CallFailure.Replaced) {
       this.around.upstreams.replaced(upstream?.id ?? '');
+      this.around.suspects.down(upstream?.id ?? '');
     }
     if (NOT_RUN.has(failure)) {
       this.repeat(() => this.giveUp(RefusalReason.Overloaded));
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -96,7 +96,7 @@
       log,
       {
         configured: () => this.configured(),
-        relisted: () => undefined,
+        gone: upstream => this.suspects.down(upstream),
       },
     );
     this.peers = new PeerTask(
@@ -125,9 +125,15 @@
         setTimeout(callback, span);
       },
     });
-    this.suspects = new CrashWatch(clock, (fingerprint, upstream) => {
-      const kind = PeerMessageKind.Suspect;
-      this.peers.tellAll({kind, fingerprint, upstream});
+    this.suspects = new CrashWatch(clock, {
+      crashed: (fingerprint, upstream) => {
+        log.warn('request.crashed-upstream', {fingerprint, upstream});
+        const kind = PeerMessageKind.Suspect;
+        this.peers.tellAll({kind, fingerprint, upstream});
+      },
+      cleared: fingerprint => {
+        this.peers.tellAll({kind: PeerMessageKind.Cleared, fingerprint});
+      },
     });
     this.front = new FrontServer(dialect, this);
     this.readiness = new ReadyServer(() => this.ready());
@@ -361,6 +367,11 @@
     this.suspects.heard(fingerprint, upstream);
   }
 
+  /** Another instance saw a suspected request answered. */
+  takeCleared(fingerprint: string): void {
+    this.suspects.heardAnswered(fingerprint);
+  }
+
   private configured(): void {
     const configuration = this.table.configuration();
     if (configuration !== undefined) {
@@ -608,6 +619,10 @@
     (gateway, _from, message) =>
       gateway.takeTokens(message.account, message.tokens),
   ),
+  [PeerMessageKind.Cleared]: on(
+    PeerMessageKind.Cleared,
+    (gateway, _from, message) => gateway.takeCleared(message.fingerprint),
+  ),
   [PeerMessageKind.Suspect]: on(
     PeerMessageKind.Suspect,
     (gateway, _from, message) =>
--- a/packages/gateway/src/lib/peer_message.ts
+++ b/packages/gateway/src/lib/peer_message.ts
@@ -12,6 +12,7 @@
   TokensAsk = 'tokens-ask',
   TokensGive = 'tokens-give',
   Suspect = 'suspect',
+  Cleared = 'cleared',
 }
 
 const MOST_NAME = 256;
@@ -81,6 +82,10 @@
     fingerprint: name,
     upstream: name,
   }),
+  z.object({
+    kind: z.literal(PeerMessageKind.Cleared),
+    fingerprint: name,
+  }),
 ]);
 
 /** A message between gateways. Amounts in tokens. */
--- a/packages/gateway/src/lib/ports.ts
+++ b/packages/gateway/src/lib/ports.ts
@@ -108,6 +108,8 @@
   account: string | undefined;
   /** Time that is left. */
   patience: Millis;
+  /** Order of admission at an engine; undefined for plain work. */
+  urgency: number | undefined;
   /** Event after which a stream goes on; undefined to begin it. */
   lastEvent: string | undefined;
 }
--- a/packages/gateway/src/lib/state_task.ts
+++ b/packages/gateway/src/lib/state_task.ts
@@ -15,8 +15,8 @@
 export interface StateOwner {
   /** A newer configuration is in force. */
   configured(): void;
-  /** The list of upstreams changed. */
-  relisted(): void;
+  /** An upstream is gone without having said that it leaves. */
+  gone(upstream: string): void;
 }
 
 /** The store counts as away after this silence. */
@@ -107,11 +107,10 @@
     const lapsed =
       this.upstreamFeed.sinceRestored() < LAPSE_WINDOW ||
       this.upstreamFeed.silence() > AWAY_SILENCE;
-    let changed = false;
     for (const one of news) {
+      const usable = this.upstreams.isUsable(one.id, now);
       const outcome = this.upstreams.learn(one, now, lapsed);
       if (outcome !== NewsOutcome.Stale) {
-        changed = true;
         const {id, revision, listing} = one;
         const service = listing?.service;
         this.log.info('upstream.news', {
@@ -122,11 +121,11 @@
           service,
           lapsed,
         });
+        if (usable && listing === undefined) {
+          this.owner.gone(id);
+        }
       }
     }
-    if (changed) {
-      this.owner.relisted();
-    }
   }
 
   private takeOperator(item: StoreEvent): void {
