--- a/packages/decisions/src/lib/prepaid_shares.ts
+++ b/packages/decisions/src/lib/prepaid_shares.ts
@@ -136,8 +136,7 @@
   /** Gives up to `tokens` to a peer; returns how many. */
   give(account: string, tokens: number): number {
     const share = this.of(account);
-    const own = share.rate * GIVE_RESERVE + share.wanted;
-    const spare = Math.floor(this.available(account) - own);
+    const spare = Math.floor(this.available(account) - share.wanted);
     const given = Math.max(0, Math.min(tokens, spare));
     share.given += given;
     return given;
@@ -296,6 +295,3 @@
     return share;
   }
 }
-
-/** Time of own spending that an instance keeps when a peer asks. */
-const GIVE_RESERVE: Millis = 300;
--- a/packages/gateway/src/lib/state_task.ts
+++ b/packages/gateway/src/lib/state_task.ts
@@ -20,7 +20,7 @@
 }
 
 /** The store counts as away after this silence. */
-const AWAY_SILENCE: Millis = 2_600;
+const AWAY_SILENCE: Millis = 3_200;
 
 /** A removal this soon after an outage may be a lapsed heartbeat. */
 const LAPSE_WINDOW: Millis = 3_000;
--- a/packages/gateway/src/lib/store_feed.ts
+++ b/packages/gateway/src/lib/store_feed.ts
@@ -13,7 +13,7 @@
 }
 
 /** Longest wait of one watch; a silent connection is found after it. */
-const WATCH_WAIT: Millis = 1_500;
+const WATCH_WAIT: Millis = 2_200;
 
 /** First pause after a failed call; it doubles with each further one. */
 const PAUSE_FIRST: Millis = 100;
