--- a/packages/decisions/src/lib/placement.ts
+++ b/packages/decisions/src/lib/placement.ts
@@ -77,7 +77,7 @@
 const PART_MEMORY: Millis = 30_000;
 
 /** Most prompt parts that are remembered of one upstream. */
-const MOST_PARTS = 2_000;
+const MOST_PARTS = 1_000;
 
 /** Age after which what a peer said of its load counts for nothing. */
 const PEER_LOAD_MEMORY: Millis = 4_000;
