--- /dev/null
+++ b/packages/gateway/src/lib/admission.ts
@@ -0,0 +1,82 @@
+/** Which route, account and reservation apply to a request that was read. */
+import {shortDigest} from '@citrontrestle/runtime';
+import {RefusalReason} from './refusal.js';
+import type {CallerRequest, Dialect} from './ports.js';
+import type {ReadRequest} from './front_server.js';
+import type {
+  Clock,
+  Millis,
+  PrepaidAccount,
+  Route,
+  RouteTable,
+} from '@citrontrestle/decisions';
+
+/** A request that has been read and has a route and an account. */
+export interface AdmittedRequest {
+  caller: CallerRequest;
+  method: string;
+  /** Path with query as received. */
+  target: string;
+  rawHeaders: readonly string[];
+  body: Buffer;
+  route: Route;
+  account: PrepaidAccount | undefined;
+  arrivedAt: Millis;
+  /** Digest of what the caller asks for, without its identifier. */
+  fingerprint: string;
+}
+
+/** An admitted request, or why it is refused. */
+export type AdmissionOutcome =
+  {ok: true; request: AdmittedRequest} | {ok: false; reason: RefusalReason};
+
+/** Looks a request up in the configuration in force. */
+export function admit(
+  {incoming, body}: ReadRequest,
+  table: RouteTable,
+  dialect: Dialect,
+  clock: Clock,
+): AdmissionOutcome {
+  if (table.configuration() === undefined) {
+    return {ok: false, reason: RefusalReason.NoConfiguration};
+  }
+  const method = incoming.method ?? '';
+  const target = incoming.url ?? '';
+  const caller = dialect.callerRequest(method, target, incoming.headers);
+  if (caller.id === '') {
+    return {ok: false, reason: RefusalReason.BadRequest};
+  }
+  const route = table.route(caller.host, caller.path);
+  if (route === undefined) {
+    return {ok: false, reason: RefusalReason.NoRoute};
+  }
+  const holder = table.account(caller.apiKey ?? '');
+  if (!route.open && holder === undefined) {
+    return {ok: false, reason: RefusalReason.NoAccount};
+  }
+  const account = route.open ? undefined : holder;
+  const {rawHeaders} = incoming;
+  const arrivedAt = clock.now();
+  const name = account?.name ?? '';
+  const text = body.toString('latin1');
+  const fingerprint = shortDigest(method, target, name, text);
+  const request = {
+    caller,
+    method,
+    target,
+    rawHeaders,
+    body,
+    route,
+    account,
+    arrivedAt,
+    fingerprint,
+  };
+  return {ok: true, request};
+}
+
+/** Tokens that a request may consume at its most; 0 if none are counted. */
+export function reservationOf({caller, account}: AdmittedRequest): number {
+  const {usage} = caller;
+  const counted = account?.granted !== undefined && usage !== undefined;
+  return counted ? usage.input + usage.mostOutput : 0;
+}
--- a/packages/gateway/src/lib/forwarding.ts
+++ b/packages/gateway/src/lib/forwarding.ts
@@ -9,31 +9,10 @@
 import {RefusalReason} from './refusal.js';
 import {CallFailure, UpstreamCall} from './upstream_call.js';
 import type {CallerAnswer} from './caller_answer.js';
-import type {CallerRequest} from './ports.js';
+import type {AdmittedRequest} from './admission.js';
 import type {ReceivedHead} from './upstream_call.js';
 import type {Surroundings} from './surroundings.js';
-import type {
-  Millis,
-  Placed,
-  PlacementRequest,
-  PrepaidAccount,
-  Route,
-} from '@citrontrestle/decisions';
-
-/** A request that has been read and admitted. */
-export interface AdmittedRequest {
-  caller: CallerRequest;
-  method: string;
-  /** Path with query as received. */
-  target: string;
-  rawHeaders: readonly string[];
-  body: Buffer;
-  route: Route;
-  account: PrepaidAccount | undefined;
-  arrivedAt: Millis;
-  /** Digest of what the caller asks for, without its identifier. */
-  fingerprint: string;
-}
+import type {Millis, Placed, PlacementRequest} from '@citrontrestle/decisions';
 
 /** How the forwarding of a request ended. */
 export interface ForwardingEnd {
--- a/packages/gateway/src/lib/front_server.ts
+++ b/packages/gateway/src/lib/front_server.ts
@@ -16,8 +16,6 @@
 
 /** What the server tells its owner. */
 export interface FrontOwner {
-  /** The head of a request has come; returns why it is refused, if it is. */
-  refusal(incoming: IncomingMessage): RefusalReason | undefined;
   /** Serves a request that has been read whole. */
   serve(request: ReadRequest, answer: CallerAnswer): CallerWork;
   /** Whether connections are to end with their next answer. */
@@ -96,15 +94,10 @@
     const answer = new CallerAnswer(response, this.dialect, () =>
       this.owner.closing(),
     );
-    const refusal = this.owner.refusal(incoming);
     const body = await this.body(incoming, answer);
     if (body === undefined || state.left) {
       return;
     }
-    if (refusal !== undefined) {
-      answer.refuse(refusal);
-      return;
-    }
     state.work = this.owner.serve({incoming, body}, answer);
   }
 
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -6,29 +6,30 @@
   SECOND,
   UpstreamRegistry,
 } from '@citrontrestle/decisions';
-import {randomId, shortDigest, SteadyClock} from '@citrontrestle/runtime';
+import {randomId, SteadyClock} from '@citrontrestle/runtime';
+import {admit, reservationOf} from './admission.js';
 import {BudgetAnswer, BudgetTask} from './budget_task.js';
 import {CrashWatch} from './crash_watch.js';
-import {Forwarding} from './forwarding.js';
+import {ANSWERED, Forwarding} from './forwarding.js';
 import {FrontServer} from './front_server.js';
 import {GatewayMetrics} from './gateway_metrics.js';
 import {PeerMessageKind} from './peer_message.js';
+import {PeerExchange} from './peer_exchange.js';
 import {PeerTask} from './peer_task.js';
 import {ReadyServer} from './ready_server.js';
 import {RefusalReason} from './refusal.js';
 import {StateTask} from './state_task.js';
 import {UpstreamAgent} from './upstream_agent.js';
-import type {AdmittedRequest, ForwardingEnd} from './forwarding.js';
-import type {BeatContent, PeerOwner} from './peer_task.js';
+import type {AdmittedRequest} from './admission.js';
+import type {ForwardingEnd} from './forwarding.js';
+import type {BeatContent} from './peer_task.js';
 import type {CallerAnswer} from './caller_answer.js';
 import type {CallerWork, FrontOwner, ReadRequest} from './front_server.js';
 import type {Dialect, Store} from './ports.js';
 import type {GatewaySettings} from './settings.js';
-import type {PeerMessage} from './peer_message.js';
 import type {Surroundings} from './surroundings.js';
 import type {Clock, Millis} from '@citrontrestle/decisions';
 import type {Log} from '@citrontrestle/runtime';
-import type {IncomingMessage} from 'node:http';
 
 /** Time before SIGKILL at which a planned stop ends in any case. */
 const STOP_RESERVE: Millis = 300;
@@ -45,12 +46,6 @@
 /** Interval in which what is no longer needed is forgotten. */
 const PRUNE_INTERVAL: Millis = 1_000;
 
-/** Least interval in which peers hear of placed load. */
-const LOAD_INTERVAL: Millis = 50;
-
-/** Interval of news of load for each instance that must be told. */
-const LOAD_PAUSE: Millis = 6;
-
 /** Body bound before a configuration is known, in bytes. */
 const FIRST_BODY_BYTES = 4 * 1024 * 1024;
 
@@ -63,7 +58,7 @@
 }
 
 /** One gateway. */
-export class Gateway implements FrontOwner, PeerOwner {
+export class Gateway implements FrontOwner {
   private readonly clock: Clock = new SteadyClock();
   private readonly table = new RouteTable();
   private readonly registry = new UpstreamRegistry();
@@ -74,12 +69,11 @@
   private readonly budgets: BudgetTask;
   private readonly peers: PeerTask;
   private readonly suspects: CrashWatch;
+  private readonly exchange: PeerExchange;
   private readonly front: FrontServer;
   private readonly readiness: ReadyServer;
   private readonly surroundings: Surroundings;
   private stoppingAt: Millis | undefined;
-  private toldLoad = '';
-  private loadRepeats = 0;
 
   constructor(private readonly parts: GatewayParts) {
     const {settings, store, dialect, log} = parts;
@@ -110,17 +104,17 @@
       },
       clock,
       log,
-      this,
+      {
+        content: () => this.content(),
+        heard: (from, message) => this.exchange.take(from, message),
+      },
     );
     this.budgets = new BudgetTask(holder, instance, store, clock, log, {
       granted: account => this.table.grantedTo(account) ?? 0,
       accounts: () => this.table.budgets(),
       instances: () => this.instances(),
-      ask: (account, tokens) => {
-        const kind = PeerMessageKind.TokensAsk;
-        this.peers.tellAll({kind, account, tokens: Math.ceil(tokens)});
-      },
-      handOver: (account, tokens) => this.handOver(account, tokens),
+      ask: (account, tokens) => this.exchange.askTokens(account, tokens),
+      handOver: (account, tokens) => this.exchange.handOver(account, tokens),
       after: (span, callback) => {
         setTimeout(callback, span);
       },
@@ -135,6 +129,17 @@
         this.peers.tellAll({kind: PeerMessageKind.Cleared, fingerprint});
       },
     });
+    this.exchange = new PeerExchange({
+      clock,
+      log,
+      table: this.table,
+      registry: this.registry,
+      placement: this.placement,
+      state: this.state,
+      budgets: this.budgets,
+      suspects: this.suspects,
+      peers: this.peers,
+    });
     this.front = new FrontServer(dialect, this);
     this.readiness = new ReadyServer(() => this.ready());
     this.surroundings = {
@@ -167,7 +172,7 @@
       this.metrics.listen(settings.metrics),
     ]);
     this.budgets.start();
-    this.tellLoad();
+    this.exchange.tellLoad();
     setInterval(() => this.prune(), PRUNE_INTERVAL);
     log.info('gateway.started', {
       callers: settings.listen.callers,
@@ -222,31 +227,20 @@
   }
 
   /** Called by the front server. */
-  refusal(incoming: IncomingMessage): RefusalReason | undefined {
-    if (this.table.configuration() === undefined) {
-      return RefusalReason.NoConfiguration;
-    }
-    const caller = this.parts.dialect.callerRequest(
-      incoming.method ?? '',
-      incoming.url ?? '',
-      incoming.headers,
-    );
-    if (caller.id === '') {
-      return RefusalReason.BadRequest;
-    }
-    const route = this.table.route(caller.host, caller.path);
-    if (route === undefined) {
-      return RefusalReason.NoRoute;
+  serve(request: ReadRequest, answer: CallerAnswer): CallerWork {
+    const {clock, table} = this;
+    const outcome = admit(request, table, this.parts.dialect, clock);
+    if (!outcome.ok) {
+      answer.refuse(outcome.reason);
+      return {callerLeft: () => undefined};
     }
-    const account = this.table.account(caller.apiKey ?? '');
-    return route.open || account !== undefined
-      ? undefined
-      : RefusalReason.NoAccount;
+    return this.serveAdmitted(outcome.request, answer);
   }
 
-  /** Called by the front server. */
-  serve(request: ReadRequest, answer: CallerAnswer): CallerWork {
-    const admitted = this.admit(request);
+  private serveAdmitted(
+    admitted: AdmittedRequest,
+    answer: CallerAnswer,
+  ): CallerWork {
     const work: {left: boolean; forwarding: Forwarding | undefined} = {
       left: false,
       forwarding: undefined,
@@ -276,8 +270,7 @@
     };
   }
 
-  /** Called by the peer task. */
-  content(): BeatContent {
+  private content(): BeatContent {
     return {
       version: this.table.version(),
       revision: this.registry.revision(),
@@ -285,93 +278,6 @@
     };
   }
 
-  /** Called by the peer task. */
-  beat(
-    from: string,
-    message: PeerMessage & {kind: PeerMessageKind.Beat},
-  ): void {
-    if (message.version > this.table.version()) {
-      this.peers.send(from, {kind: PeerMessageKind.ConfigurationAsk});
-    }
-    if (message.revision > this.registry.revision()) {
-      this.peers.send(from, {kind: PeerMessageKind.UpstreamsAsk});
-    }
-  }
-
-  /** Called by the peer task. */
-  heard(from: string, message: PeerMessage): void {
-    PEER_HANDLERS[message.kind](this, from, message);
-  }
-
-  /** Takes the load that a peer has placed. */
-  takeLoad(
-    message: PeerMessage & {kind: PeerMessageKind.Load},
-    from: string,
-  ): void {
-    const loads = new Map(
-      message.loads.map(([id, running, reading]) => [id, {running, reading}]),
-    );
-    this.placement.peerLoad(from, loads, this.clock.now());
-  }
-
-  /** Answers a peer that asks for the configuration. */
-  giveConfiguration(to: string): void {
-    const value = this.state.configurationValue();
-    if (value !== undefined) {
-      const kind = PeerMessageKind.ConfigurationGive;
-      this.peers.send(to, {kind, value: Uint8Array.from(value)});
-    }
-  }
-
-  /** Takes a configuration that a peer gave. */
-  takeConfiguration(value: Uint8Array, from: string): void {
-    this.state.takeConfiguration(Buffer.from(value), from);
-  }
-
-  /** Answers a peer that asks for the list of upstreams. */
-  giveUpstreams(to: string): void {
-    const news = this.registry.news();
-    this.peers.send(to, {kind: PeerMessageKind.UpstreamsGive, news});
-  }
-
-  /** Takes news of upstreams that a peer gave. */
-  takeUpstreams(
-    message: PeerMessage & {kind: PeerMessageKind.UpstreamsGive},
-    from: string,
-  ): void {
-    const news = message.news.map(({id, revision, listing}) => ({
-      id,
-      revision,
-      listing,
-    }));
-    this.state.takeNews(news, from);
-  }
-
-  /** Answers a peer that asks for tokens. */
-  giveTokens(to: string, account: string, tokens: number): void {
-    const given = this.budgets.give(account, tokens);
-    if (given > 0) {
-      const kind = PeerMessageKind.TokensGive;
-      this.peers.send(to, {kind, account, tokens: given});
-      this.parts.log.info('budget.given', {account, tokens: given, peer: to});
-    }
-  }
-
-  /** Takes tokens that a peer gave. */
-  takeTokens(account: string, tokens: number): void {
-    this.budgets.receive(account, tokens);
-  }
-
-  /** Another instance lost an upstream under a request. */
-  takeSuspect(fingerprint: string, upstream: string): void {
-    this.suspects.heard(fingerprint, upstream);
-  }
-
-  /** Another instance saw a suspected request answered. */
-  takeCleared(fingerprint: string): void {
-    this.suspects.heardAnswered(fingerprint);
-  }
-
   private configured(): void {
     const configuration = this.table.configuration();
     if (configuration !== undefined) {
@@ -381,76 +287,16 @@
     this.budgets.granted();
   }
 
-  /** Gives tokens to one of the peers that run. */
-  private handOver(account: string, tokens: number): boolean {
-    const live = this.peers.staying();
-    const to = live[Math.floor(Math.random() * live.length)];
-    if (to === undefined) {
-      return false;
-    }
-    this.peers.send(to, {kind: PeerMessageKind.TokensGive, account, tokens});
-    return true;
-  }
-
   private instances(): number {
     return 1 + this.peers.live().length;
   }
 
-  /** Tells the peers what this instance has placed, if that changed. */
-  private tellLoad(): void {
-    const loads = [...this.placement.ownLoad()].map(
-      ([id, {running, reading}]): [string, number, number] => [
-        id,
-        running,
-        Math.round(reading),
-      ],
-    );
-    const text = JSON.stringify(loads);
-    if (text !== this.toldLoad || this.loadRepeats > 0) {
-      this.loadRepeats = text === this.toldLoad ? this.loadRepeats - 1 : 1;
-      this.toldLoad = text;
-      this.peers.tellAll({kind: PeerMessageKind.Load, loads});
-    }
-    const span = Math.max(LOAD_INTERVAL, LOAD_PAUSE * this.instances());
-    setTimeout(() => this.tellLoad(), span);
-  }
-
   private prune(): void {
     const now = this.clock.now();
     this.registry.prune(now);
     this.placement.prune(id => this.registry.isListed(id));
   }
 
-  private admit({incoming, body}: ReadRequest): AdmittedRequest {
-    const method = incoming.method ?? '';
-    const target = incoming.url ?? '';
-    const {dialect} = this.parts;
-    const caller = dialect.callerRequest(method, target, incoming.headers);
-    const route = this.table.route(caller.host, caller.path);
-    if (route === undefined) {
-      throw new Error('a request without a route was admitted');
-    }
-    const account = route.open
-      ? undefined
-      : this.table.account(caller.apiKey ?? '');
-    return {
-      caller,
-      method,
-      target,
-      rawHeaders: incoming.rawHeaders,
-      body,
-      route,
-      account,
-      arrivedAt: this.clock.now(),
-      fingerprint: shortDigest(
-        method,
-        target,
-        account?.name ?? '',
-        body.toString('latin1'),
-      ),
-    };
-  }
-
   private async reserve(
     admitted: AdmittedRequest,
     answer: CallerAnswer,
@@ -499,7 +345,7 @@
       const account = admitted.account?.name ?? '';
       this.budgets.settle(account, reserved, this.used(admitted, end));
     }
-    if (end.outcome === 'answered') {
+    if (end.outcome === ANSWERED) {
       this.suspects.answered(admitted.fingerprint);
     }
     this.record(admitted, end);
@@ -547,13 +393,6 @@
   }
 }
 
-/** Tokens that a request may consume at its most. */
-function reservationOf({caller, account}: AdmittedRequest): number {
-  const {usage} = caller;
-  const counted = account?.granted !== undefined && usage !== undefined;
-  return counted ? usage.input + usage.mostOutput : 0;
-}
-
 /** Addresses separated by commas. */
 function addressesOf(list: string): string[] {
   return list
@@ -567,65 +406,3 @@
     setTimeout(resolve, Math.max(0, span));
   });
 }
-
-type PeerHandler = (
-  gateway: Gateway,
-  from: string,
-  message: PeerMessage,
-) => void;
-
-/** Builds a handler for one kind of message. */
-function on<K extends PeerMessageKind>(
-  kind: K,
-  handle: (
-    gateway: Gateway,
-    from: string,
-    message: PeerMessage & {kind: K},
-  ) => void,
-): PeerHandler {
-  return (gateway, from, message) => {
-    if (message.kind === kind) {
-      handle(gateway, from, message as PeerMessage & {kind: K});
-    }
-  };
-}
-
-const PEER_HANDLERS: Readonly<Record<PeerMessageKind, PeerHandler>> = {
-  [PeerMessageKind.Beat]: on(PeerMessageKind.Beat, (gateway, from, message) =>
-    gateway.beat(from, message),
-  ),
-  [PeerMessageKind.Load]: on(PeerMessageKind.Load, (gateway, from, message) =>
-    gateway.takeLoad(message, from),
-  ),
-  [PeerMessageKind.ConfigurationAsk]: (gateway, from) =>
-    gateway.giveConfiguration(from),
-  [PeerMessageKind.ConfigurationGive]: on(
-    PeerMessageKind.ConfigurationGive,
-    (gateway, from, message) => gateway.takeConfiguration(message.value, from),
-  ),
-  [PeerMessageKind.UpstreamsAsk]: (gateway, from) =>
-    gateway.giveUpstreams(from),
-  [PeerMessageKind.UpstreamsGive]: on(
-    PeerMessageKind.UpstreamsGive,
-    (gateway, from, message) => gateway.takeUpstreams(message, from),
-  ),
-  [PeerMessageKind.TokensAsk]: on(
-    PeerMessageKind.TokensAsk,
-    (gateway, from, message) =>
-      gateway.giveTokens(from, message.account, message.tokens),
-  ),
-  [PeerMessageKind.TokensGive]: on(
-    PeerMessageKind.TokensGive,
-    (gateway, _from, message) =>
-      gateway.takeTokens(message.account, message.tokens),
-  ),
-  [PeerMessageKind.Cleared]: on(
-    PeerMessageKind.Cleared,
-    (gateway, _from, message) => gateway.takeCleared(message.fingerprint),
-  ),
-  [PeerMessageKind.Suspect]: on(
-    PeerMessageKind.Suspect,
-    (gateway, _from, message) =>
-      gateway.takeSuspect(message.fingerprint, message.upstream),
-  ),
-};
--- a/packages/gateway/src/lib/peer_task.ts
+++ b/packages/gateway/src/lib/peer_task.ts
@@ -17,10 +17,8 @@
 /** What the task needs of its owner. */
 export interface PeerOwner {
   content(): BeatContent;
-  /** A message other than a beat. */
+  /** A message of the peer at an address. */
   heard(from: string, message: PeerMessage): void;
-  /** A beat of a peer. */
-  beat(from: string, message: PeerMessage & {kind: PeerMessageKind.Beat}): void;
 }
 
 /** Settings of the links between instances. */
@@ -173,10 +171,8 @@
       peer.instance = message.instance;
       peer.leaving = message.leaving;
       message.members.forEach(address => this.meet(address));
-      this.owner.beat(from.address, message);
-    } else {
-      this.owner.heard(from.address, message);
     }
+    this.owner.heard(from.address, message);
   }
 
   private retry(
--- a/packages/gateway/src/lib/upstream_call.ts
+++ b/packages/gateway/src/lib/upstream_call.ts
@@ -189,6 +189,9 @@
   }
 }
 
+/** Least status of a final answer. */
+const LEAST_STATUS = 200;
+
 /** Methods whose requests usually have no body. */
 const BODILESS = new Set(['GET', 'HEAD', 'DELETE', 'OPTIONS']);
 
@@ -201,6 +204,9 @@
   if (head.requestId !== requestId) {
     return 'answer of another request';
   }
+  if (status < LEAST_STATUS) {
+    return 'no final status';
+  }
   if (head.encoded) {
     return 'encoded body';
   }
