--- a/packages/gateway/src/lib/forwarding.ts
+++ b/packages/gateway/src/lib/forwarding.ts
@@ -5,7 +5,7 @@
   RouteKind,
   urgencyOf,
 } from '@citrontrestle/decisions';
-import {EventReader} from './event_reader.js';
+import {AnswerRelay, RelayEnd, RelayOutcome} from './answer_relay.js';
 import {RefusalReason} from './refusal.js';
 import {CallFailure, UpstreamCall} from './upstream_call.js';
 import type {CallerAnswer} from './caller_answer.js';
@@ -45,8 +45,8 @@
 /** Multiple of its target after which silence counts against an upstream. */
 const SUSPECT_MULTIPLE = 4;
 
-/** Largest answer that is kept back until it is whole, in bytes. */
-const MOST_HELD_BYTES = 256 * 1024;
+/** Least status of a failure. */
+const LEAST_FAILURE = 400;
 
 /** Outcome of a request that was answered whole by an upstream. */
 export const ANSWERED = 'answered';
@@ -61,16 +61,11 @@
 export class Forwarding {
   private call: UpstreamCall | undefined;
   private placed: Placed | undefined;
-  private received: ReceivedHead | undefined;
-  private events = new EventReader();
-  private held: Buffer[] = [];
-  private heldBytes = 0;
-  private passing = false;
   private tokenSeen = false;
   private readonly tried = new Set<string>();
   private readonly ran = new Set<string>();
   private unsent = 0;
-  private lastEvent: string | undefined;
+  private readonly relay: AnswerRelay;
   private readonly end: ForwardingEnd = {
     outcome: '',
     upstream: undefined,
@@ -101,7 +96,12 @@
       parts: caller.parts,
       promptTokens: caller.usage?.input ?? 0,
     };
-    this.lastEvent = caller.lastEvent;
+    this.relay = new AnswerRelay(
+      answer,
+      around.dialect,
+      route.kind === RouteKind.Streaming,
+      caller.lastEvent,
+    );
   }
 
   /** Begins. */
@@ -126,14 +126,6 @@
     return this.placed?.upstream.id;
   }
 
-  /** The upstream is known to be gone: its answer won't come. */
-  upstreamGone(reason: string): void {
-    if (!this.finished && this.call !== undefined) {
-      this.call.cancel();
-      this.failed(CallFailure.Lost, reason);
-    }
-  }
-
   private attempt(): void {
     const {around, request} = this;
     const now = around.clock.now();
@@ -151,10 +143,7 @@
       return;
     }
     this.placed = placed;
-    this.received = undefined;
-    this.events = new EventReader();
-    this.held = [];
-    this.heldBytes = 0;
+    this.relay.reset();
     this.tokenSeen = false;
     this.end.attempts += 1;
     this.end.upstream = placed.upstream.id;
@@ -172,7 +161,7 @@
           account: account?.name,
           patience: this.deadline - now,
           urgency: this.urgency(placed),
-          lastEvent: this.lastEvent,
+          lastEvent: this.relay.lastEvent,
         }),
         body: request.body,
         requestId: caller.id,
@@ -208,7 +197,7 @@
   private silent(): void {
     const {around} = this;
     const waiting = !this.finished && this.call !== undefined;
-    if (!waiting || this.received !== undefined || !this.mayRepeat(1)) {
+    if (!waiting || this.relay.headed() || !this.mayRepeat(1)) {
       return;
     }
     const now = around.clock.now();
@@ -240,7 +229,7 @@
   }
 
   private takeHead(received: ReceivedHead): void {
-    this.received = received;
+    this.relay.head(received);
     clearTimeout(this.silenceTimer);
     const {load} = received.head;
     if (this.placed !== undefined && load !== undefined) {
@@ -249,114 +238,49 @@
     }
   }
 
-  private streaming(): boolean {
-    const {route} = this.request;
-    return route.kind === RouteKind.Streaming && this.received?.status === 200;
-  }
-
   private take(bytes: Buffer): void {
-    if (this.streaming()) {
-      this.takeEvents(bytes);
-      return;
-    }
-    if (this.passing) {
-      this.write(bytes);
-      return;
-    }
-    this.held.push(bytes);
-    this.heldBytes += bytes.length;
-    const {received} = this;
-    if (this.heldBytes > MOST_HELD_BYTES || received?.unframed === true) {
-      this.passing = true;
-      this.beginAnswer();
-      for (const part of this.held) {
-        this.write(part);
-      }
-    }
+    const before = this.relay.events;
+    const outcome = this.relay.take(bytes);
+    this.noteProgress(before);
+    RELAY_HANDLERS[outcome](this);
   }
 
-  private takeEvents(bytes: Buffer): void {
-    const events = this.events.push(bytes);
-    if (this.events.overflown()) {
-      this.call?.cancel();
-      this.failed(CallFailure.Spoiled, 'event too large');
-      return;
-    }
-    for (const event of events) {
-      this.noteToken();
-      this.beginAnswer();
-      this.write(event.bytes);
-      this.end.events += 1;
-      this.lastEvent = event.id ?? this.lastEvent;
-    }
+  /** Called by the handlers of relay outcomes. */
+  holdBack(): void {
+    const {call} = this;
+    call?.flow(false);
+    this.answer.onDrain(() => call?.flow(true));
   }
 
-  private noteToken(): void {
-    if (!this.tokenSeen && this.placed !== undefined) {
-      this.tokenSeen = true;
-      this.around.placement.firstToken(this.placed);
-    }
+  /** Called by the handlers of relay outcomes. */
+  overflown(): void {
+    this.call?.cancel();
+    this.failed(CallFailure.Spoiled, 'event too large');
   }
 
-  private beginAnswer(): void {
-    const {received} = this;
-    if (received === undefined || this.answer.begun()) {
-      return;
-    }
-    this.end.firstByteAt = this.around.clock.now();
-    const headers = this.around.dialect.answerHeaders(received.raw);
-    if (received.unframed) {
-      this.answer.unframe();
+  /** Notes the first bytes for the caller, and the first event. */
+  private noteProgress(eventsBefore: number): void {
+    this.end.events = this.relay.events;
+    if (this.answer.begun()) {
+      this.end.firstByteAt ??= this.around.clock.now();
     }
-    this.answer.begin(received.status, headers);
-  }
-
-  private write(bytes: Buffer): void {
-    if (!this.answer.write(bytes)) {
-      const {call} = this;
-      call?.flow(false);
-      this.answer.onDrain(() => call?.flow(true));
+    const first = !this.tokenSeen && this.relay.events > eventsBefore;
+    if (first && this.placed !== undefined) {
+      this.tokenSeen = true;
+      this.around.placement.firstToken(this.placed);
     }
   }
 
   private done(): void {
-    if (this.streaming()) {
-      this.doneStream();
-      return;
-    }
-    this.ran.add(this.placed?.upstream.id ?? '');
-    this.end.mayHaveRun = true;
-    this.release(PlacementEnd.Answered);
-    this.sendHeld();
-  }
-
-  private doneStream(): void {
-    if (this.events.partial().length > 0) {
-      this.failed(CallFailure.Lost, 'stream ended within an event');
+    const status = this.relay.status();
+    if (this.relay.finish() === RelayEnd.Doubtful) {
+      this.failed(CallFailure.Lost, 'stream without a certain end');
       return;
     }
     this.end.mayHaveRun = true;
+    this.end.firstByteAt ??= this.around.clock.now();
     this.release(PlacementEnd.Answered);
-    this.beginAnswer();
-    this.answer.end();
-    this.finish(ANSWERED);
-  }
-
-  private sendHeld(): void {
-    const {received} = this;
-    if (received === undefined) {
-      this.giveUp(RefusalReason.UpstreamFailed);
-      return;
-    }
-    if (this.passing) {
-      this.answer.end();
-    } else {
-      this.end.firstByteAt = this.around.clock.now();
-      const body = Buffer.concat(this.held);
-      const headers = this.around.dialect.answerHeaders(received.raw);
-      this.answer.send(received.status, headers, body);
-    }
-    this.finish(received.status < 400 ? ANSWERED : `status-${received.status}`);
+    this.finish(status < LEAST_FAILURE ? ANSWERED : `status-${status}`);
   }
 
   private failed(failure: CallFailure, reason: string): void {
@@ -413,15 +337,11 @@
     const idempotent = route.kind === RouteKind.Idempotent;
     const streaming = route.kind === RouteKind.Streaming;
     const resumable = streaming && route.resumable;
-    const fresh = !this.answer.begun() || (resumable && this.canResume());
+    const fresh = !this.answer.begun() || (resumable && this.relay.resumable());
     const left = this.ran.size + running < route.mostUpstreams;
     return (idempotent || resumable) && fresh && left;
   }
 
-  private canResume(): boolean {
-    return this.end.events === 0 || this.lastEvent !== undefined;
-  }
-
   /** Attempts once more if the fleet's bound on repeats allows it. */
   private repeat(otherwise: () => void): void {
     const {around} = this;
@@ -446,7 +366,7 @@
   private endOfSilence(): PlacementEnd {
     const silence = this.around.clock.now() - this.attemptAt;
     const long = silence > this.request.route.target * SUSPECT_MULTIPLE;
-    const silent = this.call !== undefined && this.received === undefined;
+    const silent = this.call !== undefined && !this.relay.headed();
     return silent && long ? PlacementEnd.Failed : PlacementEnd.Cancelled;
   }
 
@@ -497,6 +417,14 @@
   }
 }
 
+const RELAY_HANDLERS: Readonly<
+  Record<RelayOutcome, (forwarding: Forwarding) => void>
+> = {
+  [RelayOutcome.Taken]: () => undefined,
+  [RelayOutcome.CallerBusy]: forwarding => forwarding.holdBack(),
+  [RelayOutcome.Overflow]: forwarding => forwarding.overflown(),
+};
+
 const FAILURE_ENDS: Readonly<Record<CallFailure, PlacementEnd>> = {
   [CallFailure.NotSent]: PlacementEnd.Failed,
   [CallFailure.NotExecuted]: PlacementEnd.Rejected,
