--- a/packages/gateway/src/lib/forwarding.ts
+++ b/packages/gateway/src/lib/forwarding.ts
@@ -236,6 +236,11 @@
       const now = this.around.clock.now();
       this.around.placement.reported(this.placed.upstream.id, load, now);
     }
+    if (this.answer.begun() && !this.relay.streaming()) {
+      // The caller has the head of a stream: only events can follow.
+      this.call?.cancel();
+      this.failed(CallFailure.Lost, `status ${received.status} in a stream`);
+    }
   }
 
   private take(bytes: Buffer): void {
--- a/packages/gateway/src/lib/peer_exchange.ts
+++ b/packages/gateway/src/lib/peer_exchange.ts
@@ -42,7 +42,7 @@
 const LOAD_INTERVAL: Millis = 50;
 
 /** Interval of news of load for each instance that must be told. */
-const LOAD_PAUSE: Millis = 6;
+const LOAD_PAUSE: Millis = 12;
 
 /** The exchange of one gateway with the others. */
 export class PeerExchange {
--- a/packages/gateway/src/lib/peer_task.ts
+++ b/packages/gateway/src/lib/peer_task.ts
@@ -33,11 +33,14 @@
   key: string;
 }
 
-/** Interval of beats to each peer. */
+/** Least interval of beats to each peer. */
 const BEAT_INTERVAL: Millis = 300;
 
+/** Interval of beats for each peer that must be told. */
+const BEAT_PAUSE: Millis = 10;
+
 /** Silence after which a link is opened anew. */
-const LINK_SILENCE: Millis = 1_000;
+const LINK_SILENCE: Millis = 1_500;
 
 /** Silence after which a peer counts as not running. */
 const PEER_SILENCE: Millis = 4_000;
@@ -84,13 +87,12 @@
     for (const seed of this.settings.seeds) {
       this.meet(seed);
     }
-    this.timer = setInterval(() => this.beat(), BEAT_INTERVAL);
-    this.beat();
+    this.beatOn();
   }
 
   /** Ends all links. */
   stop(): void {
-    clearInterval(this.timer);
+    clearTimeout(this.timer);
     this.fleet.stop();
   }
 
@@ -175,6 +177,13 @@
     this.owner.heard(from.address, message);
   }
 
+  /** Beats now and then again, less often with more peers. */
+  private beatOn(): void {
+    this.beat();
+    const span = Math.max(BEAT_INTERVAL, BEAT_PAUSE * this.peers.size);
+    this.timer = setTimeout(() => this.beatOn(), span);
+  }
+
   private retry(
     address: string,
     peer: Peer,
--- a/packages/stand_ins/src/lib/hosted/upstream.ts
+++ b/packages/stand_ins/src/lib/hosted/upstream.ts
@@ -19,6 +19,8 @@
   ExtraAnswer = 'extra-answer',
   /** Sends an answer without a length and closes in its middle. */
   Unframed = 'unframed',
+  /** Answers with a failure of its own. */
+  Failure = 'failure',
   /** Sends bytes that are no answer. */
   Garbage = 'garbage',
   /** Answers as another incarnation. */
@@ -238,6 +240,10 @@
   [ServerFault.Unframed]: (server, outgoing, run) => {
     raw(outgoing, `${head(server, run)}do`, true);
   },
+  [ServerFault.Failure]: (server, outgoing, run) => {
+    outgoing.writeHead(500, server.headers(run));
+    outgoing.end('failed');
+  },
   [ServerFault.Garbage]: (_server, outgoing) => {
     raw(outgoing, '\u0000\u0001 no answer\r\n\r\n', true);
   },
