--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -21,6 +21,7 @@
 export * from './lib/route_table.js';
 export * from './lib/routing.js';
 export * from './lib/search.js';
+export * from './lib/silence.js';
 export * from './lib/suspects.js';
 export * from './lib/upstream_registry.js';
 export * from './lib/upstreams.js';
--- a/packages/gateway/src/lib/admission.ts
+++ b/packages/gateway/src/lib/admission.ts
@@ -28,7 +28,8 @@
 
 /** An admitted request, or why it is refused. */
 export type AdmissionOutcome =
-  {ok: true; request: AdmittedRequest} | {ok: false; reason: RefusalReason};
+  | {ok: true; request: AdmittedRequest}
+  | {ok: false; reason: RefusalReason; id: string};
 
 /** Looks a request up in the configuration in force. */
 export function admit(
@@ -37,22 +38,23 @@
   dialect: Dialect,
   clock: Clock,
 ): AdmissionOutcome {
-  if (table.configuration() === undefined) {
-    return {ok: false, reason: RefusalReason.NoConfiguration};
-  }
   const method = incoming.method ?? '';
   const target = incoming.url ?? '';
   const caller = dialect.callerRequest(method, target, incoming.headers);
-  if (caller.id === '') {
-    return {ok: false, reason: RefusalReason.BadRequest};
+  const {id} = caller;
+  if (table.configuration() === undefined) {
+    return {ok: false, reason: RefusalReason.NoConfiguration, id};
+  }
+  if (id === '') {
+    return {ok: false, reason: RefusalReason.BadRequest, id};
   }
   const route = table.route(caller.host, caller.path);
   if (route === undefined) {
-    return {ok: false, reason: RefusalReason.NoRoute};
+    return {ok: false, reason: RefusalReason.NoRoute, id};
   }
   const holder = table.account(caller.apiKey ?? '');
   if (!route.open && holder === undefined) {
-    return {ok: false, reason: RefusalReason.NoAccount};
+    return {ok: false, reason: RefusalReason.NoAccount, id};
   }
   const account = route.open ? undefined : holder;
   const {rawHeaders} = incoming;
--- a/packages/gateway/src/lib/budget_task.ts
+++ b/packages/gateway/src/lib/budget_task.ts
@@ -1,14 +1,7 @@
 /** Reservations of prepaid tokens, and the writes that supply them. */
-import {emptyPage, PrepaidShares} from '@citrontrestle/decisions';
-import {PAGE_CODEC} from './page_codec.js';
-import {StoreOutcome} from './ports.js';
-import type {Store, StoreItem, StoreWriting} from './ports.js';
-import type {
-  Clock,
-  Millis,
-  PageWrite,
-  ShareView,
-} from '@citrontrestle/decisions';
+import {BudgetPage} from './budget_page.js';
+import type {Store} from './ports.js';
+import type {Clock, Millis, ShareView} from '@citrontrestle/decisions';
 import type {Log} from '@citrontrestle/runtime';
 
 /** Answer to a reservation. */
@@ -54,9 +47,6 @@
 /** Least time between two writes of a page that nobody waits for. */
 const CALM_INTERVAL: Millis = 1_200;
 
-/** Pause after the store did not answer. */
-const FAILURE_PAUSE: Millis = 400;
-
 /** Longest wait of a request for tokens. */
 const MOST_WAIT: Millis = 120;
 
@@ -69,9 +59,6 @@
 /** Age at which a page is read again before a budget counts as ended. */
 const CONFIRM_INTERVAL: Millis = 500;
 
-/** Attempts to give a page's shares back to the store. */
-const MOST_RETURNS = 4;
-
 /** Time after the start in which peers are found before shares are taken. */
 const FIRST_CALM: Millis = 1_500;
 
@@ -83,22 +70,9 @@
   resolve(answer: BudgetAnswer): void;
 }
 
-interface Page {
-  key: string;
-  shares: PrepaidShares;
-  busy: boolean;
-  /** No call to the store before this time. */
-  pausedUntil: Millis;
-  /** Whether the last call was not served. */
-  failing: boolean;
-  wroteAt: Millis;
-  /** When the page was last known to be as in the store. */
-  confirmedAt: Millis;
-}
-
 /** The budgets of one instance. */
 export class BudgetTask {
-  private readonly pages: Page[] = [];
+  private readonly pages: BudgetPage[] = [];
   private waiters: Waiter[] = [];
   private timer: NodeJS.Timeout | undefined;
   private readonly startedAt: Millis;
@@ -107,28 +81,25 @@
   constructor(
     holder: string,
     instance: string,
-    private readonly store: Store,
+    store: Store,
     private readonly clock: Clock,
     private readonly log: Log,
     private readonly owner: BudgetOwner,
   ) {
     this.startedAt = clock.now();
     for (let index = 0; index < PAGES; index++) {
-      this.pages.push({
-        key: `${PAGE_PREFIX}${index}`,
-        shares: new PrepaidShares({
-          holder,
-          instance,
-          horizon: HORIZON,
-          heldPart: HELD_PART,
-          idlePart: IDLE_PART,
-        }),
-        busy: false,
-        pausedUntil: 0,
-        failing: false,
-        wroteAt: -Infinity,
-        confirmedAt: -Infinity,
-      });
+      const key = `${PAGE_PREFIX}${index}`;
+      const settings = {
+        holder,
+        instance,
+        horizon: HORIZON,
+        heldPart: HELD_PART,
+        idlePart: IDLE_PART,
+      };
+      const changed = () => this.serve();
+      this.pages.push(
+        new BudgetPage(key, settings, store, clock, log, changed),
+      );
     }
   }
 
@@ -191,7 +162,7 @@
   async returnShares(): Promise<void> {
     this.leaving = true;
     this.stop();
-    await Promise.all(this.pages.map(page => this.returnPage(page)));
+    await Promise.all(this.pages.map(page => page.close()));
     for (const account of this.owner.accounts()) {
       const {shares} = this.pageOf(account);
       const spare = Math.floor(shares.available(account));
@@ -202,17 +173,6 @@
     }
   }
 
-  private async returnPage(page: Page): Promise<void> {
-    for (let attempt = 0; attempt < MOST_RETURNS; attempt++) {
-      const away = this.clock.now() < page.pausedUntil;
-      const write = page.busy || away ? undefined : page.shares.planReturn();
-      if (write === undefined) {
-        return;
-      }
-      await this.write(page, write);
-    }
-  }
-
   /** Tokens that may be reserved, by account; for logs. */
   available(account: string): number {
     return this.pageOf(account).shares.available(account);
@@ -232,19 +192,19 @@
   }
 
   /** Reads or writes a page if that is due. */
-  private tend(page: Page): void {
+  private tend(page: BudgetPage): void {
     const now = this.clock.now();
-    if (page.busy || this.leaving || now < page.pausedUntil) {
+    if (this.leaving || !page.free()) {
       return;
     }
     if (page.shares.knownRevision() < 0) {
-      void this.read(page);
+      void page.read();
       return;
     }
     const view = this.view();
     const urgent = page.shares.urgent(view);
     if (this.unsure(page, now) && !urgent) {
-      void this.read(page);
+      void page.read();
       return;
     }
     const early = now - this.startedAt < FIRST_CALM;
@@ -257,101 +217,16 @@
       .filter(account => this.pageOf(account) === page);
     const write = page.shares.plan(accounts, view);
     if (write !== undefined) {
-      void this.write(page, write);
+      void page.write(write);
     }
   }
 
   /** Whether requests wait for tokens and the page may be out of date. */
-  private unsure(page: Page, now: Millis): boolean {
-    const old = now - page.confirmedAt > CONFIRM_INTERVAL;
-    return old && this.waiters.some(one => this.pageOf(one.account) === page);
-  }
-
-  private async read(page: Page): Promise<void> {
-    page.busy = true;
-    const reading = await this.store.read(page.key);
-    page.busy = false;
-    if (reading.outcome !== StoreOutcome.Done) {
-      this.failed(page);
-      this.log.warn('budget.unread', {key: page.key, reason: reading.reason});
-    } else if (reading.item === undefined) {
-      page.shares.observe(0, emptyPage());
-      this.confirmed(page);
-    } else {
-      this.observe(page, reading.item);
-    }
-    this.serve();
-  }
-
-  private async write(page: Page, write: PageWrite): Promise<void> {
-    page.busy = true;
-    page.wroteAt = this.clock.now();
-    const value = PAGE_CODEC.encode(write.page);
-    const {expectedRevision} = write;
-    const writing = await this.store.write(page.key, expectedRevision, value);
-    page.busy = false;
-    WRITE_HANDLERS[writing.outcome](this, page, write, writing);
-    this.serve();
-  }
-
-  /** Called by the handlers of write outcomes. */
-  written(page: Page, write: PageWrite, revision: number): void {
-    page.shares.observe(revision, write.page);
-    this.confirmed(page);
-    this.log.info('budget.written', {
-      key: page.key,
-      revision,
-      change: JSON.stringify([...write.change]),
-    });
-  }
-
-  /** Called by the handlers of write outcomes. */
-  conflicted(page: Page, item: StoreItem | undefined): void {
-    if (item === undefined) {
-      void this.read(page);
-      return;
-    }
-    this.observe(page, item);
-  }
-
-  /** Called by the handlers of write outcomes. */
-  refused(page: Page, write: PageWrite, reason: string): void {
-    page.shares.rejected(write);
-    this.failed(page);
-    this.log.warn('budget.refused', {key: page.key, reason});
-  }
-
-  /** Called by the handlers of write outcomes. */
-  unanswered(page: Page, reason: string): void {
-    this.failed(page);
-    this.log.warn('budget.unanswered', {key: page.key, reason});
-    if (!this.leaving) {
-      void this.read(page);
-    }
-  }
-
-  private observe(page: Page, item: StoreItem): void {
-    const decoded = PAGE_CODEC.decode(item.value);
-    if (!decoded.ok) {
-      this.log.error('budget.unreadable', {
-        key: page.key,
-        reason: decoded.reason,
-      });
-      page.pausedUntil = this.clock.now() + FAILURE_PAUSE;
-      return;
-    }
-    page.shares.observe(item.revision, decoded.value);
-    this.confirmed(page);
-  }
-
-  private confirmed(page: Page): void {
-    page.confirmedAt = this.clock.now();
-    page.failing = false;
-  }
-
-  private failed(page: Page): void {
-    page.pausedUntil = this.clock.now() + FAILURE_PAUSE;
-    page.failing = true;
+  private unsure(page: BudgetPage, now: Millis): boolean {
+    const known = page.confirmedSince(now, CONFIRM_INTERVAL);
+    return (
+      !known && this.waiters.some(one => this.pageOf(one.account) === page)
+    );
   }
 
   /** Serves those who wait, in their order, and asks on for the others. */
@@ -381,11 +256,11 @@
     const now = this.clock.now();
     const untaken = page.shares.untaken(account, this.view());
     const missing = tokens - page.shares.available(account);
-    const confirmed = waiter.since - page.confirmedAt < CONFIRM_INTERVAL;
+    const confirmed = page.confirmedSince(waiter.since, CONFIRM_INTERVAL);
     const storeHasNone = confirmed && untaken < missing;
     const waited = now - waiter.since;
     const slow = waited >= STORE_WAIT;
-    if (!waiter.asked && (storeHasNone || page.failing || slow)) {
+    if (!waiter.asked && (storeHasNone || page.isFailing() || slow)) {
       waiter.asked = true;
       this.owner.ask(account, missing);
       this.owner.after(PEER_WAIT, () => this.serve());
@@ -404,42 +279,11 @@
     };
   }
 
-  private pageOf(account: string): Page {
+  private pageOf(account: string): BudgetPage {
     let hash = 0;
     for (const char of account) {
       hash = (Math.imul(hash, 31) + char.charCodeAt(0)) >>> 0;
     }
-    return this.pages[hash % PAGES] as Page;
+    return this.pages[hash % PAGES] as BudgetPage;
   }
 }
-
-type WriteHandler = (
-  task: BudgetTask,
-  page: Page,
-  write: PageWrite,
-  writing: StoreWriting,
-) => void;
-
-const WRITE_HANDLERS: Readonly<Record<StoreWriting['outcome'], WriteHandler>> =
-  {
-    [StoreOutcome.Done]: (task, page, write, writing) => {
-      if (writing.outcome === StoreOutcome.Done) {
-        task.written(page, write, writing.revision);
-      }
-    },
-    [StoreOutcome.Conflict]: (task, page, _write, writing) => {
-      if (writing.outcome === StoreOutcome.Conflict) {
-        task.conflicted(page, writing.item);
-      }
-    },
-    [StoreOutcome.Refused]: (task, page, write, writing) => {
-      if (writing.outcome === StoreOutcome.Refused) {
-        task.refused(page, write, writing.reason);
-      }
-    },
-    [StoreOutcome.Unknown]: (task, page, _write, writing) => {
-      if (writing.outcome === StoreOutcome.Unknown) {
-        task.unanswered(page, writing.reason);
-      }
-    },
-  };
--- a/packages/gateway/src/lib/forwarding.ts
+++ b/packages/gateway/src/lib/forwarding.ts
@@ -1,8 +1,10 @@
 /** One request of a caller on its way through the upstreams. */
 import {
+  isSuspectSilence,
   PlacementEnd,
   pickTarget,
   RouteKind,
+  silenceBound,
   urgencyOf,
 } from '@citrontrestle/decisions';
 import {AnswerRelay, RelayEnd, RelayOutcome} from './answer_relay.js';
@@ -33,18 +35,6 @@
 /** Attempts that never reached an upstream, at most. */
 const MOST_UNSENT = 4;
 
-/** Part of its target after which silent plain work is tried elsewhere. */
-const SILENCE_PART = 0.6;
-
-/** Least silence after which plain work is tried elsewhere. */
-const LEAST_SILENCE: Millis = 50;
-
-/** Multiple of its target after which a silent stream is tried elsewhere. */
-const STREAM_SILENCE_MULTIPLE = 3;
-
-/** Multiple of its target after which silence counts against an upstream. */
-const SUSPECT_MULTIPLE = 4;
-
 /** Least status of a failure. */
 const LEAST_FAILURE = 400;
 
@@ -185,11 +175,7 @@
 
   /** A request that may be repeated does not wait for a silent upstream. */
   private watchSilence(): void {
-    const {kind, target} = this.request.route;
-    const patience =
-      kind === RouteKind.Streaming
-        ? target * STREAM_SILENCE_MULTIPLE
-        : Math.max(LEAST_SILENCE, target * SILENCE_PART);
+    const patience = silenceBound(this.request.route);
     clearTimeout(this.silenceTimer);
     this.silenceTimer = setTimeout(() => this.silent(), patience);
   }
@@ -370,7 +356,7 @@
   /** How an attempt counts that ends without an answer. */
   private endOfSilence(): PlacementEnd {
     const silence = this.around.clock.now() - this.attemptAt;
-    const long = silence > this.request.route.target * SUSPECT_MULTIPLE;
+    const long = isSuspectSilence(this.request.route, silence);
     const silent = this.call !== undefined && !this.relay.headed();
     return silent && long ? PlacementEnd.Failed : PlacementEnd.Cancelled;
   }
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -18,6 +18,7 @@
 import {PeerTask} from './peer_task.js';
 import {ReadyServer} from './ready_server.js';
 import {RefusalReason} from './refusal.js';
+import {RequestRecord} from './request_record.js';
 import {StateTask} from './state_task.js';
 import {UpstreamAgent} from './upstream_agent.js';
 import type {AdmittedRequest} from './admission.js';
@@ -70,6 +71,7 @@
   private readonly peers: PeerTask;
   private readonly suspects: CrashWatch;
   private readonly exchange: PeerExchange;
+  private readonly record: RequestRecord;
   private readonly front: FrontServer;
   private readonly readiness: ReadyServer;
   private readonly surroundings: Surroundings;
@@ -119,6 +121,13 @@
         setTimeout(callback, span);
       },
     });
+    this.record = new RequestRecord(
+      clock,
+      log,
+      this.metrics,
+      this.table,
+      this.budgets,
+    );
     this.suspects = new CrashWatch(clock, {
       crashed: (fingerprint, upstream) => {
         log.warn('request.crashed-upstream', {fingerprint, upstream});
@@ -232,6 +241,7 @@
     const outcome = admit(request, table, this.parts.dialect, clock);
     if (!outcome.ok) {
       answer.refuse(outcome.reason);
+      this.record.refused(outcome.reason, outcome.id);
       return {callerLeft: () => undefined};
     }
     return this.serveAdmitted(outcome.request, answer);
@@ -329,7 +339,7 @@
     reason: RefusalReason,
   ): void {
     answer.refuse(reason);
-    this.record(admitted, {
+    this.record.ended(admitted, {
       outcome: reason,
       upstream: undefined,
       attempts: 0,
@@ -343,53 +353,12 @@
     const reserved = reservationOf(admitted);
     if (reserved > 0) {
       const account = admitted.account?.name ?? '';
-      this.budgets.settle(account, reserved, this.used(admitted, end));
+      this.budgets.settle(account, reserved, this.record.used(admitted, end));
     }
     if (end.outcome === ANSWERED) {
       this.suspects.answered(admitted.fingerprint);
     }
-    this.record(admitted, end);
-  }
-
-  /** Tokens that a request consumed: its prompt once, and what it was sent. */
-  private used(admitted: AdmittedRequest, end: ForwardingEnd): number {
-    if (!end.mayHaveRun) {
-      return 0;
-    }
-    const service = admitted.route.targets[0]?.service ?? '';
-    const engine = this.table.service(service)?.engine;
-    const most = admitted.caller.usage?.mostOutput ?? 0;
-    const output = end.events * (engine?.tokensPerEvent ?? most);
-    return (admitted.caller.usage?.input ?? 0) + output;
-  }
-
-  private record(admitted: AdmittedRequest, end: ForwardingEnd): void {
-    const now = this.clock.now();
-    const {caller, route, account, arrivedAt} = admitted;
-    const wholeMs = Math.round(now - arrivedAt);
-    const firstMs =
-      end.firstByteAt === undefined
-        ? undefined
-        : Math.round(end.firstByteAt - arrivedAt);
-    this.metrics.ended(route.name, end.outcome, wholeMs, firstMs);
-    this.parts.log.info('request.ended', {
-      request: caller.id,
-      route: route.name,
-      account: account?.name,
-      outcome: end.outcome,
-      upstream: end.upstream,
-      attempts: end.attempts,
-      mayHaveRun: end.mayHaveRun,
-      events: end.events,
-      tokens: reservationOf(admitted),
-      used: this.used(admitted, end),
-      granted: account && this.table.grantedTo(account.name),
-      available: account && Math.round(this.budgets.available(account.name)),
-      untaken: account && this.budgets.untaken(account.name),
-      version: this.table.version(),
-      wholeMs,
-      firstMs,
-    });
+    this.record.ended(admitted, end);
   }
 }
 
