Remove what nothing calls; use one piece for listening, waiting and pages

Three servers listened alike (listenAt in runtime now); the gateway waited with its own pause and race (timing moved from entry to runtime); pages of budgets hashed names beside partitionOf; placement computed each rank twice. Stops of servers and feeds, and fields that nobody read, are gone. No decision changes; accounts may lie in the other of the two pages.

--- a/packages/decisions/src/lib/placement.ts
+++ b/packages/decisions/src/lib/placement.ts
@@ -145,13 +145,14 @@
     const key = affinityKey(request);
     let best: Placed | undefined;
     let bestCost = Infinity;
-    const preferred = preferredOf(key, from);
-    for (const upstream of from) {
+    const ranks = from.map(upstream => affinity(key, upstream.id));
+    const home = key === '' ? -1 : ranks.indexOf(Math.max(...ranks));
+    for (const [index, upstream] of from.entries()) {
       const known = this.toRead(request, upstream.id, view.now);
-      const home = upstream === preferred ? ownTokens(request) : Infinity;
-      const tokens = Math.min(known, home);
+      const least = index === home ? ownTokens(request) : Infinity;
+      const tokens = Math.min(known, least);
       const reading = readingTime(tokens, request.promptTokens);
-      const rank = affinity(key, upstream.id) / 2 ** 32;
+      const rank = (ranks[index] ?? 0) / 2 ** 32;
       const cost = this.cost(upstream, reading, view) - rank;
       if (cost < bestCost) {
         bestCost = cost;
@@ -319,22 +320,6 @@
   return (parts.at(-2) ?? parts.at(-1))?.id ?? '';
 }
 
-function preferredOf(
-  key: string,
-  from: readonly UpstreamListing[],
-): UpstreamListing | undefined {
-  let best: UpstreamListing | undefined;
-  let bestRank = -1;
-  for (const upstream of key === '' ? [] : from) {
-    const rank = affinity(key, upstream.id);
-    if (rank > bestRank) {
-      bestRank = rank;
-      best = upstream;
-    }
-  }
-  return best;
-}
-
 const ENDINGS: Record<PlacementEnd, (state: State, now: Millis) => void> = {
   [PlacementEnd.Answered]: state => {
     state.strikes = Math.max(0, state.strikes - STRIKES_FORGIVEN);
--- a/packages/entry/src/lib/entry.ts
+++ b/packages/entry/src/lib/entry.ts
@@ -12,10 +12,12 @@
 import {ServiceClient} from '@citrontrestle/service';
 import {
   createMetrics,
+  pause,
   randomId,
   shortDigest,
   splitAddress,
   SystemClock,
+  within,
 } from '@citrontrestle/runtime';
 import {AccountBook} from './account_book.js';
 import {ConfigurationTask} from './configuration_task.js';
@@ -25,7 +27,6 @@
 import {ModelWork} from './model_work.js';
 import {OperatorListener} from './operator_listener.js';
 import {ServiceWork} from './service_work.js';
-import {pause, within} from './timing.js';
 import {UpstreamTask} from './upstream_task.js';
 import {WalletTask} from './wallet_task.js';
 import type {
--- a/packages/gateway/src/lib/budget_task.ts
+++ b/packages/gateway/src/lib/budget_task.ts
@@ -1,4 +1,5 @@
 /** Reservations of prepaid tokens, and the writes that supply them. */
+import {partitionOf} from '@citrontrestle/decisions';
 import {BudgetPage} from './budget_page.js';
 import type {Store} from './ports.js';
 import type {Clock, Millis, ShareView} from '@citrontrestle/decisions';
@@ -280,10 +281,6 @@
   }
 
   private pageOf(account: string): BudgetPage {
-    let hash = 0;
-    for (const char of account) {
-      hash = (Math.imul(hash, 31) + char.charCodeAt(0)) >>> 0;
-    }
-    return this.pages[hash % PAGES] as BudgetPage;
+    return this.pages[partitionOf(account, PAGES)] as BudgetPage;
   }
 }
--- a/packages/gateway/src/lib/caller_answer.ts
+++ b/packages/gateway/src/lib/caller_answer.ts
@@ -3,12 +3,9 @@
 import type {Dialect} from './ports.js';
 import type {RefusalReason} from './refusal.js';
 import type {OutgoingHttpHeaders, ServerResponse} from 'node:http';
-import type {Millis} from '@citrontrestle/decisions';
 
 /** Writes the answer to one caller. */
 export class CallerAnswer {
-  private closed = false;
-
   constructor(
     private readonly response: ServerResponse,
     private readonly dialect: Dialect,
@@ -48,33 +45,31 @@
 
   /** Ends a streamed answer as complete. */
   end(): void {
-    this.closed = true;
     this.response.end();
   }
 
   /** Sends a whole answer. */
   send(status: number, headers: OutgoingHttpHeaders, body: Buffer): void {
-    this.closed = true;
     this.response.writeHead(status, this.withClose(headers));
     this.response.end(body);
   }
 
   /** Sends an answer of the gateway's own. */
-  refuse(reason: RefusalReason, retryAfter?: Millis): void {
-    const rule = REFUSALS[reason];
-    const after = retryAfter ?? rule.retryAfter;
+  refuse(reason: RefusalReason): void {
+    const {status, retryAfter} = REFUSALS[reason];
     const body = Buffer.from(JSON.stringify({error: reason}));
     const headers: OutgoingHttpHeaders = {
       'Content-Type': 'application/json',
       'Content-Length': body.length,
-      ...(after === undefined ? {} : this.dialect.retryHeaders(after)),
+      ...(retryAfter === undefined
+        ? {}
+        : this.dialect.retryHeaders(retryAfter)),
     };
-    this.send(rule.status, headers, body);
+    this.send(status, headers, body);
   }
 
   /** Breaks the answer off so that it can't pass for a whole one. */
   breakOff(): void {
-    this.closed = true;
     const {socket} = this.response;
     if (socket === null) {
       this.response.destroy();
@@ -83,11 +78,6 @@
     }
   }
 
-  /** Whether nothing more is written. */
-  isClosed(): boolean {
-    return this.closed;
-  }
-
   private withClose(headers: OutgoingHttpHeaders): OutgoingHttpHeaders {
     return this.closing() ? {...headers, Connection: 'close'} : headers;
   }
--- a/packages/gateway/src/lib/front_server.ts
+++ b/packages/gateway/src/lib/front_server.ts
@@ -1,6 +1,6 @@
 /** The HTTP server towards callers. */
 import {createServer} from 'node:http';
-import {BodyTooLarge, readBody, splitAddress} from '@citrontrestle/runtime';
+import {BodyTooLarge, listenAt, readBody} from '@citrontrestle/runtime';
 import {CallerAnswer} from './caller_answer.js';
 import {RefusalReason} from './refusal.js';
 import type {Dialect} from './ports.js';
@@ -54,11 +54,7 @@
 
   /** Starts to listen on `ip:port`. */
   listen(address: string): Promise<void> {
-    const {host, port} = splitAddress(address);
-    return new Promise((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen({host, port, backlog: BACKLOG}, resolve);
-    });
+    return listenAt(this.server, address, BACKLOG);
   }
 
   /** Puts bounds on callers in force for new connections. */
@@ -72,12 +68,6 @@
     return this.running;
   }
 
-  /** Ends all connections. */
-  stop(): void {
-    this.server.close();
-    this.server.closeAllConnections();
-  }
-
   private async take(
     incoming: IncomingMessage,
     response: ServerResponse,
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -6,7 +6,7 @@
   SECOND,
   UpstreamRegistry,
 } from '@citrontrestle/decisions';
-import {randomId, SteadyClock} from '@citrontrestle/runtime';
+import {pause, randomId, SteadyClock, within} from '@citrontrestle/runtime';
 import {admit, reservationOf} from './admission.js';
 import {BudgetAnswer, BudgetTask} from './budget_task.js';
 import {CrashWatch} from './crash_watch.js';
@@ -213,7 +213,7 @@
       }, STOP_INTERVAL);
     });
     const left = most + STOP_RESERVE / 2 - (this.clock.now() - begun);
-    await Promise.race([this.budgets.returnShares(), pause(left)]);
+    await within(this.budgets.returnShares(), Math.max(0, left));
     await pause(LINK_FLUSH);
     this.parts.log.info('gateway.stopped', {active: this.front.active()});
   }
@@ -369,9 +369,3 @@
     .map(address => address.trim())
     .filter(address => address !== '');
 }
-
-function pause(span: Millis): Promise<void> {
-  return new Promise(resolve => {
-    setTimeout(resolve, Math.max(0, span));
-  });
-}
--- a/packages/gateway/src/lib/gateway_metrics.ts
+++ b/packages/gateway/src/lib/gateway_metrics.ts
@@ -1,6 +1,6 @@
 /** Counters and latency histograms of one gateway, served as text. */
 import {createServer} from 'node:http';
-import {splitAddress} from '@citrontrestle/runtime';
+import {listenAt} from '@citrontrestle/runtime';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 import type {Store} from './ports.js';
 import type {Server} from 'node:http';
@@ -65,11 +65,7 @@
     if (address === undefined) {
       return Promise.resolve();
     }
-    const {host, port} = splitAddress(address);
-    return new Promise((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen({host, port}, resolve);
-    });
+    return listenAt(this.server, address);
   }
 
   /** Counts a request that has its final answer. */
--- a/packages/gateway/src/lib/peer_task.ts
+++ b/packages/gateway/src/lib/peer_task.ts
@@ -54,7 +54,6 @@
 interface Peer {
   heardAt: Millis;
   triedAt: Millis;
-  instance: string;
   leaving: boolean;
 }
 
@@ -62,7 +61,6 @@
 export class PeerTask implements FleetOwner<PeerMessage> {
   private readonly fleet: Fleet<PeerMessage>;
   private readonly peers = new Map<string, Peer>();
-  private timer: NodeJS.Timeout | undefined;
   private readonly self: string;
 
   constructor(
@@ -90,17 +88,11 @@
     this.beatOn();
   }
 
-  /** Ends all links. */
-  stop(): void {
-    clearTimeout(this.timer);
-    this.fleet.stop();
-  }
-
   /** Adds the address of an instance that may run. */
   meet(address: string): void {
     if (address !== this.self && !this.peers.has(address)) {
       const never = -Infinity;
-      const peer = {heardAt: never, triedAt: never, instance: ''};
+      const peer = {heardAt: never, triedAt: never};
       this.peers.set(address, {...peer, leaving: false});
     }
   }
@@ -170,7 +162,6 @@
       this.log.info('peer.heard', {peer: from.address, holder: from.holder});
     }
     if (message.kind === PeerMessageKind.Beat) {
-      peer.instance = message.instance;
       peer.leaving = message.leaving;
       message.members.forEach(address => this.meet(address));
     }
@@ -181,7 +172,7 @@
   private beatOn(): void {
     this.beat();
     const span = Math.max(BEAT_INTERVAL, BEAT_PAUSE * this.peers.size);
-    this.timer = setTimeout(() => this.beatOn(), span);
+    setTimeout(() => this.beatOn(), span);
   }
 
   private retry(
--- a/packages/gateway/src/lib/ready_server.ts
+++ b/packages/gateway/src/lib/ready_server.ts
@@ -1,6 +1,6 @@
 /** Tells the balancer whether the instance takes new connections. */
 import {createServer} from 'node:http';
-import {splitAddress} from '@citrontrestle/runtime';
+import {listenAt} from '@citrontrestle/runtime';
 import type {Server} from 'node:http';
 
 /** Answers 200 while the instance is ready, else 503. */
@@ -17,16 +17,6 @@
 
   /** Starts to listen on `ip:port`. */
   listen(address: string): Promise<void> {
-    const {host, port} = splitAddress(address);
-    return new Promise((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen({host, port}, resolve);
-    });
-  }
-
-  /** Ends all connections. */
-  stop(): void {
-    this.server.close();
-    this.server.closeAllConnections();
+    return listenAt(this.server, address);
   }
 }
--- a/packages/gateway/src/lib/state_task.ts
+++ b/packages/gateway/src/lib/state_task.ts
@@ -69,22 +69,11 @@
     this.upstreamFeed.start();
   }
 
-  /** Ends. */
-  stop(): void {
-    this.configurationFeed.stop();
-    this.upstreamFeed.stop();
-  }
-
   /** The configuration in force as it stands in the store. */
   configurationValue(): Buffer | undefined {
     return this.value;
   }
 
-  /** Time since the store answered last. */
-  storeSilence(): Millis {
-    return this.upstreamFeed.silence();
-  }
-
   /** Takes a configuration from the store or from a peer. */
   takeConfiguration(value: Buffer, source: string): void {
     const decoded = this.dialect.configuration(value);
--- a/packages/gateway/src/lib/store_feed.ts
+++ b/packages/gateway/src/lib/store_feed.ts
@@ -1,4 +1,5 @@
 /** Follows one prefix of the store: lists it, then watches it. */
+import {pause} from '@citrontrestle/runtime';
 import {StoreOutcome} from './ports.js';
 import type {Store, StoreEvent, StoreItem} from './ports.js';
 import type {Clock, Millis} from '@citrontrestle/decisions';
@@ -21,9 +22,8 @@
 /** Longest pause after failed calls. */
 const PAUSE_MOST: Millis = 800;
 
-/** Follows one prefix until it is stopped. */
+/** Follows one prefix as long as the process runs. */
 export class StoreFeed {
-  private stopped = false;
   private failures = 0;
   private answeredAt: Millis;
   private restoredAt: Millis = -Infinity;
@@ -43,11 +43,6 @@
     void this.follow();
   }
 
-  /** Ends; a call that runs is left alone. */
-  stop(): void {
-    this.stopped = true;
-  }
-
   /** Time since the store answered last. */
   silence(): Millis {
     return this.clock.now() - this.answeredAt;
@@ -59,7 +54,7 @@
   }
 
   private async follow(): Promise<void> {
-    while (!this.stopped) {
+    for (;;) {
       const revision = await this.list();
       if (revision !== undefined) {
         await this.watch(revision);
@@ -81,7 +76,7 @@
   /** Watches from a revision until the history is gone. */
   private async watch(from: number): Promise<void> {
     let after = from;
-    while (!this.stopped) {
+    for (;;) {
       // After a failure the store is only asked whether it is back.
       const wait = this.failures > 0 ? 0 : WATCH_WAIT;
       const reading = await this.store.watch(this.prefix, after, wait);
@@ -116,9 +111,7 @@
     if (this.failures === 1) {
       this.log.warn('store.lost', {prefix: this.prefix, reason});
     }
-    const pause = PAUSE_FIRST * 2 ** Math.min(10, this.failures - 1);
-    await new Promise(resolve => {
-      setTimeout(resolve, Math.min(PAUSE_MOST, pause));
-    });
+    const span = PAUSE_FIRST * 2 ** Math.min(10, this.failures - 1);
+    await pause(Math.min(PAUSE_MOST, span));
   }
 }
--- a/packages/gateway/src/lib/upstream_call.ts
+++ b/packages/gateway/src/lib/upstream_call.ts
@@ -192,6 +192,9 @@
 /** Least status of a final answer. */
 const LEAST_STATUS = 200;
 
+/** Least status above those of a success. */
+const LEAST_REDIRECT = 300;
+
 /** Methods whose requests usually have no body. */
 const BODILESS = new Set(['GET', 'HEAD', 'DELETE', 'OPTIONS']);
 
@@ -210,6 +213,6 @@
   if (head.encoded) {
     return 'encoded body';
   }
-  const success = status >= 200 && status < 300;
+  const success = status < LEAST_REDIRECT;
   return success && !head.sealed ? 'success without a seal' : undefined;
 }
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -8,3 +8,4 @@
 export * from './lib/random.js';
 export * from './lib/settings.js';
 export * from './lib/system_clock.js';
+export * from './lib/timing.js';
--- a/packages/runtime/src/lib/listener.ts
+++ b/packages/runtime/src/lib/listener.ts
@@ -1,5 +1,6 @@
 /** An HTTP listener with bounds on what it reads. */
 import {createServer} from 'node:http';
+import {splitAddress} from './http.js';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import type {Millis} from '@citrontrestle/decisions';
@@ -16,6 +17,19 @@
 /** Interval in which idle connections are closed while draining. */
 const SWEEP_INTERVAL: Millis = 50;
 
+/** Lets a server listen on an address given as `ip:port`. */
+export function listenAt(
+  server: Server,
+  address: string,
+  backlog?: number,
+): Promise<void> {
+  const options = {...splitAddress(address), backlog};
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(options, resolve);
+  });
+}
+
 /** An HTTP listener on one address. */
 export class Listener {
   private readonly server: Server;
