--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -23,6 +23,7 @@
 export * from './lib/search.js';
 export * from './lib/silence.js';
 export * from './lib/suspects.js';
+export * from './lib/topology.js';
 export * from './lib/upstream_registry.js';
 export * from './lib/upstreams.js';
 export * from './lib/waiting_line.js';
--- a/packages/decisions/src/lib/placement.ts
+++ b/packages/decisions/src/lib/placement.ts
@@ -207,15 +207,15 @@
     }
   }
 
-  /** Own requests in flight, by upstream. */
-  ownLoad(): Map<string, UpstreamLoad> {
-    const loads = new Map<string, UpstreamLoad>();
-    for (const [id, {own}] of this.states) {
-      if (own.running > 0) {
-        loads.set(id, own);
-      }
-    }
-    return loads;
+  /** What this instance and some peers have in flight, by upstream. */
+  loadOf(peers: readonly string[], now: Millis): Map<string, UpstreamLoad> {
+    const named = new Set(peers);
+    return this.sum(peer => named.has(peer), now);
+  }
+
+  /** What this instance and all peers but one have in flight, by upstream. */
+  loadWithout(peer: string, now: Millis): Map<string, UpstreamLoad> {
+    return this.sum(one => one !== peer, now);
   }
 
   /** Forgets upstreams that `isListed` doesn't know and that are idle. */
@@ -227,13 +227,33 @@
     }
   }
 
+  private sum(
+    counts: (peer: string) => boolean,
+    now: Millis,
+  ): Map<string, UpstreamLoad> {
+    const loads = new Map<string, UpstreamLoad>();
+    for (const [id, state] of this.states) {
+      const total = {...state.own};
+      for (const [peer, {load, at}] of state.peers) {
+        if (counts(peer) && now - at < PEER_LOAD_MEMORY) {
+          total.running += load.running;
+          total.reading += load.reading;
+        }
+      }
+      if (total.running > 0) {
+        loads.set(id, total);
+      }
+    }
+    return loads;
+  }
+
   private cost(
     upstream: UpstreamListing,
     reading: Millis,
     view: PlacementView,
   ): Millis {
     const state = this.of(upstream.id);
-    const load = this.loadOf(state, view.now);
+    const load = this.estimatedLoad(state, view.now);
     const ahead = READ_WEIGHT * reading + load.reading;
     const zone = upstream.zone === view.zone ? 0 : ZONE_COST;
     const full = Math.max(0, load.running + 1 - upstream.slots) * WAITING_COST;
@@ -241,7 +261,7 @@
     return ahead + load.running * each + full + zone;
   }
 
-  private loadOf(state: State, now: Millis): UpstreamLoad {
+  private estimatedLoad(state: State, now: Millis): UpstreamLoad {
     const total = {...state.own};
     for (const {load, at} of state.peers.values()) {
       if (now - at < PEER_LOAD_MEMORY) {
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -50,6 +50,12 @@
 /** Body bound before a configuration is known, in bytes. */
 const FIRST_BODY_BYTES = 4 * 1024 * 1024;
 
+/** Longest silence that peers are told of. */
+const MOST_SILENCE: Millis = 3_600_000;
+
+/** Capacity of a whole core, and of a link of 100 Mbit/s. */
+const FULL_CAPACITY = 100;
+
 /** What a gateway runs with. */
 export interface GatewayParts {
   settings: GatewaySettings;
@@ -93,6 +99,9 @@
       {
         configured: () => this.configured(),
         gone: upstream => this.suspects.down(upstream),
+        learned: (news, after, lapsed) =>
+          this.exchange.pushUpstreams(news, after, lapsed),
+        feedMode: () => this.exchange.feedMode(),
       },
     );
     this.peers = new PeerTask(
@@ -100,6 +109,7 @@
         holder,
         instance,
         zone,
+        capacity: capacityOf(settings),
         address: peers.listen,
         seeds: addressesOf(peers.seeds),
         key: peers.key,
@@ -109,6 +119,7 @@
       {
         content: () => this.content(),
         heard: (from, message) => this.exchange.take(from, message),
+        parted: address => this.exchange.parted(address),
       },
     );
     this.budgets = new BudgetTask(holder, instance, store, clock, log, {
@@ -132,10 +143,10 @@
       crashed: (fingerprint, upstream) => {
         log.warn('request.crashed-upstream', {fingerprint, upstream});
         const kind = PeerMessageKind.Suspect;
-        this.peers.tellAll({kind, fingerprint, upstream});
+        this.peers.spread({kind, fingerprint, upstream});
       },
       cleared: fingerprint => {
-        this.peers.tellAll({kind: PeerMessageKind.Cleared, fingerprint});
+        this.peers.spread({kind: PeerMessageKind.Cleared, fingerprint});
       },
     });
     this.exchange = new PeerExchange({
@@ -285,9 +296,16 @@
       version: this.table.version(),
       revision: this.registry.revision(),
       leaving: this.stoppingAt !== undefined,
+      storeSilence: this.storeSilence(),
     };
   }
 
+  /** Time since the store answered this instance or its relay. */
+  private storeSilence(): Millis {
+    const relayed = this.peers.relayStoreSilence() ?? MOST_SILENCE;
+    return Math.min(MOST_SILENCE, relayed, this.state.storeSilence());
+  }
+
   private configured(): void {
     const configuration = this.table.configuration();
     if (configuration !== undefined) {
@@ -298,7 +316,7 @@
   }
 
   private instances(): number {
-    return 1 + this.peers.live().length;
+    return this.peers.count();
   }
 
   private prune(): void {
@@ -369,3 +387,10 @@
     .map(address => address.trim())
     .filter(address => address !== '');
 }
+
+/** What the machine can carry, by what is scarcer: processor or link. */
+function capacityOf({machine}: GatewaySettings): number {
+  const {processorShare, cores, linkMbps} = machine;
+  const processor = FULL_CAPACITY * processorShare * cores;
+  return Math.round(Math.min(processor, linkMbps));
+}
--- a/packages/gateway/src/lib/peer_exchange.ts
+++ b/packages/gateway/src/lib/peer_exchange.ts
@@ -1,4 +1,6 @@
 /** What the gateways tell each other, and what each makes of it. */
+import {deflateRawSync, inflateRawSync} from 'node:zlib';
+import {FeedMode} from './store_feed.js';
 import {PeerMessageKind} from './peer_message.js';
 import type {BudgetTask} from './budget_task.js';
 import type {CrashWatch} from './crash_watch.js';
@@ -10,6 +12,8 @@
   Millis,
   Placement,
   RouteTable,
+  UpstreamLoad,
+  UpstreamNews,
   UpstreamRegistry,
 } from '@citrontrestle/decisions';
 import type {Log} from '@citrontrestle/runtime';
@@ -44,17 +48,36 @@
 /** Interval of news of load for each instance that must be told. */
 const LOAD_PAUSE: Millis = 12;
 
+/** Messages of load that are sent once more when nothing has changed. */
+const LOAD_REPEATS = 1;
+
+/** Peers that are asked for tokens at once, at most. */
+const MOST_ASKED = 16;
+
+/** Age of what a relay saw of the store after which it is not relied on. */
+const RELAYED_STORE_SILENCE: Millis = 1_500;
+
+/** Largest configuration that is taken from a peer, in bytes. */
+const MOST_CONFIGURATION_BYTES = 16 * 1024 * 1024;
+
+/** What was last told to a peer of placed load. */
+interface ToldLoad {
+  text: string;
+  repeats: number;
+}
+
 /** The exchange of one gateway with the others. */
 export class PeerExchange {
-  private toldLoad = '';
-  private loadRepeats = 0;
+  private readonly toldLoads = new Map<string, ToldLoad>();
+  private compressed:
+    {value: Buffer; bytes: Uint8Array<ArrayBuffer>} | undefined;
   private readonly handlers: Handlers = {
     [PeerMessageKind.Beat]: (message, from) => this.takeBeat(message, from),
     [PeerMessageKind.Load]: (message, from) => this.takeLoad(message, from),
     [PeerMessageKind.ConfigurationAsk]: (_message, from) =>
       this.giveConfiguration(from),
     [PeerMessageKind.ConfigurationGive]: ({value}, from) =>
-      this.parts.state.takeConfiguration(Buffer.from(value), from),
+      this.takeConfiguration(value, from),
     [PeerMessageKind.UpstreamsAsk]: (_message, from) =>
       this.giveUpstreams(from),
     [PeerMessageKind.UpstreamsGive]: (message, from) =>
@@ -63,10 +86,14 @@
       this.giveTokens(from, account, tokens),
     [PeerMessageKind.TokensGive]: ({account, tokens}) =>
       this.parts.budgets.receive(account, tokens),
-    [PeerMessageKind.Suspect]: ({fingerprint, upstream}) =>
-      this.parts.suspects.heard(fingerprint, upstream),
-    [PeerMessageKind.Cleared]: ({fingerprint}) =>
-      this.parts.suspects.heardAnswered(fingerprint),
+    [PeerMessageKind.Suspect]: (message, from) => {
+      this.parts.suspects.heard(message.fingerprint, message.upstream);
+      this.parts.peers.passOn(from, message);
+    },
+    [PeerMessageKind.Cleared]: (message, from) => {
+      this.parts.suspects.heardAnswered(message.fingerprint);
+      this.parts.peers.passOn(from, message);
+    },
   };
 
   constructor(private readonly parts: ExchangeParts) {}
@@ -78,10 +105,41 @@
     handle(message, from);
   }
 
-  /** Asks all peers for tokens. */
+  /** Asks some peers for tokens. */
   askTokens(account: string, tokens: number): void {
+    const {peers} = this.parts;
     const kind = PeerMessageKind.TokensAsk;
-    this.parts.peers.tellAll({kind, account, tokens: Math.ceil(tokens)});
+    const asked = pickSome(peers.live(), MOST_ASKED);
+    for (const address of asked) {
+      peers.send(address, {kind, account, tokens: Math.ceil(tokens)});
+    }
+  }
+
+  /** How closely this instance has to follow the store itself. */
+  feedMode(): FeedMode {
+    const {peers} = this.parts;
+    const {relay, followers} = peers.partners();
+    if (followers.length > 0) {
+      return FeedMode.Relay;
+    }
+    const silence = peers.relayStoreSilence() ?? Infinity;
+    const relied = relay !== undefined && silence < RELAYED_STORE_SILENCE;
+    return relied ? FeedMode.Off : FeedMode.Own;
+  }
+
+  /** Passes news of upstreams on to those who rely on this instance. */
+  pushUpstreams(news: UpstreamNews[], after: number, lapsed: boolean): void {
+    const {peers} = this.parts;
+    const kind = PeerMessageKind.UpstreamsGive;
+    for (const address of peers.partners().followers) {
+      peers.send(address, {kind, news, after, lapsed});
+    }
+  }
+
+  /** Forgets what a peer told that is no longer a partner. */
+  parted(address: string): void {
+    this.toldLoads.delete(address);
+    this.parts.placement.peerLoad(address, new Map(), this.parts.clock.now());
   }
 
   /** Gives tokens to one of the peers that run; false if there is none. */
@@ -96,10 +154,28 @@
     return true;
   }
 
-  /** Tells the peers from time to time what this instance has placed. */
+  /** Tells the partners from time to time what is placed where. */
   tellLoad(): void {
-    const {placement, peers} = this.parts;
-    const loads = [...placement.ownLoad()].map(
+    const {placement, peers, clock} = this.parts;
+    const {relay, followers, equals} = peers.partners();
+    const now = clock.now();
+    const below = placement.loadOf(followers, now);
+    for (const address of relay === undefined ? equals : [relay]) {
+      this.tellLoadTo(address, below);
+    }
+    for (const address of followers) {
+      this.tellLoadTo(address, placement.loadWithout(address, now));
+    }
+    const partners = followers.length + equals.length;
+    const span = Math.max(LOAD_INTERVAL, LOAD_PAUSE * partners);
+    setTimeout(() => this.tellLoad(), span);
+  }
+
+  private tellLoadTo(
+    address: string,
+    load: ReadonlyMap<string, UpstreamLoad>,
+  ): void {
+    const loads = [...load].map(
       ([id, {running, reading}]): [string, number, number] => [
         id,
         running,
@@ -107,14 +183,13 @@
       ],
     );
     const text = JSON.stringify(loads);
-    if (text !== this.toldLoad || this.loadRepeats > 0) {
-      this.loadRepeats = text === this.toldLoad ? this.loadRepeats - 1 : 1;
-      this.toldLoad = text;
-      peers.tellAll({kind: PeerMessageKind.Load, loads});
+    const told = this.toldLoads.get(address);
+    const changed = text !== told?.text;
+    if (changed || told.repeats > 0) {
+      const repeats = changed ? LOAD_REPEATS : told.repeats - 1;
+      this.toldLoads.set(address, {text, repeats});
+      this.parts.peers.send(address, {kind: PeerMessageKind.Load, loads});
     }
-    const instances = 1 + peers.live().length;
-    const span = Math.max(LOAD_INTERVAL, LOAD_PAUSE * instances);
-    setTimeout(() => this.tellLoad(), span);
   }
 
   private takeBeat(
@@ -142,27 +217,54 @@
 
   private giveConfiguration(to: string): void {
     const value = this.parts.state.configurationValue();
-    if (value !== undefined) {
-      const kind = PeerMessageKind.ConfigurationGive;
-      this.parts.peers.send(to, {kind, value: Uint8Array.from(value)});
+    if (value === undefined) {
+      return;
+    }
+    if (this.compressed?.value !== value) {
+      const bytes = Uint8Array.from(deflateRawSync(value));
+      this.compressed = {value, bytes};
+    }
+    const kind = PeerMessageKind.ConfigurationGive;
+    this.parts.peers.send(to, {kind, value: this.compressed.bytes});
+  }
+
+  private takeConfiguration(bytes: Uint8Array, from: string): void {
+    const {state, log} = this.parts;
+    try {
+      const maxOutputLength = MOST_CONFIGURATION_BYTES;
+      state.takeConfiguration(inflateRawSync(bytes, {maxOutputLength}), from);
+    } catch (error) {
+      const reason = error instanceof Error ? error.message : String(error);
+      log.error('configuration.unreadable', {source: from, reason});
     }
   }
 
   private giveUpstreams(to: string): void {
-    const news = this.parts.registry.news();
-    this.parts.peers.send(to, {kind: PeerMessageKind.UpstreamsGive, news});
+    const {registry, state, peers} = this.parts;
+    peers.send(to, {
+      kind: PeerMessageKind.UpstreamsGive,
+      news: registry.news(),
+      after: WHOLE_LIST,
+      lapsed: state.lapsed(),
+    });
   }
 
   private takeUpstreams(
-    message: MessageOf<PeerMessageKind.UpstreamsGive>,
+    {news, after, lapsed}: MessageOf<PeerMessageKind.UpstreamsGive>,
     from: string,
   ): void {
-    const news = message.news.map(({id, revision, listing}) => ({
+    const {registry, state, peers} = this.parts;
+    if (after > registry.revision()) {
+      // Something between was missed: later news would hide it.
+      peers.send(from, {kind: PeerMessageKind.UpstreamsAsk});
+      return;
+    }
+    const taken = news.map(({id, revision, listing}) => ({
       id,
       revision,
       listing,
     }));
-    this.parts.state.takeNews(news, from);
+    state.takeNews(taken, from, lapsed);
   }
 
   private giveTokens(to: string, account: string, tokens: number): void {
@@ -175,3 +277,17 @@
     }
   }
 }
+
+/** Marks news that are a whole list. */
+const WHOLE_LIST = -1;
+
+/** Up to `most` of some addresses, by chance. */
+function pickSome(addresses: string[], most: number): string[] {
+  const left = [...addresses];
+  const picked: string[] = [];
+  while (picked.length < most && left.length > 0) {
+    const index = Math.floor(Math.random() * left.length);
+    picked.push(...left.splice(index, 1));
+  }
+  return picked;
+}
--- a/packages/gateway/src/lib/peer_message.ts
+++ b/packages/gateway/src/lib/peer_message.ts
@@ -21,6 +21,15 @@
 const name = z.string().max(MOST_NAME);
 const tokens = z.number().int().nonnegative();
 
+const member = z.object({
+  address: name,
+  zone: name,
+  capacity: z.number(),
+  leaving: z.boolean(),
+  /** Milliseconds since the sender knew it to run. */
+  age: z.number(),
+});
+
 const listing = z.object({
   id: name,
   service: name,
@@ -42,8 +51,18 @@
     /** Newest revision of the list of upstreams. */
     revision: z.number(),
     leaving: z.boolean(),
-    /** Addresses of instances heard lately. */
-    members: z.array(name).max(MOST_MEMBERS),
+    capacity: z.number(),
+    /** Milliseconds since the store answered the sender. */
+    storeSilence: z.number(),
+    /** Whether the sender takes the receiver as its relay. */
+    follows: z.boolean(),
+    /** Whether the sender relays news of its zone to the receiver. */
+    relays: z.boolean(),
+    /** Whether the sender wants to know the members. */
+    asks: z.boolean(),
+    /** Instances that run, in the sender's view. */
+    count: z.number().int().positive(),
+    members: z.array(member).max(MOST_MEMBERS),
   }),
   z.object({
     kind: z.literal(PeerMessageKind.Load),
@@ -53,12 +72,16 @@
   z.object({kind: z.literal(PeerMessageKind.ConfigurationAsk)}),
   z.object({
     kind: z.literal(PeerMessageKind.ConfigurationGive),
-    /** The value as it stands in the store. */
+    /** The value as it stands in the store, compressed. */
     value: z.instanceof(Uint8Array),
   }),
   z.object({kind: z.literal(PeerMessageKind.UpstreamsAsk)}),
   z.object({
     kind: z.literal(PeerMessageKind.UpstreamsGive),
+    /** Revision of the sender's list before the news; -1 for a whole list. */
+    after: z.number(),
+    /** Whether the store was away shortly before. */
+    lapsed: z.boolean(),
     news: z.array(
       z.object({
         id: name,
--- a/packages/gateway/src/lib/peer_task.ts
+++ b/packages/gateway/src/lib/peer_task.ts
@@ -1,10 +1,11 @@
 /** Links to the other gateways: who lives, and what each has to tell. */
+import {MEMBER_SILENCE, Topology} from '@citrontrestle/decisions';
 import {Fleet} from '@citrontrestle/fleet';
 import {splitAddress} from '@citrontrestle/runtime';
 import {PEER_MESSAGE_SCHEMA, PeerMessageKind} from './peer_message.js';
 import type {PeerMessage} from './peer_message.js';
 import type {FleetOwner, Identity} from '@citrontrestle/fleet';
-import type {Clock, Millis} from '@citrontrestle/decisions';
+import type {Clock, Exchange, Millis} from '@citrontrestle/decisions';
 import type {Log} from '@citrontrestle/runtime';
 
 /** What an instance tells in its beats. */
@@ -12,6 +13,8 @@
   version: number;
   revision: number;
   leaving: boolean;
+  /** Time since the store answered. */
+  storeSilence: Millis;
 }
 
 /** What the task needs of its owner. */
@@ -19,6 +22,8 @@
   content(): BeatContent;
   /** A message of the peer at an address. */
   heard(from: string, message: PeerMessage): void;
+  /** No news are exchanged with a peer any more. */
+  parted(address: string): void;
 }
 
 /** Settings of the links between instances. */
@@ -26,6 +31,8 @@
   holder: string;
   instance: string;
   zone: string;
+  /** What the machine can carry, compared with the others. */
+  capacity: number;
   /** Own address as `ip:port`. */
   address: string;
   /** Addresses of some instances as `ip:port`. */
@@ -33,35 +40,35 @@
   key: string;
 }
 
-/** Least interval of beats to each peer. */
+type Beat = Extract<PeerMessage, {kind: PeerMessageKind.Beat}>;
+
+/** Interval of beats to each peer. */
 const BEAT_INTERVAL: Millis = 300;
 
-/** Interval of beats for each peer that must be told. */
-const BEAT_PAUSE: Millis = 10;
+/** Interval in which a peer is told who else runs. */
+const MEMBERS_INTERVAL: Millis = 1_000;
 
 /** Silence after which a link is opened anew. */
 const LINK_SILENCE: Millis = 1_500;
 
-/** Silence after which a peer counts as not running. */
-const PEER_SILENCE: Millis = 4_000;
-
-/** Interval in which addresses that were never heard are tried. */
+/** Interval in which addresses that are silent are tried. */
 const SEED_INTERVAL: Millis = 1_500;
 
-/** Silence after which an address is forgotten. */
-const ADDRESS_MEMORY: Millis = 30_000;
-
-interface Peer {
-  heardAt: Millis;
-  triedAt: Millis;
-  leaving: boolean;
+/** What a relay said of its view. */
+interface RelayView {
+  count: number;
+  storeSilence: Millis;
+  at: Millis;
 }
 
 /** Keeps in touch with the other instances. */
 export class PeerTask implements FleetOwner<PeerMessage> {
   private readonly fleet: Fleet<PeerMessage>;
-  private readonly peers = new Map<string, Peer>();
-  private readonly self: string;
+  private readonly topology: Topology;
+  private readonly triedAt = new Map<string, Millis>();
+  private readonly toldAt = new Map<string, Millis>();
+  private readonly relayViews = new Map<string, RelayView>();
+  private exchange: Exchange = {relay: undefined, followers: [], equals: []};
 
   constructor(
     private readonly settings: PeerSettings,
@@ -69,8 +76,8 @@
     private readonly log: Log,
     private readonly owner: PeerOwner,
   ) {
-    const {holder, zone, key, address} = settings;
-    this.self = address;
+    const {holder, zone, key, address, capacity} = settings;
+    this.topology = new Topology({address, zone, capacity, leaving: false});
     this.fleet = new Fleet(
       {holder, zone, key, ...splitAddress(address)},
       PEER_MESSAGE_SCHEMA,
@@ -82,41 +89,39 @@
   /** Starts to take links and to beat. */
   async start(): Promise<void> {
     await this.fleet.start();
-    for (const seed of this.settings.seeds) {
-      this.meet(seed);
-    }
     this.beatOn();
   }
 
-  /** Adds the address of an instance that may run. */
-  meet(address: string): void {
-    if (address !== this.self && !this.peers.has(address)) {
-      const never = -Infinity;
-      const peer = {heardAt: never, triedAt: never};
-      this.peers.set(address, {...peer, leaving: false});
-    }
+  /** With whom news are exchanged now. */
+  partners(): Exchange {
+    return this.exchange;
   }
 
-  /** Addresses of the peers that run. */
+  /** Addresses of peers that run, as far as this instance knows them. */
   live(): string[] {
-    const now = this.clock.now();
-    const live: string[] = [];
-    for (const [address, peer] of this.peers) {
-      if (now - peer.heardAt < PEER_SILENCE) {
-        live.push(address);
-      }
-    }
-    return live;
+    return this.topology.live(this.clock.now()).map(one => one.address);
+  }
+
+  /** Instances that run, with this one. */
+  count(): number {
+    const view = this.relayView();
+    return view?.count ?? 1 + this.live().length;
+  }
+
+  /** Time since the relay heard the store; undefined without a relay. */
+  relayStoreSilence(): Millis | undefined {
+    const view = this.relayView();
+    return view && view.storeSilence + this.clock.now() - view.at;
   }
 
   /** Addresses of the peers that were just heard and don't stop. */
   staying(): string[] {
     const now = this.clock.now();
-    return this.live().filter(address => {
-      const peer = this.peers.get(address);
-      const silence = now - (peer?.heardAt ?? -Infinity);
-      return peer?.leaving === false && silence < LINK_SILENCE;
-    });
+    return this.topology
+      .live(now)
+      .filter(({leaving}) => !leaving)
+      .map(({address}) => address)
+      .filter(address => this.topology.silence(address, now) < LINK_SILENCE);
   }
 
   /** Sends a message to one peer; it may be lost. */
@@ -124,9 +129,22 @@
     this.fleet.send(address, message);
   }
 
-  /** Sends a message to all peers that run. */
-  tellAll(message: PeerMessage): void {
-    for (const address of this.live()) {
+  /** Sends a message that all instances are to have; it may be lost. */
+  spread(message: PeerMessage): void {
+    const {relay, followers, equals} = this.exchange;
+    const above = relay === undefined ? [] : [relay];
+    for (const address of [...above, ...followers, ...equals]) {
+      this.fleet.send(address, message);
+    }
+  }
+
+  /** Passes a message that is to reach all instances on to the next ones. */
+  passOn(from: string, message: PeerMessage): void {
+    const {relay, followers, equals} = this.exchange;
+    const fromBelow = followers.includes(from);
+    const above = relay === undefined ? [] : [relay];
+    const next = fromBelow ? [...above, ...followers, ...equals] : followers;
+    for (const address of next.filter(one => one !== from)) {
       this.fleet.send(address, message);
     }
   }
@@ -134,70 +152,142 @@
   /** Sends a beat now, as when the state has changed. */
   beat(): void {
     const now = this.clock.now();
-    const message = this.beatMessage();
-    for (const [address, peer] of this.peers) {
-      const silence = now - peer.heardAt;
-      if (silence > ADDRESS_MEMORY && peer.heardAt !== -Infinity) {
-        this.peers.delete(address);
-        continue;
-      }
-      if (silence > LINK_SILENCE) {
-        this.retry(address, peer, message, now);
+    const content = this.owner.content();
+    if (content.leaving) {
+      this.topology.leave();
+    }
+    this.rewire(now);
+    const {relay, followers, equals} = this.exchange;
+    const above = relay === undefined ? [] : [relay];
+    const partners = new Set([...above, ...followers, ...equals]);
+    for (const address of partners) {
+      const silent = this.topology.silence(address, now) > LINK_SILENCE;
+      if (silent) {
+        this.retry(address, content, now);
       } else {
-        this.fleet.send(address, message);
+        this.tell(address, content, now, false);
+      }
+    }
+    for (const address of this.toMeet()) {
+      if (!partners.has(address)) {
+        this.retry(address, content, now);
       }
     }
   }
 
   /** Called by the links. */
   message(from: Identity, message: PeerMessage): void {
-    this.meet(from.address);
-    const peer = this.peers.get(from.address);
-    if (peer === undefined) {
-      return;
+    const {address, zone} = from;
+    if (message.kind === PeerMessageKind.Beat) {
+      this.takeBeat(address, zone, from.holder, message);
     }
-    const silence = this.clock.now() - peer.heardAt;
-    peer.heardAt = this.clock.now();
-    if (silence > PEER_SILENCE) {
-      this.log.info('peer.heard', {peer: from.address, holder: from.holder});
+    this.owner.heard(address, message);
+  }
+
+  private takeBeat(
+    address: string,
+    zone: string,
+    holder: string,
+    beat: Beat,
+  ): void {
+    const now = this.clock.now();
+    const {capacity, leaving, follows, relays, asks} = beat;
+    if (this.topology.silence(address, now) > MEMBER_SILENCE) {
+      this.log.info('peer.heard', {peer: address, holder});
     }
-    if (message.kind === PeerMessageKind.Beat) {
-      peer.leaving = message.leaving;
-      message.members.forEach(address => this.meet(address));
+    const news = {address, zone, capacity, leaving, follows, relays};
+    this.topology.heard(news, now);
+    beat.members.forEach(one => this.topology.vouched(one, now));
+    const {count, storeSilence} = beat;
+    this.relayViews.set(address, {count, storeSilence, at: now});
+    if (asks) {
+      this.toldAt.delete(address);
+      this.tell(address, this.owner.content(), now, false, zone);
     }
-    this.owner.heard(from.address, message);
   }
 
-  /** Beats now and then again, less often with more peers. */
+  /** Beats now and then again. */
   private beatOn(): void {
     this.beat();
-    const span = Math.max(BEAT_INTERVAL, BEAT_PAUSE * this.peers.size);
-    setTimeout(() => this.beatOn(), span);
+    setTimeout(() => this.beatOn(), BEAT_INTERVAL);
   }
 
-  private retry(
-    address: string,
-    peer: Peer,
-    message: PeerMessage,
-    now: Millis,
-  ): void {
-    if (now - peer.triedAt < SEED_INTERVAL) {
+  /** Chooses the partners anew. */
+  private rewire(now: Millis): void {
+    const before = this.exchange;
+    const next = this.topology.choose(now);
+    this.exchange = next;
+    if (before.relay !== next.relay) {
+      const {relay} = next;
+      const instances = this.count();
+      this.log.info('peer.relay', {relay, before: before.relay, instances});
+    }
+    const kept = new Set([...next.followers, ...next.equals, next.relay]);
+    const {relay, followers, equals} = before;
+    for (const address of [...followers, ...equals, relay]) {
+      if (address !== undefined && !kept.has(address)) {
+        this.relayViews.delete(address);
+        this.owner.parted(address);
+      }
+    }
+  }
+
+  /** Addresses that are tried though they are not heard. */
+  private toMeet(): string[] {
+    const {relay} = this.exchange;
+    if (relay !== undefined && this.relayView() !== undefined) {
+      return [];
+    }
+    const {zone, seeds, address} = this.settings;
+    const now = this.clock.now();
+    const near = this.topology.live(now).filter(one => one.zone === zone);
+    return [...seeds, ...near.map(one => one.address)].filter(
+      one =>
+        one !== address && this.topology.silence(one, now) > LINK_SILENCE,
+    );
+  }
+
+  private retry(address: string, content: BeatContent, now: Millis): void {
+    const triedAt = this.triedAt.get(address) ?? -Infinity;
+    if (now - triedAt < SEED_INTERVAL) {
       return;
     }
-    peer.triedAt = now;
+    this.triedAt.set(address, now);
     this.fleet.drop(address, 'silent');
-    this.fleet.send(address, message);
+    this.tell(address, content, now, true);
   }
 
-  private beatMessage(): PeerMessage {
-    const {version, revision, leaving} = this.owner.content();
-    return {
+  private tell(
+    address: string,
+    content: BeatContent,
+    now: Millis,
+    asks: boolean,
+    zone = this.settings.zone,
+  ): void {
+    const {relay, equals} = this.exchange;
+    const due =
+      now - (this.toldAt.get(address) ?? -Infinity) >= MEMBERS_INTERVAL;
+    if (due) {
+      this.toldAt.set(address, now);
+    }
+    const {instance, capacity} = this.settings;
+    this.fleet.send(address, {
       kind: PeerMessageKind.Beat,
-      instance: this.settings.instance,
-      version,
-      revision,
-      leaving,
-      members: this.live(),
-    };
+      instance,
+      capacity,
+      ...content,
+      follows: address === relay,
+      relays: equals.includes(address),
+      asks,
+      count: this.count(),
+      members: due ? this.topology.known(now, zone) : [],
+    });
+  }
+
+  private relayView(): RelayView | undefined {
+    const {relay} = this.exchange;
+    const view = relay === undefined ? undefined : this.relayViews.get(relay);
+    const fresh = view && this.clock.now() - view.at < MEMBER_SILENCE;
+    return fresh ? view : undefined;
   }
 }
--- a/packages/gateway/src/lib/settings.ts
+++ b/packages/gateway/src/lib/settings.ts
@@ -25,6 +25,17 @@
     key: name,
   }),
   store: z.object({address}),
+  /** What the machine offers; instances with more relay for the others. */
+  machine: z
+    .object({
+      /** Part of a core. */
+      processorShare: amount.default(1),
+      /** Speed of the core against the usual one. */
+      cores: amount.default(1),
+      /** Bandwidth of its link in Mbit/s. */
+      linkMbps: amount.default(1_000),
+    })
+    .prefault({}),
   stop: z.object({
     /** Time from SIGTERM to SIGKILL in seconds. */
     graceSeconds: amount,
--- a/packages/gateway/src/lib/state_task.ts
+++ b/packages/gateway/src/lib/state_task.ts
@@ -1,6 +1,6 @@
 /** Follows configuration and upstreams: from the store, and from the peers. */
 import {NewsOutcome} from '@citrontrestle/decisions';
-import {StoreFeed} from './store_feed.js';
+import {FeedMode, StoreFeed} from './store_feed.js';
 import type {Dialect, Store, StoreEvent, StoreItem} from './ports.js';
 import type {
   Clock,
@@ -17,6 +17,10 @@
   configured(): void;
   /** An upstream is gone without having said that it leaves. */
   gone(upstream: string): void;
+  /** News of upstreams that were not known yet. */
+  learned(news: UpstreamNews[], after: number, lapsed: boolean): void;
+  /** How closely the store is to be followed. */
+  feedMode(): FeedMode;
 }
 
 /** The store counts as away after this silence. */
@@ -50,6 +54,7 @@
         listed: items => items.forEach(item => this.takeOperator(item)),
         changed: event => this.takeOperator(event),
       },
+      () => this.owner.feedMode(),
     );
     this.upstreamFeed = new StoreFeed(
       layout.upstreamPrefix,
@@ -58,8 +63,9 @@
       log,
       {
         listed: (items, revision) => this.takeList(items, revision),
-        changed: event => this.takeNews([this.newsOf(event)], 'store'),
+        changed: event => this.takeNews([this.newsOf(event)], 'store', false),
       },
+      () => this.owner.feedMode(),
     );
   }
 
@@ -90,16 +96,35 @@
     }
   }
 
-  /** Takes news of upstreams from the store or from a peer. */
-  takeNews(news: UpstreamNews[], source: string): void {
+  /** Time since the store answered a feed. */
+  storeSilence(): Millis {
+    return Math.max(
+      this.configurationFeed.silence(),
+      this.upstreamFeed.silence(),
+    );
+  }
+
+  /** Whether a removal seen now may be a lapsed heartbeat. */
+  lapsed(): boolean {
+    const restored = this.upstreamFeed.sinceRestored() < LAPSE_WINDOW;
+    return restored || this.upstreamFeed.silence() > AWAY_SILENCE;
+  }
+
+  /**
+   * Takes news of upstreams from the store or from a peer.
+   * @param lapsed whether the source had no store shortly before.
+   */
+  takeNews(news: UpstreamNews[], source: string, lapsed: boolean): void {
     const now = this.clock.now();
-    const lapsed =
-      this.upstreamFeed.sinceRestored() < LAPSE_WINDOW ||
-      this.upstreamFeed.silence() > AWAY_SILENCE;
+    const off = this.owner.feedMode() === FeedMode.Off;
+    const doubtful = lapsed || (!off && this.lapsed());
+    const after = this.upstreams.revision();
+    const fresh: UpstreamNews[] = [];
     for (const one of news) {
       const usable = this.upstreams.isUsable(one.id, now);
-      const outcome = this.upstreams.learn(one, now, lapsed);
+      const outcome = this.upstreams.learn(one, now, doubtful);
       if (outcome !== NewsOutcome.Stale) {
+        fresh.push(one);
         const {id, revision, listing} = one;
         const service = listing?.service;
         this.log.info('upstream.news', {
@@ -108,13 +133,16 @@
           revision,
           source,
           service,
-          lapsed,
+          lapsed: doubtful,
         });
         if (usable && listing === undefined) {
           this.owner.gone(id);
         }
       }
     }
+    if (fresh.length > 0) {
+      this.owner.learned(fresh, after, doubtful);
+    }
   }
 
   private takeOperator(item: StoreEvent): void {
@@ -126,7 +154,7 @@
 
   private takeList(items: StoreItem[], revision: number): void {
     const news = items.map(item => this.newsOf(item));
-    this.takeNews(this.upstreams.relist(news, revision), 'list');
+    this.takeNews(this.upstreams.relist(news, revision), 'list', false);
   }
 
   private newsOf(event: StoreEvent): UpstreamNews {
--- a/packages/gateway/src/lib/store_feed.ts
+++ b/packages/gateway/src/lib/store_feed.ts
@@ -13,8 +13,28 @@
   changed(event: StoreEvent): void;
 }
 
+/** How closely a feed follows the store. */
+export enum FeedMode {
+  /** The instance follows the store for itself. */
+  Own = 'own',
+  /** Others rely on what it sees: silence is found sooner. */
+  Relay = 'relay',
+  /** Another instance passes the news on. */
+  Off = 'off',
+}
+
 /** Longest wait of one watch; a silent connection is found after it. */
-const WATCH_WAIT: Millis = 2_200;
+const WATCH_WAITS: Readonly<Record<FeedMode, Millis>> = {
+  [FeedMode.Own]: 2_200,
+  [FeedMode.Relay]: 800,
+  [FeedMode.Off]: 0,
+};
+
+/** Pause after news, so that what changes together is read together. */
+const GATHER_PAUSE: Millis = 25;
+
+/** Interval in which a feed that is off looks whether it is needed. */
+const OFF_INTERVAL: Millis = 50;
 
 /** First pause after a failed call; it doubles with each further one. */
 const PAUSE_FIRST: Millis = 100;
@@ -34,6 +54,7 @@
     private readonly clock: Clock,
     private readonly log: Log,
     private readonly owner: FeedOwner,
+    private readonly mode: () => FeedMode,
   ) {
     this.answeredAt = clock.now();
   }
@@ -55,6 +76,10 @@
 
   private async follow(): Promise<void> {
     for (;;) {
+      if (this.mode() === FeedMode.Off) {
+        await pause(OFF_INTERVAL);
+        continue;
+      }
       const revision = await this.list();
       if (revision !== undefined) {
         await this.watch(revision);
@@ -73,12 +98,16 @@
     return reading.revision;
   }
 
-  /** Watches from a revision until the history is gone. */
+  /** Watches from a revision until the history is gone or the feed is off. */
   private async watch(from: number): Promise<void> {
     let after = from;
     for (;;) {
+      const mode = this.mode();
+      if (mode === FeedMode.Off) {
+        return;
+      }
       // After a failure the store is only asked whether it is back.
-      const wait = this.failures > 0 ? 0 : WATCH_WAIT;
+      const wait = this.failures > 0 ? 0 : WATCH_WAITS[mode];
       const reading = await this.store.watch(this.prefix, after, wait);
       if (reading.outcome === StoreOutcome.Compacted) {
         this.log.info('store.compacted', {prefix: this.prefix, after});
@@ -93,6 +122,9 @@
         this.owner.changed(event);
       }
       after = Math.max(after, reading.revision);
+      if (reading.entries.length > 0) {
+        await pause(GATHER_PAUSE);
+      }
     }
   }
 
