Relays hold the tokens of their zone; the others draw on them

A follower asks its relay for what a request needs and for three seconds ahead, gives back what it does not need, and asks others after 60 ms of silence.

--- a/packages/decisions/src/lib/prepaid_shares.ts
+++ b/packages/decisions/src/lib/prepaid_shares.ts
@@ -51,6 +51,12 @@
 /** Shares above this multiple of their size are given back in part. */
 const SURPLUS_MULTIPLE = 1.4;
 
+/** Shares of a follower below this part of their size are filled up. */
+const FOLLOWER_REFILL_PART = 0.5;
+
+/** A follower gives back what exceeds this multiple of its share's size. */
+const FOLLOWER_SURPLUS_MULTIPLE = 2;
+
 /** Weight of one second's spending in the running average. */
 const RATE_WEIGHT = 0.25;
 
@@ -128,6 +134,13 @@
     share.spent += Math.min(reserved, Math.max(0, used));
   }
 
+  /** Undoes a reservation that goes to another instance. */
+  release(account: string, tokens: number): void {
+    const share = this.of(account);
+    share.reserved -= tokens;
+    share.sinceSample -= tokens;
+  }
+
   /** Notes that a request waits for tokens, or no longer does. */
   want(account: string, tokens: number): void {
     this.of(account).wanted += tokens;
@@ -147,6 +160,33 @@
     this.of(account).given -= tokens;
   }
 
+  /** Gives tokens that were asked for the needs of another instance. */
+  supply(account: string, tokens: number): number {
+    const given = this.give(account, tokens);
+    this.of(account).sinceSample += given;
+    return given;
+  }
+
+  /**
+   * Tokens that an instance without an own draw on the store lacks (positive)
+   * or has to spare (negative), to last for a time at the present rate.
+   */
+  imbalance(account: string, horizon: Millis): number {
+    const share = this.of(account);
+    const size = share.rate * horizon;
+    const available = this.available(account);
+    if (available < size * FOLLOWER_REFILL_PART) {
+      return Math.ceil(size - available);
+    }
+    const most = size * FOLLOWER_SURPLUS_MULTIPLE + share.largest;
+    return available > most ? -Math.floor(available - most) : 0;
+  }
+
+  /** Accounts of which this instance has or had tokens, or spent some. */
+  accounts(): string[] {
+    return [...this.shares.keys()];
+  }
+
   /** Tokens of an account that nobody has taken, as of the known page. */
   untaken(account: string, view: ShareView): number {
     return view.granted(account) - takenOf(this.page, account);
--- a/packages/decisions/src/lib/topology.ts
+++ b/packages/decisions/src/lib/topology.ts
@@ -56,6 +56,9 @@
 /** Time for which a relay that fell silent is not followed. */
 const RELAY_PAUSE: Millis = 3_000;
 
+/** Members of a zone that are tried at once while none relays for it. */
+const MOST_CANDIDATES = 2;
+
 /** Silence after which a member is forgotten. */
 const MEMBER_MEMORY: Millis = 30_000;
 
@@ -188,24 +191,29 @@
     return false;
   }
 
+  /** Relays of other zones: those that were heard as such, and candidates. */
   private equals(running: State[], now: Millis, followers: string[]): string[] {
-    const equals = new Set<string>();
-    const best = new Map<string, Member>();
-    for (const {member, relayedAt} of running) {
-      const other = member.zone !== this.self.zone;
-      if (other && !member.leaving) {
-        const before = best.get(member.zone);
-        if (before === undefined || compareRanks(member, before) < 0) {
-          best.set(member.zone, member);
-        }
-      }
-      if (now - relayedAt < RELAY_SILENCE) {
-        equals.add(member.address);
+    const relays = running.filter(
+      state => now - state.relayedAt < RELAY_SILENCE,
+    );
+    const chosen = new Set(relays.map(({member}) => member.address));
+    const heard = new Set(relays.map(({member}) => member.zone));
+    const counts = new Map<string, number>();
+    // All relays may have ended at once: who was silent for long counts too.
+    const others = [...this.states.values()]
+      .filter(({member}) => member.zone !== this.self.zone && !member.leaving)
+      .sort((a, b) => compareRanks(a.member, b.member));
+    for (const state of others) {
+      const {zone, address} = state.member;
+      const count = counts.get(zone) ?? 0;
+      const most = heard.has(zone) ? 1 : MOST_CANDIDATES;
+      if (count < most && this.mayFollow(state, now)) {
+        counts.set(zone, count + 1);
+        chosen.add(address);
       }
     }
-    best.forEach(({address}) => equals.add(address));
-    followers.forEach(address => equals.delete(address));
-    return [...equals];
+    followers.forEach(address => chosen.delete(address));
+    return [...chosen];
   }
 
   private running(now: Millis): State[] {
--- a/packages/gateway/src/lib/budget_task.ts
+++ b/packages/gateway/src/lib/budget_task.ts
@@ -19,6 +19,12 @@
   granted(account: string): number;
   accounts(): string[];
   instances(): number;
+  /** Whether a relay that lives supplies this instance. */
+  relayed(): boolean;
+  /** Asks the relay for tokens; false if there is none. */
+  askRelay(account: string, tokens: number, ahead: number): boolean;
+  /** Gives tokens back to the relay; false if there is none. */
+  giveRelay(account: string, tokens: number): boolean;
   /** Asks the peers for tokens. */
   ask(account: string, tokens: number): void;
   /** Gives tokens to a peer; false if there is none. */
@@ -63,11 +69,30 @@
 /** Time after the start in which peers are found before shares are taken. */
 const FIRST_CALM: Millis = 1_500;
 
+/** Time that a share lasts which a relay fills up. */
+const FOLLOWER_HORIZON: Millis = 3_000;
+
+/** Most that a relay gives ahead of need, as a part of what it has. */
+const AHEAD_PART = 0.2;
+
+/** Time for the relay to answer before the peers are asked too. */
+const RELAY_WAIT: Millis = 60;
+
+/** What an instance that follows this one got. */
+export interface SuppliedTokens {
+  given: number;
+  answer: BudgetAnswer;
+}
+
 interface Waiter {
   account: string;
   tokens: number;
   since: Millis;
   asked: boolean;
+  /** Whether the relay was asked. */
+  atRelay: boolean;
+  /** What the relay said instead of giving tokens. */
+  refusal: BudgetAnswer | undefined;
   resolve(answer: BudgetAnswer): void;
 }
 
@@ -124,13 +149,56 @@
     shares.want(account, tokens);
     return new Promise(resolve => {
       const since = this.clock.now();
-      this.waiters.push({account, tokens, since, asked: false, resolve});
+      const missing = tokens - Math.max(0, shares.available(account));
+      const ahead = Math.max(0, shares.imbalance(account, FOLLOWER_HORIZON));
+      const atRelay = this.owner.askRelay(account, missing, ahead);
+      this.waiters.push({
+        account,
+        tokens,
+        since,
+        asked: false,
+        atRelay,
+        refusal: undefined,
+        resolve,
+      });
       this.serve();
-      this.owner.after(STORE_WAIT, () => this.serve());
+      const first = atRelay ? RELAY_WAIT : STORE_WAIT;
+      this.owner.after(first, () => this.serve());
       this.owner.after(MOST_WAIT, () => this.serve());
     });
   }
 
+  /** Takes tokens for an instance that follows this one. */
+  async supply(
+    account: string,
+    tokens: number,
+    ahead: number,
+  ): Promise<SuppliedTokens> {
+    const {shares} = this.pageOf(account);
+    if (tokens > 0) {
+      const answer = await this.reserve(account, tokens);
+      if (answer !== BudgetAnswer.Reserved) {
+        return {given: 0, answer};
+      }
+      shares.release(account, tokens);
+    }
+    const spare = Math.max(0, shares.available(account) - tokens);
+    const extra = Math.min(ahead, Math.floor(spare * AHEAD_PART));
+    const given = shares.supply(account, tokens + extra);
+    return {given, answer: BudgetAnswer.Reserved};
+  }
+
+  /** Takes the relay's word that it has not got some tokens. */
+  refused(account: string, tokens: number, exhausted: boolean): void {
+    const {Exhausted, Unavailable} = BudgetAnswer;
+    for (const waiter of this.waiters) {
+      if (waiter.account === account && waiter.tokens >= tokens) {
+        waiter.refusal = exhausted ? Exhausted : Unavailable;
+      }
+    }
+    this.serve();
+  }
+
   /** Ends a reservation with what was used of it. */
   settle(account: string, reserved: number, used: number): void {
     this.pageOf(account).shares.settle(account, reserved, used);
@@ -186,16 +254,31 @@
 
   private upkeep(): void {
     const now = this.clock.now();
+    const relayed = this.owner.relayed();
     for (const page of this.pages) {
       page.shares.sample(now);
+      if (relayed) {
+        this.giveBack(page);
+      }
       this.tend(page);
     }
   }
 
+  /** Gives what a follower does not need soon back to its relay. */
+  private giveBack({shares}: BudgetPage): void {
+    for (const account of shares.accounts()) {
+      const surplus = -shares.imbalance(account, FOLLOWER_HORIZON);
+      const given = surplus > 0 ? shares.give(account, surplus) : 0;
+      if (given > 0) {
+        this.owner.giveRelay(account, given);
+      }
+    }
+  }
+
   /** Reads or writes a page if that is due. */
   private tend(page: BudgetPage): void {
     const now = this.clock.now();
-    if (this.leaving || !page.free()) {
+    if (this.leaving || !page.free() || this.owner.relayed()) {
       return;
     }
     if (page.shares.knownRevision() < 0) {
@@ -254,7 +337,13 @@
     if (page.shares.reserve(account, tokens)) {
       return BudgetAnswer.Reserved;
     }
+    if (waiter.refusal !== undefined) {
+      return waiter.refusal;
+    }
     const now = this.clock.now();
+    if (waiter.atRelay && now - waiter.since < RELAY_WAIT) {
+      return undefined;
+    }
     const untaken = page.shares.untaken(account, this.view());
     const missing = tokens - page.shares.available(account);
     const confirmed = page.confirmedSince(waiter.since, CONFIRM_INTERVAL);
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -125,7 +125,11 @@
     this.budgets = new BudgetTask(holder, instance, store, clock, log, {
       granted: account => this.table.grantedTo(account) ?? 0,
       accounts: () => this.table.budgets(),
-      instances: () => this.instances(),
+      instances: () => this.exchange.drawing(),
+      askRelay: (account, tokens, ahead) =>
+        this.exchange.askRelay(account, tokens, ahead),
+      giveRelay: (account, tokens) => this.exchange.giveRelay(account, tokens),
+      relayed: () => this.peers.heardRelay() !== undefined,
       ask: (account, tokens) => this.exchange.askTokens(account, tokens),
       handOver: (account, tokens) => this.exchange.handOver(account, tokens),
       after: (span, callback) => {
--- a/packages/gateway/src/lib/peer_exchange.ts
+++ b/packages/gateway/src/lib/peer_exchange.ts
@@ -1,7 +1,8 @@
 /** What the gateways tell each other, and what each makes of it. */
 import {deflateRawSync, inflateRawSync} from 'node:zlib';
-import {FeedMode} from './store_feed.js';
+import {BudgetAnswer} from './budget_task.js';
 import {PeerMessageKind} from './peer_message.js';
+import {FeedMode} from './store_feed.js';
 import type {BudgetTask} from './budget_task.js';
 import type {CrashWatch} from './crash_watch.js';
 import type {PeerMessage} from './peer_message.js';
@@ -82,10 +83,12 @@
       this.giveUpstreams(from),
     [PeerMessageKind.UpstreamsGive]: (message, from) =>
       this.takeUpstreams(message, from),
-    [PeerMessageKind.TokensAsk]: ({account, tokens}, from) =>
-      this.giveTokens(from, account, tokens),
+    [PeerMessageKind.TokensAsk]: (message, from) =>
+      this.giveTokens(from, message),
     [PeerMessageKind.TokensGive]: ({account, tokens}) =>
       this.parts.budgets.receive(account, tokens),
+    [PeerMessageKind.TokensRefuse]: ({account, tokens, exhausted}) =>
+      this.parts.budgets.refused(account, tokens, exhausted),
     [PeerMessageKind.Suspect]: (message, from) => {
       this.parts.suspects.heard(message.fingerprint, message.upstream);
       this.parts.peers.passOn(from, message);
@@ -109,10 +112,47 @@
   askTokens(account: string, tokens: number): void {
     const {peers} = this.parts;
     const kind = PeerMessageKind.TokensAsk;
-    const asked = pickSome(peers.live(), MOST_ASKED);
+    const {followers, equals} = peers.partners();
+    const pools = followers.length > 0 && equals.length > 0;
+    const asked = pools ? equals : pickSome(peers.live(), MOST_ASKED);
     for (const address of asked) {
-      peers.send(address, {kind, account, tokens: Math.ceil(tokens)});
+      const missing = Math.ceil(tokens);
+      peers.send(address, {kind, account, tokens: missing, ahead: 0});
+    }
+  }
+
+  /** Instances that draw on the budgets in the store, with this one. */
+  drawing(): number {
+    const {followers, equals} = this.parts.peers.partners();
+    const pools = followers.length > 0 && equals.length > 0;
+    return pools ? 1 + equals.length : this.parts.peers.count();
+  }
+
+  /** Asks the relay for tokens; false without a relay. */
+  askRelay(account: string, tokens: number, ahead: number): boolean {
+    const {peers} = this.parts;
+    const relay = peers.heardRelay();
+    if (relay === undefined) {
+      return false;
     }
+    peers.send(relay, {
+      kind: PeerMessageKind.TokensAsk,
+      account,
+      tokens: Math.ceil(tokens),
+      ahead: Math.ceil(ahead),
+    });
+    return true;
+  }
+
+  /** Gives tokens to the relay; false without a relay. */
+  giveRelay(account: string, tokens: number): boolean {
+    const {peers} = this.parts;
+    const relay = peers.heardRelay();
+    if (relay === undefined) {
+      return false;
+    }
+    peers.send(relay, {kind: PeerMessageKind.TokensGive, account, tokens});
+    return true;
   }
 
   /** How closely this instance has to follow the store itself. */
@@ -267,15 +307,45 @@
     state.takeNews(taken, from, lapsed);
   }
 
-  private giveTokens(to: string, account: string, tokens: number): void {
-    const {budgets, peers, log} = this.parts;
+  private giveTokens(
+    to: string,
+    {account, tokens, ahead}: MessageOf<PeerMessageKind.TokensAsk>,
+  ): void {
+    const {budgets, peers} = this.parts;
+    if (peers.partners().followers.includes(to)) {
+      void this.supplyTokens(to, account, tokens, ahead);
+      return;
+    }
     const given = budgets.give(account, tokens);
     if (given > 0) {
-      const kind = PeerMessageKind.TokensGive;
-      peers.send(to, {kind, account, tokens: given});
-      log.info('budget.given', {account, tokens: given, peer: to});
+      this.sendTokens(to, account, given);
     }
   }
+
+  /** Answers an instance that relies on this one for its tokens. */
+  private async supplyTokens(
+    to: string,
+    account: string,
+    tokens: number,
+    ahead: number,
+  ): Promise<void> {
+    const {budgets, peers} = this.parts;
+    const supplied = await budgets.supply(account, tokens, ahead);
+    if (supplied.given > 0) {
+      this.sendTokens(to, account, supplied.given);
+    }
+    if (supplied.answer !== BudgetAnswer.Reserved) {
+      const exhausted = supplied.answer === BudgetAnswer.Exhausted;
+      const kind = PeerMessageKind.TokensRefuse;
+      peers.send(to, {kind, account, tokens, exhausted});
+    }
+  }
+
+  private sendTokens(to: string, account: string, tokens: number): void {
+    const {peers, log} = this.parts;
+    peers.send(to, {kind: PeerMessageKind.TokensGive, account, tokens});
+    log.info('budget.given', {account, tokens, peer: to});
+  }
 }
 
 /** Marks news that are a whole list. */
--- a/packages/gateway/src/lib/peer_message.ts
+++ b/packages/gateway/src/lib/peer_message.ts
@@ -11,6 +11,7 @@
   UpstreamsGive = 'upstreams-give',
   TokensAsk = 'tokens-ask',
   TokensGive = 'tokens-give',
+  TokensRefuse = 'tokens-refuse',
   Suspect = 'suspect',
   Cleared = 'cleared',
 }
@@ -93,13 +94,24 @@
   z.object({
     kind: z.literal(PeerMessageKind.TokensAsk),
     account: name,
+    /** Tokens that a request waits for; 0 if none does. */
     tokens,
+    /** Tokens that are welcome besides. */
+    ahead: tokens,
   }),
   z.object({
     kind: z.literal(PeerMessageKind.TokensGive),
     account: name,
     tokens,
   }),
+  z.object({
+    kind: z.literal(PeerMessageKind.TokensRefuse),
+    account: name,
+    /** Tokens that were asked for. */
+    tokens,
+    /** Whether nobody has them; else they may be with others. */
+    exhausted: z.boolean(),
+  }),
   z.object({
     kind: z.literal(PeerMessageKind.Suspect),
     fingerprint: name,
--- a/packages/gateway/src/lib/peer_task.ts
+++ b/packages/gateway/src/lib/peer_task.ts
@@ -51,6 +51,9 @@
 /** Silence after which a link is opened anew. */
 const LINK_SILENCE: Millis = 1_500;
 
+/** Silence up to which a relay is asked for tokens. */
+const RELAY_HEARD: Millis = 700;
+
 /** Interval in which addresses that are silent are tried. */
 const SEED_INTERVAL: Millis = 1_500;
 
@@ -108,6 +111,15 @@
     return view?.count ?? 1 + this.live().length;
   }
 
+  /** The relay that is followed, if it was heard lately. */
+  heardRelay(): string | undefined {
+    const {relay} = this.exchange;
+    const now = this.clock.now();
+    const heard =
+      relay !== undefined && this.topology.silence(relay, now) < RELAY_HEARD;
+    return heard ? relay : undefined;
+  }
+
   /** Time since the relay heard the store; undefined without a relay. */
   relayStoreSilence(): Millis | undefined {
     const view = this.relayView();
