A machine whose link is busy sends its callers elsewhere; a failed repeatable request is tried once more

An instance that uses over half of its link (its own count of bytes) is not ready and closes connections after answers; above 0.85 it refuses at once, to be tried elsewhere. A 5xx of an upstream for a request that may be repeated is tried at another one.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -9,6 +9,7 @@
 export * from './lib/ledger_batch.js';
 export * from './lib/ledger_release.js';
 export * from './lib/limits.js';
+export * from './lib/link_load.js';
 export * from './lib/membership.js';
 export * from './lib/order.js';
 export * from './lib/partition.js';
--- a/packages/decisions/src/lib/placement.ts
+++ b/packages/decisions/src/lib/placement.ts
@@ -49,6 +49,8 @@
   Answered = 'answered',
   /** The upstream stated that it did not run the request. */
   Rejected = 'rejected',
+  /** The upstream answered with a failure of its own. */
+  Erred = 'erred',
   /** No connection, a broken answer or one of another request. */
   Failed = 'failed',
   /** The caller left, or the instance gave up. */
@@ -347,6 +349,13 @@
   [PlacementEnd.Rejected]: (state, now) => {
     state.shunnedUntil = Math.max(state.shunnedUntil, now + SHUN_FIRST);
   },
+  [PlacementEnd.Erred]: (state, now) => {
+    // Some requests fail anywhere: one failure alone says nothing.
+    const again = state.strikes >= 1;
+    const pause = again ? SHUN_FIRST * 2 ** (state.strikes - 1) : 0;
+    state.shunnedUntil = now + Math.min(SHUN_MOST, pause);
+    state.strikes = Math.min(MOST_STRIKES, state.strikes + 1);
+  },
   [PlacementEnd.Failed]: (state, now) => {
     const pause = SHUN_FIRST * 2 ** state.strikes;
     state.shunnedUntil = now + Math.min(SHUN_MOST, pause);
--- a/packages/gateway/src/lib/admission.ts
+++ b/packages/gateway/src/lib/admission.ts
@@ -11,6 +11,9 @@
   RouteTable,
 } from '@citrontrestle/decisions';
 
+/** Bytes of a request's head, roughly. */
+export const HEAD_BYTES = 600;
+
 /** A request that has been read and has a route and an account. */
 export interface AdmittedRequest {
   caller: CallerRequest;
--- a/packages/gateway/src/lib/budget_task.ts
+++ b/packages/gateway/src/lib/budget_task.ts
@@ -57,6 +57,9 @@
 /** Longest wait of a request for tokens. */
 const MOST_WAIT: Millis = 120;
 
+/** Timers may fire this much before a clock shows that their time is over. */
+const TIMER_SLACK: Millis = 1;
+
 /** Time for the store to answer before the peers are asked too. */
 const STORE_WAIT: Millis = 12;
 
@@ -141,7 +144,11 @@
   }
 
   /** Reserves tokens for a request. */
-  reserve(account: string, tokens: number): Promise<BudgetAnswer> {
+  reserve(
+    account: string,
+    tokens: number,
+    asksPeers = true,
+  ): Promise<BudgetAnswer> {
     const {shares} = this.pageOf(account);
     if (shares.reserve(account, tokens)) {
       return Promise.resolve(BudgetAnswer.Reserved);
@@ -151,20 +158,20 @@
       const since = this.clock.now();
       const missing = tokens - Math.max(0, shares.available(account));
       const ahead = Math.max(0, shares.imbalance(account, FOLLOWER_HORIZON));
-      const atRelay = this.owner.askRelay(account, missing, ahead);
+      const atRelay = asksPeers && this.owner.askRelay(account, missing, ahead);
       this.waiters.push({
         account,
         tokens,
         since,
-        asked: false,
+        asked: !asksPeers,
         atRelay,
         refusal: undefined,
         resolve,
       });
       this.serve();
       const first = atRelay ? RELAY_WAIT : STORE_WAIT;
-      this.owner.after(first, () => this.serve());
-      this.owner.after(MOST_WAIT, () => this.serve());
+      this.owner.after(first + TIMER_SLACK, () => this.serve());
+      this.owner.after(MOST_WAIT + TIMER_SLACK, () => this.serve());
     });
   }
 
@@ -172,11 +179,11 @@
   async supply(
     account: string,
     tokens: number,
-    ahead: number,
+    {ahead, asksPeers}: {ahead: number; asksPeers: boolean},
   ): Promise<SuppliedTokens> {
     const {shares} = this.pageOf(account);
     if (tokens > 0) {
-      const answer = await this.reserve(account, tokens);
+      const answer = await this.reserve(account, tokens, asksPeers);
       if (answer !== BudgetAnswer.Reserved) {
         return {given: 0, answer};
       }
@@ -188,6 +195,12 @@
     return {given, answer: BudgetAnswer.Reserved};
   }
 
+  /** Whether the store served the last call for an account's page. */
+  reachesStore(account: string): boolean {
+    const page = this.pageOf(account);
+    return page.shares.knownRevision() >= 0 && !page.isFailing();
+  }
+
   /** Takes the relay's word that it has not got some tokens. */
   refused(account: string, tokens: number, exhausted: boolean): void {
     const {Exhausted, Unavailable} = BudgetAnswer;
@@ -353,7 +366,7 @@
     if (!waiter.asked && (storeHasNone || page.isFailing() || slow)) {
       waiter.asked = true;
       this.owner.ask(account, missing);
-      this.owner.after(PEER_WAIT, () => this.serve());
+      this.owner.after(PEER_WAIT + TIMER_SLACK, () => this.serve());
     }
     if (storeHasNone && waiter.asked && waited >= PEER_WAIT) {
       return BudgetAnswer.Exhausted;
--- a/packages/gateway/src/lib/forwarding.ts
+++ b/packages/gateway/src/lib/forwarding.ts
@@ -7,6 +7,7 @@
   silenceBound,
   urgencyOf,
 } from '@citrontrestle/decisions';
+import {HEAD_BYTES} from './admission.js';
 import {AnswerRelay, RelayEnd, RelayOutcome} from './answer_relay.js';
 import {RefusalReason} from './refusal.js';
 import {CallFailure, UpstreamCall} from './upstream_call.js';
@@ -38,6 +39,9 @@
 /** Least status of a failure. */
 const LEAST_FAILURE = 400;
 
+/** Least status of a failure of the upstream itself. */
+const LEAST_UPSTREAM_FAILURE = 500;
+
 /** Outcome of a request that was answered whole by an upstream. */
 export const ANSWERED = 'answered';
 
@@ -139,6 +143,7 @@
     this.end.upstream = placed.upstream.id;
     around.placement.started(this.placement, placed, now);
     this.attemptAt = now;
+    around.link.count(0, request.body.length + HEAD_BYTES, now);
     this.watchSilence();
     const {caller, account} = request;
     this.call = new UpstreamCall(
@@ -181,22 +186,26 @@
   }
 
   private silent(): void {
-    const {around} = this;
     const waiting = !this.finished && this.call !== undefined;
     if (!waiting || this.relay.headed() || !this.mayRepeat(1)) {
       return;
     }
+    if (this.mayTryAnother()) {
+      this.abandon('silent', PlacementEnd.Failed);
+      this.attempt();
+    }
+  }
+
+  /** Takes a repeat if another upstream and the time for it are left. */
+  private mayTryAnother(): boolean {
+    const {around} = this;
     const now = around.clock.now();
     const others = around.upstreams
       .usable(this.service, now)
       .some(one => !this.tried.has(one.id) && one.id !== this.upstream());
-    if (others && this.deadline - now > LEAST_PATIENCE) {
-      const instances = around.instances();
-      if (around.repeats.take(this.service, instances, now)) {
-        this.abandon('silent', PlacementEnd.Failed);
-        this.attempt();
-      }
-    }
+    const left = this.deadline - now > LEAST_PATIENCE;
+    const instances = around.instances();
+    return others && left && around.repeats.take(this.service, instances, now);
   }
 
   /** Ends an attempt that may have run. */
@@ -230,6 +239,8 @@
   }
 
   private take(bytes: Buffer): void {
+    const {length} = bytes;
+    this.around.link.count(length, length, this.around.clock.now());
     const before = this.relay.events;
     const outcome = this.relay.take(bytes);
     this.noteProgress(before);
@@ -264,16 +275,30 @@
 
   private done(): void {
     const status = this.relay.status();
+    const erred = status >= LEAST_UPSTREAM_FAILURE;
+    if (erred && this.repeatErred(status)) {
+      return;
+    }
     if (this.relay.finish() === RelayEnd.Doubtful) {
       this.failed(CallFailure.Lost, 'stream without a certain end');
       return;
     }
     this.end.mayHaveRun = true;
     this.end.firstByteAt ??= this.around.clock.now();
-    this.release(PlacementEnd.Answered);
+    this.release(erred ? PlacementEnd.Erred : PlacementEnd.Answered);
     this.finish(status < LEAST_FAILURE ? ANSWERED : `status-${status}`);
   }
 
+  /** Tries a request that the upstream failed at another one. */
+  private repeatErred(status: number): boolean {
+    if (!this.mayRepeat(1) || !this.mayTryAnother()) {
+      return false;
+    }
+    this.abandon(`status ${status}`, PlacementEnd.Erred);
+    this.attempt();
+    return true;
+  }
+
   private failed(failure: CallFailure, reason: string): void {
     const upstream = this.placed?.upstream;
     this.around.log.warn('attempt.failed', {
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -1,5 +1,6 @@
 /** One gateway: its tasks, wired together. */
 import {
+  LinkLoad,
   Placement,
   RepeatAllowance,
   RouteTable,
@@ -7,7 +8,7 @@
   UpstreamRegistry,
 } from '@citrontrestle/decisions';
 import {pause, randomId, SteadyClock, within} from '@citrontrestle/runtime';
-import {admit, reservationOf} from './admission.js';
+import {admit, HEAD_BYTES, reservationOf} from './admission.js';
 import {BudgetAnswer, BudgetTask} from './budget_task.js';
 import {CrashWatch} from './crash_watch.js';
 import {ANSWERED, Forwarding} from './forwarding.js';
@@ -71,6 +72,7 @@
   private readonly registry = new UpstreamRegistry();
   private readonly placement = new Placement();
   private readonly agent = new UpstreamAgent();
+  private readonly link: LinkLoad;
   private readonly metrics: GatewayMetrics;
   private readonly state: StateTask;
   private readonly budgets: BudgetTask;
@@ -87,6 +89,7 @@
     const {settings, store, dialect, log} = parts;
     const {clock} = this;
     const {instance, zone, peers, repeats} = settings;
+    this.link = new LinkLoad(settings.machine.linkMbps);
     const holder = `${instance}.${randomId(4)}`;
     this.metrics = new GatewayMetrics(store);
     this.state = new StateTask(
@@ -180,6 +183,7 @@
         window: repeats.windowSeconds * SECOND,
       }),
       suspects: this.suspects,
+      link: this.link,
       instances: () => this.instances(),
       random: Math.random,
     };
@@ -236,12 +240,13 @@
   /** Whether the instance takes new connections. */
   ready(): boolean {
     const configured = this.table.configuration() !== undefined;
-    return configured && this.stoppingAt === undefined;
+    return configured && !this.closing();
   }
 
   /** Called by the front server. */
   closing(): boolean {
-    return this.stoppingAt !== undefined;
+    const stopping = this.stoppingAt !== undefined;
+    return stopping || this.link.busy(this.clock.now());
   }
 
   /** Called by the front server. */
@@ -280,7 +285,11 @@
       work.forwarding = forwarding;
       forwarding.start();
     };
-    if (this.suspects.blocked(admitted.fingerprint)) {
+    const now = this.clock.now();
+    this.link.count(admitted.body.length + HEAD_BYTES, 0, now);
+    if (this.link.saturated(now)) {
+      this.refuse(admitted, answer, RefusalReason.MachineBusy);
+    } else if (this.suspects.blocked(admitted.fingerprint)) {
       this.refuse(admitted, answer, RefusalReason.CrashesUpstreams);
     } else if (reservationOf(admitted) === 0) {
       begin();
--- a/packages/gateway/src/lib/peer_exchange.ts
+++ b/packages/gateway/src/lib/peer_exchange.ts
@@ -115,9 +115,11 @@
     const {followers, equals} = peers.partners();
     const pools = followers.length > 0 && equals.length > 0;
     const asked = pools ? equals : pickSome(peers.live(), MOST_ASKED);
-    for (const address of asked) {
+    for (const [index, address] of asked.entries()) {
       const missing = Math.ceil(tokens);
-      peers.send(address, {kind, account, tokens: missing, ahead: 0});
+      // One of them draws on the store, if it reaches it.
+      const draw = index === 0;
+      peers.send(address, {kind, account, tokens: missing, ahead: 0, draw});
     }
   }
 
@@ -140,6 +142,7 @@
       account,
       tokens: Math.ceil(tokens),
       ahead: Math.ceil(ahead),
+      draw: true,
     });
     return true;
   }
@@ -309,28 +312,48 @@
 
   private giveTokens(
     to: string,
-    {account, tokens, ahead}: MessageOf<PeerMessageKind.TokensAsk>,
+    {account, tokens, ahead, draw}: MessageOf<PeerMessageKind.TokensAsk>,
   ): void {
     const {budgets, peers} = this.parts;
     if (peers.partners().followers.includes(to)) {
-      void this.supplyTokens(to, account, tokens, ahead);
+      void this.supplyFollower(to, account, tokens, ahead);
       return;
     }
     const given = budgets.give(account, tokens);
     if (given > 0) {
       this.sendTokens(to, account, given);
     }
+    if (draw && given < tokens && budgets.reachesStore(account)) {
+      void this.drawFor(to, account, tokens - given);
+    }
+  }
+
+  /** Draws on the store for an instance that does not reach it. */
+  private async drawFor(
+    to: string,
+    account: string,
+    tokens: number,
+  ): Promise<void> {
+    const asksPeers = false;
+    const {given} = await this.parts.budgets.supply(account, tokens, {
+      ahead: 0,
+      asksPeers,
+    });
+    if (given > 0) {
+      this.sendTokens(to, account, given);
+    }
   }
 
   /** Answers an instance that relies on this one for its tokens. */
-  private async supplyTokens(
+  private async supplyFollower(
     to: string,
     account: string,
     tokens: number,
     ahead: number,
   ): Promise<void> {
     const {budgets, peers} = this.parts;
-    const supplied = await budgets.supply(account, tokens, ahead);
+    const asksPeers = true;
+    const supplied = await budgets.supply(account, tokens, {ahead, asksPeers});
     if (supplied.given > 0) {
       this.sendTokens(to, account, supplied.given);
     }
--- a/packages/gateway/src/lib/peer_message.ts
+++ b/packages/gateway/src/lib/peer_message.ts
@@ -98,6 +98,8 @@
     tokens,
     /** Tokens that are welcome besides. */
     ahead: tokens,
+    /** Whether the receiver may draw on the store for the sender. */
+    draw: z.boolean(),
   }),
   z.object({
     kind: z.literal(PeerMessageKind.TokensGive),
--- a/packages/gateway/src/lib/peer_task.ts
+++ b/packages/gateway/src/lib/peer_task.ts
@@ -254,8 +254,7 @@
     const now = this.clock.now();
     const near = this.topology.live(now).filter(one => one.zone === zone);
     return [...seeds, ...near.map(one => one.address)].filter(
-      one =>
-        one !== address && this.topology.silence(one, now) > LINK_SILENCE,
+      one => one !== address && this.topology.silence(one, now) > LINK_SILENCE,
     );
   }
 
--- a/packages/gateway/src/lib/refusal.ts
+++ b/packages/gateway/src/lib/refusal.ts
@@ -14,6 +14,7 @@
   Overloaded = 'overloaded',
   CrashesUpstreams = 'crashes-upstreams',
   Stopping = 'stopping',
+  MachineBusy = 'machine-busy',
   UpstreamFailed = 'upstream-failed',
   TimedOut = 'timed-out',
 }
@@ -38,6 +39,7 @@
   [RefusalReason.Overloaded]: {status: 503, retryAfter: 500},
   [RefusalReason.CrashesUpstreams]: {status: 503, retryAfter: 5_000},
   [RefusalReason.Stopping]: {status: 503, retryAfter: 100},
+  [RefusalReason.MachineBusy]: {status: 503, retryAfter: 20},
   [RefusalReason.UpstreamFailed]: {status: 502, retryAfter: undefined},
   [RefusalReason.TimedOut]: {status: 504, retryAfter: undefined},
 };
--- a/packages/gateway/src/lib/surroundings.ts
+++ b/packages/gateway/src/lib/surroundings.ts
@@ -3,6 +3,7 @@
 import type {CrashWatch} from './crash_watch.js';
 import type {
   Clock,
+  LinkLoad,
   Placement,
   RepeatAllowance,
   UpstreamRegistry,
@@ -21,6 +22,8 @@
   upstreams: UpstreamRegistry;
   repeats: RepeatAllowance;
   suspects: CrashWatch;
+  /** Counts what passes the machine's link. */
+  link: LinkLoad;
   /** Instances that may be running, at least 1. */
   instances(): number;
   /** Uniform random number in [0, 1). */
