--- a/packages/decisions/src/lib/prepaid_shares.ts
+++ b/packages/decisions/src/lib/prepaid_shares.ts
@@ -134,11 +134,11 @@
     share.spent += Math.min(reserved, Math.max(0, used));
   }
 
-  /** Undoes a reservation that goes to another instance. */
-  release(account: string, tokens: number): void {
+  /** Turns a reservation into a gift to the instance that it was made for. */
+  transfer(account: string, tokens: number): void {
     const share = this.of(account);
     share.reserved -= tokens;
-    share.sinceSample -= tokens;
+    share.given += tokens;
   }
 
   /** Notes that a request waits for tokens, or no longer does. */
@@ -160,13 +160,6 @@
     this.of(account).given -= tokens;
   }
 
-  /** Gives tokens that were asked for the needs of another instance. */
-  supply(account: string, tokens: number): number {
-    const given = this.give(account, tokens);
-    this.of(account).sinceSample += given;
-    return given;
-  }
-
   /**
    * Tokens that an instance without an own draw on the store lacks (positive)
    * or has to spare (negative), to last for a time at the present rate.
--- a/packages/gateway/src/lib/budget_task.ts
+++ b/packages/gateway/src/lib/budget_task.ts
@@ -187,12 +187,11 @@
       if (answer !== BudgetAnswer.Reserved) {
         return {given: 0, answer};
       }
-      shares.release(account, tokens);
+      shares.transfer(account, tokens);
     }
-    const spare = Math.max(0, shares.available(account) - tokens);
-    const extra = Math.min(ahead, Math.floor(spare * AHEAD_PART));
-    const given = shares.supply(account, tokens + extra);
-    return {given, answer: BudgetAnswer.Reserved};
+    const most = Math.floor(shares.available(account) * AHEAD_PART);
+    const extra = shares.give(account, Math.min(ahead, Math.max(0, most)));
+    return {given: tokens + extra, answer: BudgetAnswer.Reserved};
   }
 
   /** Whether the store served the last call for an account's page. */
--- a/packages/gateway/src/lib/peer_exchange.ts
+++ b/packages/gateway/src/lib/peer_exchange.ts
@@ -126,8 +126,7 @@
   /** Instances that draw on the budgets in the store, with this one. */
   drawing(): number {
     const {followers, equals} = this.parts.peers.partners();
-    const pools = followers.length > 0 && equals.length > 0;
-    return pools ? 1 + equals.length : this.parts.peers.count();
+    return followers.length > 0 ? 1 + equals.length : this.parts.peers.count();
   }
 
   /** Asks the relay for tokens; false without a relay. */
@@ -165,9 +164,15 @@
     if (followers.length > 0) {
       return FeedMode.Relay;
     }
-    const silence = peers.relayStoreSilence() ?? Infinity;
-    const relied = relay !== undefined && silence < RELAYED_STORE_SILENCE;
-    return relied ? FeedMode.Off : FeedMode.Own;
+    const silence = peers.relayStoreSilence();
+    if (relay === undefined || silence === undefined) {
+      return FeedMode.Own;
+    }
+    if (silence < RELAYED_STORE_SILENCE) {
+      return FeedMode.Off;
+    }
+    const lives = peers.heardRelay() !== undefined;
+    return lives ? FeedMode.Spare : FeedMode.Own;
   }
 
   /** Passes news of upstreams on to those who rely on this instance. */
--- a/packages/gateway/src/lib/store_feed.ts
+++ b/packages/gateway/src/lib/store_feed.ts
@@ -19,6 +19,8 @@
   Own = 'own',
   /** Others rely on what it sees: silence is found sooner. */
   Relay = 'relay',
+  /** Another instance passes the news on, and does not reach the store now. */
+  Spare = 'spare',
   /** Another instance passes the news on. */
   Off = 'off',
 }
@@ -27,6 +29,7 @@
 const WATCH_WAITS: Readonly<Record<FeedMode, Millis>> = {
   [FeedMode.Own]: 2_200,
   [FeedMode.Relay]: 800,
+  [FeedMode.Spare]: 2_200,
   [FeedMode.Off]: 0,
 };
 
@@ -36,11 +39,17 @@
 /** Interval in which a feed that is off looks whether it is needed. */
 const OFF_INTERVAL: Millis = 50;
 
-/** First pause after a failed call; it doubles with each further one. */
-const PAUSE_FIRST: Millis = 100;
+/** Pauses after failed calls: the first, which doubles, and the longest. */
+const PAUSES: Readonly<Record<FeedMode, {first: Millis; most: Millis}>> = {
+  [FeedMode.Own]: {first: 100, most: 800},
+  [FeedMode.Relay]: {first: 100, most: 800},
+  // The relay hears of the store's return and tells.
+  [FeedMode.Spare]: {first: 1_000, most: 4_000},
+  [FeedMode.Off]: {first: 0, most: 0},
+};
 
-/** Longest pause after failed calls. */
-const PAUSE_MOST: Millis = 800;
+/** Most times that a pause is doubled. */
+const MOST_DOUBLINGS = 10;
 
 /** Follows one prefix as long as the process runs. */
 export class StoreFeed {
@@ -143,7 +152,8 @@
     if (this.failures === 1) {
       this.log.warn('store.lost', {prefix: this.prefix, reason});
     }
-    const span = PAUSE_FIRST * 2 ** Math.min(10, this.failures - 1);
-    await pause(Math.min(PAUSE_MOST, span));
+    const {first, most} = PAUSES[this.mode()];
+    const span = first * 2 ** Math.min(MOST_DOUBLINGS, this.failures - 1);
+    await pause(Math.min(most, span));
   }
 }
--- a/packages/stand_ins/src/lib/hosted/store.ts
+++ b/packages/stand_ins/src/lib/hosted/store.ts
@@ -47,6 +47,8 @@
 /** One way to the store, with an address and faults of its own. */
 export class StoreGate {
   mode = GateMode.Serving;
+  /** Calls that have come. */
+  calls = 0;
   private readonly server: Server;
 
   constructor(private readonly store: HostedStore) {
@@ -79,6 +81,7 @@
     for await (const chunk of incoming) {
       chunks.push(chunk as Buffer);
     }
+    this.calls += 1;
     if (this.mode === GateMode.Silent) {
       return;
     }
