--- a/packages/gateway/src/lib/peer_task.ts
+++ b/packages/gateway/src/lib/peer_task.ts
@@ -33,8 +33,10 @@
   zone: string;
   /** What the machine can carry, compared with the others. */
   capacity: number;
-  /** Own address as `ip:port`. */
+  /** Own address as the others dial it, as `ip:port`. */
   address: string;
+  /** Where links are taken, as `ip:port`. */
+  listen: string;
   /** Addresses of some instances as `ip:port`. */
   seeds: string[];
   key: string;
@@ -79,10 +81,10 @@
     private readonly log: Log,
     private readonly owner: PeerOwner,
   ) {
-    const {holder, zone, key, address, capacity} = settings;
+    const {holder, zone, key, address, listen, capacity} = settings;
     this.topology = new Topology({address, zone, capacity, leaving: false});
     this.fleet = new Fleet(
-      {holder, zone, key, ...splitAddress(address)},
+      {holder, zone, key, ...splitAddress(listen), advertise: address},
       PEER_MESSAGE_SCHEMA,
       this,
       log,
--- a/packages/gateway/src/lib/settings.ts
+++ b/packages/gateway/src/lib/settings.ts
@@ -19,6 +19,8 @@
   peers: z.object({
     /** Where this instance takes links of the others. */
     listen: address,
+    /** Address that the others dial, if it is not the one above. */
+    advertise: address.optional(),
     /** Addresses of some instances, with commas; they may be down. */
     seeds: z.string().default(''),
     /** What all instances of the fleet share to prove that they belong to it. */
--- a/platform/src/test/hosted_fleet.ts
+++ b/packages/stand_ins/src/lib/hosted/fleet.ts
@@ -1,13 +1,16 @@
-/** Real gateway processes on the stand-in of the platform. */
+/** Real gateway processes on the stand-in of the platform, for tests and the soak. */
 import {spawn} from 'node:child_process';
 import {mkdtempSync, writeFileSync} from 'node:fs';
 import {createServer} from 'node:net';
 import {request} from 'node:http';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
-import {fileURLToPath} from 'node:url';
-import {HostedServer, HostedStore} from '@citrontrestle/stand_ins';
-import type {HostedServerSettings, StoreGate} from '@citrontrestle/stand_ins';
+import {Relay} from '../relay.js';
+import {HostedStore} from './store.js';
+import {HostedServer} from './upstream.js';
+import type {StoreGate} from './store.js';
+import type {HostedServerSettings} from './upstream.js';
+import type {Agent} from 'node:http';
 import type {ChildProcess} from 'node:child_process';
 import type {AddressInfo} from 'node:net';
 
@@ -27,12 +30,12 @@
   body: string;
   /** Whether the answer was framed as complete. */
   complete: boolean;
+  /** When the answer, or the connection, had ended. */
+  endedAt: number;
   /** Whether the body had a length or chunks. */
   framed: boolean;
 }
 
-const MAIN = fileURLToPath(new URL('../main.js', import.meta.url));
-
 /** The operator's configuration, with routes of each kind. */
 export function configuration(
   version: number,
@@ -96,14 +99,18 @@
     readonly callers: string,
     readonly ready: string,
     readonly gate: StoreGate,
+    /** Way of the other instances to this one. */
+    readonly links: Relay,
     /** Path of its settings. */
     readonly file: string,
+    /** Path of the gateway's main module. */
+    private readonly program: string,
   ) {}
 
   /** Starts the process. */
   start(): void {
     this.exitCode = undefined;
-    const child = spawn(process.execPath, [MAIN], {
+    const child = spawn(process.execPath, [this.program], {
       env: {...process.env, CITRONTRESTLE_CONFIG: this.file},
       stdio: ['ignore', 'pipe', 'pipe'],
     });
@@ -142,8 +149,13 @@
 export class HostedFleet {
   readonly store = new HostedStore();
   readonly servers: HostedServer[] = [];
+  /** Ways of the gateways to each server. */
+  readonly ways = new Map<HostedServer, Relay>();
   readonly gateways: GatewayProcess[] = [];
 
+  /** @param program path of the gateway's main module. */
+  constructor(private readonly program: string) {}
+
   /** Adds a server and lists it in the store. */
   async addServer(
     id: string,
@@ -153,7 +165,11 @@
     const base = {id, service, zone: 'north', slots: 8, stepMs: 5, events: 6};
     const server = new HostedServer({...base, ...changes});
     this.servers.push(server);
-    this.store.put(`servers/${id}`, await server.listen());
+    const entry = await server.listen();
+    const way = new Relay(String(entry['address']));
+    this.ways.set(server, way);
+    const address = await way.start('127.0.0.1');
+    this.store.put(`servers/${id}`, {...entry, address});
     return server;
   }
 
@@ -164,12 +180,14 @@
     const gate = this.store.gate();
     const name = `g${this.gateways.length + 1}`;
     const peer = this.peerAddresses.slice(0, 3).join(',');
-    this.peerAddresses.push(listen ?? '');
+    const links = new Relay(listen ?? '');
+    const advertise = await links.start('127.0.0.1');
+    this.peerAddresses.push(advertise);
     const settings = {
       instance: name,
       zone: 'north',
       listen: {callers, ready},
-      peers: {listen, seeds: peer, key: 'fleet of the tests'},
+      peers: {listen, advertise, seeds: peer, key: 'fleet of the tests'},
       store: {address: await gate.listen()},
       stop: {graceSeconds: 8},
       repeats: {ratio: 0.2, slack: 50, windowSeconds: 10},
@@ -183,7 +201,9 @@
       callers ?? '',
       ready ?? '',
       gate,
+      links,
       file,
+      this.program,
     );
     this.gateways.push(gateway);
     gateway.start();
@@ -206,7 +226,11 @@
     }
     await Promise.all(this.gateways.map(one => one.ended()));
     this.servers.forEach(server => server.stop());
-    this.gateways.forEach(one => one.gate.stop());
+    this.ways.forEach(way => way.stop());
+    this.gateways.forEach(one => {
+      one.gate.stop();
+      one.links.stop();
+    });
   }
 
   private readonly peerAddresses: string[] = [];
@@ -233,6 +257,8 @@
     body?: string;
     /** Leaves after this time. */
     leaveAfter?: number;
+    /** Connections to use again; a new one without. */
+    agent?: Agent;
   },
 ): Promise<CallerResult> {
   requests += 1;
@@ -242,6 +268,7 @@
     headers: {},
     body: '',
     complete: false,
+    endedAt: 0,
     framed: false,
   };
   return new Promise(resolve => {
@@ -250,7 +277,7 @@
       port: Number(port),
       path: options.path,
       method: options.method ?? 'GET',
-      agent: false,
+      agent: options.agent ?? false,
       headers: {
         Host: HOST,
         'X-Request-Id': `request-${requests}`,
@@ -262,7 +289,10 @@
     if (options.leaveAfter !== undefined) {
       setTimeout(() => outgoing.destroy(), options.leaveAfter);
     }
-    outgoing.on('error', () => resolve(result));
+    outgoing.on('error', () => {
+      result.endedAt = Date.now();
+      resolve(result);
+    });
     outgoing.on('response', incoming => {
       result.status = incoming.statusCode ?? 0;
       result.headers = incoming.headers;
@@ -275,6 +305,7 @@
       incoming.on('error', () => undefined);
       incoming.on('close', () => {
         result.complete = incoming.complete;
+        result.endedAt = Date.now();
         resolve(result);
       });
     });
--- a/packages/stand_ins/src/lib/hosted/upstream.ts
+++ b/packages/stand_ins/src/lib/hosted/upstream.ts
@@ -39,6 +39,8 @@
   headers: IncomingMessage['headers'];
   /** Whether the caller closed before the answer was whole. */
   cancelled: boolean;
+  /** How the server treated it. */
+  fault: ServerFault;
 }
 
 /** Settings of a server. */
@@ -122,6 +124,7 @@
       body: Buffer.concat(chunks).toString('latin1'),
       headers: incoming.headers,
       cancelled: false,
+      fault: this.fault,
     };
     const expected = incoming.headers['x-expect-instance'];
     const replaced = this.fault === ServerFault.Replaced;
