An entry's wallet hears of a peer when it is heard, not at the next probe

Trace: askOthers with no peer. Ruled out: the record in the ledger (an entry is not ready before it has joined).

--- a/packages/entry/src/lib/membership_task.ts
+++ b/packages/entry/src/lib/membership_task.ts
@@ -22,7 +22,7 @@
 
 /** What a membership task does through others. */
 export interface MembershipSurroundings {
-  instances: InstanceList;
+  instances: Pick<InstanceList, 'read'>;
   clock: Clock;
   probe(address: string): void;
   /** Called with each instance list read. */
@@ -76,7 +76,12 @@
 
   /** Notes a message from a peer. */
   heard(address: string, zone: string, holder: string): void {
-    this.members.heard(address, zone, holder, this.around.clock.now());
+    const now = this.around.clock.now();
+    const known = this.members.isAlive(holder, now);
+    this.members.heard(address, zone, holder, now);
+    if (!known) {
+      this.around.changed(this.live());
+    }
   }
 
   /** Notes that a peer is leaving. */
