--- a/packages/decisions/src/lib/prepaid_shares.ts
+++ b/packages/decisions/src/lib/prepaid_shares.ts
@@ -29,6 +29,12 @@
    * instance's own part of that follows what it took so far.
    */
   heldPart: number;
+  /**
+   * Time to the end of a budget from which on all hold less than `heldPart`, in
+   * proportion. What an outage of the store keeps from being spent then is spent
+   * after it; what ended instances held is lost.
+   */
+  scarceSpan: Millis;
   /**
    * Part of a full budget that all instances hold without any demand. It falls
    * with the square of what is left, as a killed instance loses its share.
@@ -286,11 +292,13 @@
     part: number,
     view: ShareView,
   ): number {
-    const {horizon, heldPart, idlePart} = this.settings;
+    const {horizon, heldPart, idlePart, scarceSpan} = this.settings;
     const plenty = granted > 0 ? Math.min(1, left / granted) : 0;
     const idle = (left * plenty * idlePart) / Math.max(1, view.instances);
     const needed = share.rate * horizon;
-    const most = left * Math.min(1, heldPart * part);
+    const lasts = share.rate > 0 ? (left * part) / share.rate : Infinity;
+    const held = Math.min(heldPart, lasts / scarceSpan);
+    const most = left * Math.min(1, held * part);
     return Math.floor(Math.min(Math.max(needed, idle), most));
   }
 
--- a/packages/decisions/src/test/prepaid_shares_test.ts
+++ b/packages/decisions/src/test/prepaid_shares_test.ts
@@ -20,6 +20,7 @@
         instance: `i${index}`,
         horizon: 12 * SECOND,
         heldPart: 0.65,
+        scarceSpan: 30 * SECOND,
         idlePart: 0.6,
       }),
   );
@@ -129,6 +130,17 @@
     expect(held / rest).to.be.at.most(0.4);
   });
 
+  it('kills near the end of a budget: most of the rest lies in the store', () => {
+    const fleet = new SmallFleet(10_000_000);
+    // What is left after it lasts 10 seconds.
+    fleet.run(52, 16);
+    const used = fleet.served * REQUEST_TOKENS;
+    const rest = 10_000_000 - used;
+    const held = takenOf(fleet.page, ACCOUNT) - used;
+    expect(held / rest).to.be.at.most(1 / 3);
+    expect(fleet.refused).to.equal(0);
+  });
+
   it('gives back what it holds without demand', () => {
     const fleet = new SmallFleet(10_000_000);
     fleet.run(10, 16);
--- a/packages/gateway/src/lib/budget_task.ts
+++ b/packages/gateway/src/lib/budget_task.ts
@@ -45,6 +45,9 @@
 /** Most that all instances hold, as a part of what nobody holds. */
 const HELD_PART = 0.65;
 
+/** Time to the end of a budget from which on less is held. */
+const SCARCE_SPAN: Millis = 30_000;
+
 /** Part of a full budget that all instances hold without any demand. */
 const IDLE_PART = 0.6;
 
@@ -123,6 +126,7 @@
         instance,
         horizon: HORIZON,
         heldPart: HELD_PART,
+        scarceSpan: SCARCE_SPAN,
         idlePart: IDLE_PART,
       };
       const changed = () => this.serve();
--- a/packages/model/src/lib/prepaid_model.ts
+++ b/packages/model/src/lib/prepaid_model.ts
@@ -148,6 +148,7 @@
       instance: `i${instance}`,
       horizon: 1_000,
       heldPart: 0.7,
+      scarceSpan: 30_000,
       idlePart: 0.35,
     });
   }
