--- a/packages/decisions/src/lib/prepaid_shares.ts
+++ b/packages/decisions/src/lib/prepaid_shares.ts
@@ -66,6 +66,9 @@
 /** Weight of one second's spending in the running average. */
 const RATE_WEIGHT = 0.25;
 
+/** Weight of one second's spending in the average over a longer time. */
+const LONG_RATE_WEIGHT = 0.05;
+
 /** Interval in which spending rates are sampled. */
 const RATE_INTERVAL: Millis = 1_000;
 
@@ -82,6 +85,8 @@
   largest: number;
   /** Average spending in tokens a millisecond. */
   rate: number;
+  /** Average spending over a longer time, in tokens a millisecond. */
+  longRate: number;
   /** Samples taken of the rate. */
   samples: number;
   /** Tokens reserved since the last sample. */
@@ -206,6 +211,11 @@
       // The first samples count alike, so that the average starts at once.
       const weight = Math.max(RATE_WEIGHT, 1 / Math.max(1, share.samples));
       share.rate += weight * (rate - share.rate);
+      const longWeight = Math.max(
+        LONG_RATE_WEIGHT,
+        1 / Math.max(1, share.samples),
+      );
+      share.longRate += longWeight * (rate - share.longRate);
       share.sinceSample = 0;
     }
   }
@@ -296,7 +306,8 @@
     const plenty = granted > 0 ? Math.min(1, left / granted) : 0;
     const idle = (left * plenty * idlePart) / Math.max(1, view.instances);
     const needed = share.rate * horizon;
-    const lasts = share.rate > 0 ? (left * part) / share.rate : Infinity;
+    const {longRate} = share;
+    const lasts = longRate > 0 ? (left * part) / longRate : Infinity;
     const held = Math.min(heldPart, lasts / scarceSpan);
     const most = left * Math.min(1, held * part);
     return Math.floor(Math.min(Math.max(needed, idle), most));
@@ -328,6 +339,7 @@
         wanted: 0,
         largest: 0,
         rate: 0,
+        longRate: 0,
         samples: 0,
         sinceSample: 0,
       };
--- a/packages/gateway/src/lib/budget_task.ts
+++ b/packages/gateway/src/lib/budget_task.ts
@@ -46,7 +46,7 @@
 const HELD_PART = 0.65;
 
 /** Time to the end of a budget from which on less is held. */
-const SCARCE_SPAN: Millis = 30_000;
+const SCARCE_SPAN: Millis = 20_000;
 
 /** Part of a full budget that all instances hold without any demand. */
 const IDLE_PART = 0.6;
