--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -8,22 +8,19 @@
   UpstreamRegistry,
 } from '@citrontrestle/decisions';
 import {pause, randomId, SteadyClock, within} from '@citrontrestle/runtime';
-import {admit, HEAD_BYTES, reservationOf} from './admission.js';
-import {BudgetAnswer, BudgetTask} from './budget_task.js';
+import {BudgetTask} from './budget_task.js';
 import {CrashWatch} from './crash_watch.js';
-import {ANSWERED, Forwarding} from './forwarding.js';
 import {FrontServer} from './front_server.js';
 import {GatewayMetrics} from './gateway_metrics.js';
 import {PeerMessageKind} from './peer_message.js';
 import {PeerExchange} from './peer_exchange.js';
 import {PeerTask} from './peer_task.js';
 import {ReadyServer} from './ready_server.js';
-import {RefusalReason} from './refusal.js';
 import {RequestRecord} from './request_record.js';
+import {RequestService} from './request_service.js';
 import {StateTask} from './state_task.js';
+import {TokenExchange} from './token_exchange.js';
 import {UpstreamAgent} from './upstream_agent.js';
-import type {AdmittedRequest} from './admission.js';
-import type {ForwardingEnd} from './forwarding.js';
 import type {BeatContent} from './peer_task.js';
 import type {CallerAnswer} from './caller_answer.js';
 import type {CallerWork, FrontOwner, ReadRequest} from './front_server.js';
@@ -48,6 +45,9 @@
 /** Interval in which what is no longer needed is forgotten. */
 const PRUNE_INTERVAL: Millis = 1_000;
 
+/** Interval of the log line with counts. */
+const COUNTS_INTERVAL: Millis = 10 * SECOND;
+
 /** Body bound before a configuration is known, in bytes. */
 const FIRST_BODY_BYTES = 4 * 1024 * 1024;
 
@@ -79,10 +79,10 @@
   private readonly peers: PeerTask;
   private readonly suspects: CrashWatch;
   private readonly exchange: PeerExchange;
-  private readonly record: RequestRecord;
+  private readonly tokens: TokenExchange;
+  private readonly service: RequestService;
   private readonly front: FrontServer;
   private readonly readiness: ReadyServer;
-  private readonly surroundings: Surroundings;
   private stoppingAt: Millis | undefined;
 
   constructor(private readonly parts: GatewayParts) {
@@ -129,24 +129,17 @@
     this.budgets = new BudgetTask(holder, instance, store, clock, log, {
       granted: account => this.table.grantedTo(account) ?? 0,
       accounts: () => this.table.budgets(),
-      instances: () => this.exchange.drawing(),
+      instances: () => this.tokens.drawing(),
       askRelay: (account, tokens, ahead) =>
-        this.exchange.askRelay(account, tokens, ahead),
-      giveRelay: (account, tokens) => this.exchange.giveRelay(account, tokens),
+        this.tokens.askRelay(account, tokens, ahead),
+      giveRelay: (account, tokens) => this.tokens.giveRelay(account, tokens),
       relayed: () => this.peers.heardRelay() !== undefined,
-      ask: (account, tokens) => this.exchange.askTokens(account, tokens),
-      handOver: (account, tokens) => this.exchange.handOver(account, tokens),
+      ask: (account, tokens) => this.tokens.askTokens(account, tokens),
+      handOver: (account, tokens) => this.tokens.handOver(account, tokens),
       after: (span, callback) => {
         setTimeout(callback, span);
       },
     });
-    this.record = new RequestRecord(
-      clock,
-      log,
-      this.metrics,
-      this.table,
-      this.budgets,
-    );
     this.suspects = new CrashWatch(clock, {
       crashed: (fingerprint, upstream) => {
         log.warn('request.crashed-upstream', {fingerprint, upstream});
@@ -157,6 +150,7 @@
         this.peers.spread({kind: PeerMessageKind.Cleared, fingerprint});
       },
     });
+    this.tokens = new TokenExchange(this.budgets, this.peers, log);
     this.exchange = new PeerExchange({
       clock,
       log,
@@ -165,12 +159,13 @@
       placement: this.placement,
       state: this.state,
       budgets: this.budgets,
+      tokens: this.tokens,
       suspects: this.suspects,
       peers: this.peers,
     });
     this.front = new FrontServer(dialect, this);
     this.readiness = new ReadyServer(() => this.ready());
-    this.surroundings = {
+    const surroundings: Surroundings = {
       zone,
       clock,
       log,
@@ -188,6 +183,12 @@
       instances: () => this.instances(),
       random: Math.random,
     };
+    this.service = new RequestService(
+      surroundings,
+      this.table,
+      this.budgets,
+      new RequestRecord(clock, log, this.metrics, this.table, this.budgets),
+    );
   }
 
   /** Starts all tasks. */
@@ -203,6 +204,7 @@
     this.budgets.start();
     this.exchange.tellLoad();
     setInterval(() => this.prune(), PRUNE_INTERVAL);
+    setInterval(() => this.logCounts(), COUNTS_INTERVAL);
     log.info('gateway.started', {
       callers: settings.listen.callers,
       cpuMs: Math.round(process.cpuUsage().user / 1_000),
@@ -258,51 +260,7 @@
 
   /** Called by the front server. */
   serve(request: ReadRequest, answer: CallerAnswer): CallerWork {
-    const {clock, table} = this;
-    const outcome = admit(request, table, this.parts.dialect, clock);
-    if (!outcome.ok) {
-      answer.refuse(outcome.reason);
-      this.record.refused(outcome.reason, outcome.id);
-      return {callerLeft: () => undefined};
-    }
-    return this.serveAdmitted(outcome.request, answer);
-  }
-
-  private serveAdmitted(
-    admitted: AdmittedRequest,
-    answer: CallerAnswer,
-  ): CallerWork {
-    const work: {left: boolean; forwarding: Forwarding | undefined} = {
-      left: false,
-      forwarding: undefined,
-    };
-    const begin = () => {
-      const forwarding = new Forwarding(
-        admitted,
-        answer,
-        this.surroundings,
-        end => this.ended(admitted, end),
-      );
-      work.forwarding = forwarding;
-      forwarding.start();
-    };
-    const now = this.clock.now();
-    this.link.count(admitted.body.length + HEAD_BYTES, 0, now);
-    if (this.link.saturated(now)) {
-      this.refuse(admitted, answer, RefusalReason.MachineBusy);
-    } else if (this.suspects.blocked(admitted.fingerprint)) {
-      this.refuse(admitted, answer, RefusalReason.CrashesUpstreams);
-    } else if (reservationOf(admitted) === 0) {
-      begin();
-    } else {
-      void this.reserve(admitted, answer, begin, () => work.left);
-    }
-    return {
-      callerLeft: () => {
-        work.left = true;
-        work.forwarding?.callerLeft();
-      },
-    };
+    return this.service.serve(request, answer);
   }
 
   private content(): BeatContent {
@@ -339,59 +297,21 @@
     this.placement.prune(id => this.registry.isListed(id));
   }
 
-  private async reserve(
-    admitted: AdmittedRequest,
-    answer: CallerAnswer,
-    begin: () => void,
-    left: () => boolean,
-  ): Promise<void> {
-    const account = admitted.account?.name ?? '';
-    const tokens = reservationOf(admitted);
-    const outcome = await this.budgets.reserve(account, tokens);
-    const {Reserved, Exhausted} = BudgetAnswer;
-    if (outcome !== Reserved) {
-      const {BudgetExhausted, BudgetUnavailable} = RefusalReason;
-      const reason =
-        outcome === Exhausted ? BudgetExhausted : BudgetUnavailable;
-      if (!left()) {
-        this.refuse(admitted, answer, reason);
-      }
-      return;
-    }
-    if (left()) {
-      this.budgets.settle(account, tokens, 0);
-      return;
-    }
-    begin();
-  }
-
-  private refuse(
-    admitted: AdmittedRequest,
-    answer: CallerAnswer,
-    reason: RefusalReason,
-  ): void {
-    answer.refuse(reason);
-    this.record.ended(admitted, {
-      outcome: reason,
-      upstream: undefined,
-      attempts: 0,
-      mayHaveRun: false,
-      events: 0,
-      firstByteAt: undefined,
+  /** Logs what the instance has cost so far, for those without metrics. */
+  private logCounts(): void {
+    const {store, log} = this.parts;
+    const {relay, followers, equals} = this.peers.partners();
+    log.info('gateway.counts', {
+      storeCalls: JSON.stringify(store.calls()),
+      active: this.front.active(),
+      linkUse: Number(this.link.use(this.clock.now()).toFixed(2)),
+      instances: this.instances(),
+      relay,
+      followers: followers.length,
+      equals: equals.length,
+      cpuMs: Math.round(process.cpuUsage().user / 1_000),
     });
   }
-
-  private ended(admitted: AdmittedRequest, end: ForwardingEnd): void {
-    const reserved = reservationOf(admitted);
-    if (reserved > 0) {
-      const account = admitted.account?.name ?? '';
-      this.budgets.settle(account, reserved, this.record.used(admitted, end));
-    }
-    if (end.outcome === ANSWERED) {
-      this.suspects.answered(admitted.fingerprint);
-    }
-    this.record.ended(admitted, end);
-  }
 }
 
 /** Addresses separated by commas. */
--- a/packages/gateway/src/lib/peer_exchange.ts
+++ b/packages/gateway/src/lib/peer_exchange.ts
@@ -1,6 +1,5 @@
 /** What the gateways tell each other, and what each makes of it. */
 import {deflateRawSync, inflateRawSync} from 'node:zlib';
-import {BudgetAnswer} from './budget_task.js';
 import {PeerMessageKind} from './peer_message.js';
 import {FeedMode} from './store_feed.js';
 import type {BudgetTask} from './budget_task.js';
@@ -8,6 +7,7 @@
 import type {PeerMessage} from './peer_message.js';
 import type {PeerTask} from './peer_task.js';
 import type {StateTask} from './state_task.js';
+import type {TokenExchange} from './token_exchange.js';
 import type {
   Clock,
   Millis,
@@ -39,6 +39,7 @@
   placement: Placement;
   state: StateTask;
   budgets: BudgetTask;
+  tokens: TokenExchange;
   suspects: CrashWatch;
   peers: PeerTask;
 }
@@ -52,9 +53,6 @@
 /** Messages of load that are sent once more when nothing has changed. */
 const LOAD_REPEATS = 1;
 
-/** Peers that are asked for tokens at once, at most. */
-const MOST_ASKED = 16;
-
 /** Age of what a relay saw of the store after which it is not relied on. */
 const RELAYED_STORE_SILENCE: Millis = 1_500;
 
@@ -84,7 +82,7 @@
     [PeerMessageKind.UpstreamsGive]: (message, from) =>
       this.takeUpstreams(message, from),
     [PeerMessageKind.TokensAsk]: (message, from) =>
-      this.giveTokens(from, message),
+      this.parts.tokens.give(from, message),
     [PeerMessageKind.TokensGive]: ({account, tokens}) =>
       this.parts.budgets.receive(account, tokens),
     [PeerMessageKind.TokensRefuse]: ({account, tokens, exhausted}) =>
@@ -108,55 +106,6 @@
     handle(message, from);
   }
 
-  /** Asks some peers for tokens. */
-  askTokens(account: string, tokens: number): void {
-    const {peers} = this.parts;
-    const kind = PeerMessageKind.TokensAsk;
-    const {followers, equals} = peers.partners();
-    const pools = followers.length > 0 && equals.length > 0;
-    const asked = pools ? equals : pickSome(peers.live(), MOST_ASKED);
-    for (const [index, address] of asked.entries()) {
-      const missing = Math.ceil(tokens);
-      // One of them draws on the store, if it reaches it.
-      const draw = index === 0;
-      peers.send(address, {kind, account, tokens: missing, ahead: 0, draw});
-    }
-  }
-
-  /** Instances that draw on the budgets in the store, with this one. */
-  drawing(): number {
-    const {followers, equals} = this.parts.peers.partners();
-    return followers.length > 0 ? 1 + equals.length : this.parts.peers.count();
-  }
-
-  /** Asks the relay for tokens; false without a relay. */
-  askRelay(account: string, tokens: number, ahead: number): boolean {
-    const {peers} = this.parts;
-    const relay = peers.heardRelay();
-    if (relay === undefined) {
-      return false;
-    }
-    peers.send(relay, {
-      kind: PeerMessageKind.TokensAsk,
-      account,
-      tokens: Math.ceil(tokens),
-      ahead: Math.ceil(ahead),
-      draw: true,
-    });
-    return true;
-  }
-
-  /** Gives tokens to the relay; false without a relay. */
-  giveRelay(account: string, tokens: number): boolean {
-    const {peers} = this.parts;
-    const relay = peers.heardRelay();
-    if (relay === undefined) {
-      return false;
-    }
-    peers.send(relay, {kind: PeerMessageKind.TokensGive, account, tokens});
-    return true;
-  }
-
   /** How closely this instance has to follow the store itself. */
   feedMode(): FeedMode {
     const {peers} = this.parts;
@@ -190,18 +139,6 @@
     this.parts.placement.peerLoad(address, new Map(), this.parts.clock.now());
   }
 
-  /** Gives tokens to one of the peers that run; false if there is none. */
-  handOver(account: string, tokens: number): boolean {
-    const {peers} = this.parts;
-    const staying = peers.staying();
-    const to = staying[Math.floor(Math.random() * staying.length)];
-    if (to === undefined) {
-      return false;
-    }
-    peers.send(to, {kind: PeerMessageKind.TokensGive, account, tokens});
-    return true;
-  }
-
   /** Tells the partners from time to time what is placed where. */
   tellLoad(): void {
     const {placement, peers, clock} = this.parts;
@@ -314,78 +251,7 @@
     }));
     state.takeNews(taken, from, lapsed);
   }
-
-  private giveTokens(
-    to: string,
-    {account, tokens, ahead, draw}: MessageOf<PeerMessageKind.TokensAsk>,
-  ): void {
-    const {budgets, peers} = this.parts;
-    if (peers.partners().followers.includes(to)) {
-      void this.supplyFollower(to, account, tokens, ahead);
-      return;
-    }
-    const given = budgets.give(account, tokens);
-    if (given > 0) {
-      this.sendTokens(to, account, given);
-    }
-    if (draw && given < tokens && budgets.reachesStore(account)) {
-      void this.drawFor(to, account, tokens - given);
-    }
-  }
-
-  /** Draws on the store for an instance that does not reach it. */
-  private async drawFor(
-    to: string,
-    account: string,
-    tokens: number,
-  ): Promise<void> {
-    const asksPeers = false;
-    const {given} = await this.parts.budgets.supply(account, tokens, {
-      ahead: 0,
-      asksPeers,
-    });
-    if (given > 0) {
-      this.sendTokens(to, account, given);
-    }
-  }
-
-  /** Answers an instance that relies on this one for its tokens. */
-  private async supplyFollower(
-    to: string,
-    account: string,
-    tokens: number,
-    ahead: number,
-  ): Promise<void> {
-    const {budgets, peers} = this.parts;
-    const asksPeers = true;
-    const supplied = await budgets.supply(account, tokens, {ahead, asksPeers});
-    if (supplied.given > 0) {
-      this.sendTokens(to, account, supplied.given);
-    }
-    if (supplied.answer !== BudgetAnswer.Reserved) {
-      const exhausted = supplied.answer === BudgetAnswer.Exhausted;
-      const kind = PeerMessageKind.TokensRefuse;
-      peers.send(to, {kind, account, tokens, exhausted});
-    }
-  }
-
-  private sendTokens(to: string, account: string, tokens: number): void {
-    const {peers, log} = this.parts;
-    peers.send(to, {kind: PeerMessageKind.TokensGive, account, tokens});
-    log.info('budget.given', {account, tokens, peer: to});
-  }
 }
 
 /** Marks news that are a whole list. */
 const WHOLE_LIST = -1;
-
-/** Up to `most` of some addresses, by chance. */
-function pickSome(addresses: string[], most: number): string[] {
-  const left = [...addresses];
-  const picked: string[] = [];
-  while (picked.length < most && left.length > 0) {
-    const index = Math.floor(Math.random() * left.length);
-    picked.push(...left.splice(index, 1));
-  }
-  return picked;
-}
