--- a/packages/model/src/lib/prepaid_model.ts
+++ b/packages/model/src/lib/prepaid_model.ts
@@ -23,6 +23,8 @@
   EarlyTake = 'early-take',
   /** Tokens that are given stay with the giver. */
   KeptGift = 'kept-gift',
+  /** A relay frees what it reserved for a follower and sends it all the same. */
+  FreedSupply = 'freed-supply',
 }
 
 /** What can happen. */
@@ -33,6 +35,8 @@
   Return = 'return',
   Read = 'read',
   Gift = 'gift',
+  /** A relay reserves for a follower and sends what it reserved. */
+  Supply = 'supply',
   Kill = 'kill',
   TopUp = 'top-up',
   ExecuteLate = 'execute-late',
@@ -82,6 +86,7 @@
   ...Array<StepKind>(5).fill(StepKind.Write),
   ...Array<StepKind>(2).fill(StepKind.Return),
   ...Array<StepKind>(2).fill(StepKind.Read),
+  ...Array<StepKind>(2).fill(StepKind.Supply),
 ];
 
 const STEP: fc.Arbitrary<Step> = fc.record({
@@ -112,6 +117,7 @@
     [StepKind.Return]: step => this.write(step, true),
     [StepKind.Read]: step => this.read(step.instance),
     [StepKind.Gift]: step => this.gift(step),
+    [StepKind.Supply]: step => this.supply(step),
     [StepKind.Kill]: step => this.kill(step.instance),
     [StepKind.TopUp]: step => this.topUp(step),
     [StepKind.ExecuteLate]: step => this.executeLate(step),
@@ -246,6 +252,22 @@
     }
   }
 
+  private supply({instance, tokens, pick, fate}: Step): void {
+    const to = pick % INSTANCES;
+    const relay = this.share(instance);
+    if (!relay.reserve(ACCOUNT, tokens)) {
+      return;
+    }
+    if (this.plant === PrepaidPlant.FreedSupply) {
+      relay.settle(ACCOUNT, tokens, 0);
+    } else {
+      relay.transfer(ACCOUNT, tokens);
+    }
+    if (fate === CallFate.Served && to !== instance) {
+      this.share(to).receive(ACCOUNT, tokens);
+    }
+  }
+
   private kill(instance: number): void {
     const life = this.lives[instance] ?? 0;
     if (this.plant === PrepaidPlant.HastyReclaim) {
