--- a/packages/gateway/src/lib/forwarding.ts
+++ b/packages/gateway/src/lib/forwarding.ts
@@ -1,6 +1,7 @@
 /** One request of a caller on its way through the upstreams. */
 import {
   isSuspectSilence,
+  mayRepeat,
   PlacementEnd,
   pickTarget,
   RouteKind,
@@ -349,13 +350,12 @@
    * @param running upstreams that work on it and don't count as failed yet.
    */
   private mayRepeat(running = 0): boolean {
-    const {route} = this.request;
-    const idempotent = route.kind === RouteKind.Idempotent;
-    const streaming = route.kind === RouteKind.Streaming;
-    const resumable = streaming && route.resumable;
-    const fresh = !this.answer.begun() || (resumable && this.relay.resumable());
-    const left = this.ran.size + running < route.mostUpstreams;
-    return (idempotent || resumable) && fresh && left;
+    return mayRepeat({
+      route: this.request.route,
+      ran: this.ran.size + running,
+      begun: this.answer.begun(),
+      resumable: this.relay.resumable(),
+    });
   }
 
   /** Attempts once more if the fleet's bound on repeats allows it. */
