--- a/packages/soak/src/lib/checks.ts
+++ b/packages/soak/src/lib/checks.ts
@@ -165,10 +165,10 @@
 }
 
 function answerFault({id, kind, result}: Sent): string | undefined {
-  if (result.headers['x-request-id'] !== id) {
+  if (result.requestId !== id) {
     return 'answer of another request';
   }
-  if (result.headers['x-response-seal'] === undefined) {
+  if (!result.sealed) {
     return 'success without a seal';
   }
   const framed = result.complete && result.framed;
--- a/packages/soak/src/lib/faults.ts
+++ b/packages/soak/src/lib/faults.ts
@@ -1,6 +1,5 @@
 /** Carries the faults of a plan out, from outside the processes. */
 import {
-  configuration,
   GateMode,
   pause,
   RelayMode,
@@ -113,7 +112,7 @@
       apiKeys: keys,
       prepaid: granted,
     }));
-    this.fleet.store.put('op/config', configuration(this.version, {tenants}));
+    this.fleet.configure(this.version, {tenants});
   }
 
   private gateway({pick}: Fault): GatewayProcess {
@@ -122,20 +121,13 @@
 
   /** An upstream that is listed, if its service has another one. */
   private upstream({pick}: Fault): HostedServer | undefined {
-    const listed = this.listed();
+    const listed = this.fleet.listed();
     const server = choose(listed, pick);
     const {service} = server.settings;
     const others = listed.filter(one => one.settings.service === service);
     return others.length > 1 ? server : undefined;
   }
 
-  private listed(): HostedServer[] {
-    const keys = new Set(this.fleet.store.keys('servers/'));
-    return this.fleet.servers.filter(one =>
-      keys.has(`servers/${one.settings.id}`),
-    );
-  }
-
   private trouble(name: string | undefined, span: Millis): void {
     const from = Date.now();
     this.record.troubles.push({name, from, until: from + span});
@@ -189,7 +181,7 @@
   }
 
   private async upstreamFault(fault: Fault): Promise<void> {
-    const server = choose(this.listed(), fault.pick);
+    const server = choose(this.fleet.listed(), fault.pick);
     const kinds = Object.values(ServerFault).filter(
       one => one !== ServerFault.None,
     );
@@ -205,7 +197,7 @@
     }
     server.stop();
     await pause(LAPSE_TIME);
-    this.fleet.store.drop(`servers/${server.settings.id}`);
+    this.fleet.withdraw(server);
     await this.addUpstream(server.settings.service);
   }
 
@@ -217,11 +209,9 @@
     const {id, service} = server.settings;
     await this.addUpstream(service);
     this.record.leavings.push({upstream: id, at: Date.now()});
-    const key = `servers/${id}`;
-    const entry = this.fleet.store.value(key) as Record<string, unknown>;
-    this.fleet.store.put(key, {...entry, state: 'draining'});
+    this.fleet.announceLeaving(server);
     await pause(DRAIN_TIME);
-    this.fleet.store.drop(key);
+    this.fleet.withdraw(server);
   }
 
   private async addUpstream(service: string): Promise<void> {
@@ -230,7 +220,7 @@
   }
 
   private async upstreamLink(fault: Fault): Promise<void> {
-    const server = choose(this.listed(), fault.pick);
+    const server = choose(this.fleet.listed(), fault.pick);
     const way = this.fleet.ways.get(server);
     // What waits on the way may arrive late: bounds of time don't hold.
     this.trouble(undefined, fault.span);
@@ -249,7 +239,7 @@
   private resetConnections(fault: Fault): void {
     this.trouble(undefined, 0);
     this.gateway(fault).links.reset();
-    const server = choose(this.listed(), fault.variant);
+    const server = choose(this.fleet.listed(), fault.variant);
     this.fleet.ways.get(server)?.reset();
   }
 
--- a/packages/soak/src/test/checks_test.ts
+++ b/packages/soak/src/test/checks_test.ts
@@ -13,7 +13,7 @@
 }
 
 function sent(changes: Partial<Sent>, result: Partial<CallerResult>): Sent {
-  const headers = {'x-request-id': ID, 'x-response-seal': 'seal'};
+  const own = {headers: {}, requestId: ID, sealed: true};
   const whole = {status: 200, body: 'done', complete: true, framed: true};
   return {
     id: ID,
@@ -23,7 +23,7 @@
     gateway: 'g1',
     at: 10_000,
     ...changes,
-    result: {headers, endedAt: 10_100, ...whole, ...result},
+    result: {...own, endedAt: 10_100, ...whole, ...result},
   };
 }
 
@@ -100,12 +100,12 @@
   },
   {
     name: 'an answer of another request',
-    sight: sight({sent: [sent({}, {headers: {'x-request-id': 'other'}})]}),
+    sight: sight({sent: [sent({}, {requestId: 'other'})]}),
     broken: 'a whole answer of its own',
   },
   {
     name: 'an answer without a seal',
-    sight: sight({sent: [sent({}, {headers: {'x-request-id': ID}})]}),
+    sight: sight({sent: [sent({}, {sealed: false})]}),
     broken: 'a whole answer of its own',
   },
   {
--- a/packages/stand_ins/src/index.ts
+++ b/packages/stand_ins/src/index.ts
@@ -7,6 +7,7 @@
 export * from './lib/truth.js';
 export * from './lib/upstream.js';
 export * from './lib/group.js';
+export * from './lib/hosted/caller.js';
 export * from './lib/hosted/fleet.js';
 export * from './lib/hosted/store.js';
 export * from './lib/hosted/upstream.js';
--- a/packages/stand_ins/src/lib/hosted/fleet.ts
+++ b/packages/stand_ins/src/lib/hosted/fleet.ts
@@ -2,38 +2,28 @@
 import {spawn} from 'node:child_process';
 import {mkdtempSync, writeFileSync} from 'node:fs';
 import {createServer} from 'node:net';
-import {request} from 'node:http';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {Relay} from '../relay.js';
+import {ACCOUNT, API_KEY, call, HOST} from './caller.js';
 import {HostedStore} from './store.js';
 import {HostedServer} from './upstream.js';
 import type {StoreGate} from './store.js';
 import type {HostedServerSettings} from './upstream.js';
-import type {Agent} from 'node:http';
 import type {ChildProcess} from 'node:child_process';
 import type {AddressInfo} from 'node:net';
 
-/** Names that the operator of the tests uses. */
-export const HOST = 'desk.example';
-export const API_KEY = 'key-of-club';
-export const ACCOUNT = 'club';
-
 /** One log line of a gateway. */
 export type LogLine = Record<string, unknown> & {event: string};
 
-/** What a caller got. */
-export interface CallerResult {
-  /** 0 if the connection ended without a head. */
-  status: number;
-  headers: Record<string, string | string[] | undefined>;
-  body: string;
-  /** Whether the answer was framed as complete. */
-  complete: boolean;
-  /** When the answer, or the connection, had ended. */
-  endedAt: number;
-  /** Whether the body had a length or chunks. */
-  framed: boolean;
+/** Key of the operator's configuration. */
+const CONFIGURATION_KEY = 'op/config';
+
+/** Prefix of the servers' entries in the store. */
+const LIST_PREFIX = 'servers/';
+
+function keyOf({settings}: HostedServer): string {
+  return `${LIST_PREFIX}${settings.id}`;
 }
 
 /** The operator's configuration, with routes of each kind. */
@@ -169,10 +159,33 @@
     const way = new Relay(String(entry['address']));
     this.ways.set(server, way);
     const address = await way.start('127.0.0.1');
-    this.store.put(`servers/${id}`, {...entry, address});
+    this.store.put(keyOf(server), {...entry, address});
     return server;
   }
 
+  /** Writes the operator's configuration. */
+  configure(version: number, changes: Record<string, unknown> = {}): void {
+    this.store.put(CONFIGURATION_KEY, configuration(version, changes));
+  }
+
+  /** Servers that are in the store's list. */
+  listed(): HostedServer[] {
+    const keys = new Set(this.store.keys(LIST_PREFIX));
+    return this.servers.filter(one => keys.has(keyOf(one)));
+  }
+
+  /** States that a server leaves. */
+  announceLeaving(server: HostedServer): void {
+    const key = keyOf(server);
+    const entry = this.store.value(key) as Record<string, unknown>;
+    this.store.put(key, {...entry, state: 'draining'});
+  }
+
+  /** Takes a server off the store's list. */
+  withdraw(server: HostedServer): void {
+    this.store.drop(keyOf(server));
+  }
+
   /** Adds a gateway and waits until it is ready. */
   async addGateway(): Promise<GatewayProcess> {
     const ports = await freePorts(3);
@@ -236,83 +249,6 @@
   private readonly peerAddresses: string[] = [];
 }
 
-/** Headers of a caller's request for a token stream. */
-export function tokens(input: number, most: number): Record<string, string> {
-  return {
-    'X-Token-Usage': `${input},${most}`,
-    'X-Prompt-Prefix': `a1:${input - 10},b2:10`,
-    'X-Model': 'm',
-  };
-}
-
-let requests = 0;
-
-/** Makes one call and reads what comes. */
-export function call(
-  address: string,
-  options: {
-    path: string;
-    method?: string;
-    headers?: Record<string, string>;
-    body?: string;
-    /** Leaves after this time. */
-    leaveAfter?: number;
-    /** Connections to use again; a new one without. */
-    agent?: Agent;
-  },
-): Promise<CallerResult> {
-  requests += 1;
-  const [host, port] = address.split(':');
-  const result: CallerResult = {
-    status: 0,
-    headers: {},
-    body: '',
-    complete: false,
-    endedAt: 0,
-    framed: false,
-  };
-  return new Promise(resolve => {
-    const outgoing = request({
-      host,
-      port: Number(port),
-      path: options.path,
-      method: options.method ?? 'GET',
-      agent: options.agent ?? false,
-      headers: {
-        Host: HOST,
-        'X-Request-Id': `request-${requests}`,
-        'X-Request-Deadline-Ms': '3000',
-        Authorization: `Bearer ${API_KEY}`,
-        ...options.headers,
-      },
-    });
-    if (options.leaveAfter !== undefined) {
-      setTimeout(() => outgoing.destroy(), options.leaveAfter);
-    }
-    outgoing.on('error', () => {
-      result.endedAt = Date.now();
-      resolve(result);
-    });
-    outgoing.on('response', incoming => {
-      result.status = incoming.statusCode ?? 0;
-      result.headers = incoming.headers;
-      result.framed =
-        incoming.headers['content-length'] !== undefined ||
-        incoming.headers['transfer-encoding'] !== undefined;
-      incoming.on('data', (bytes: Buffer) => {
-        result.body += bytes.toString('latin1');
-      });
-      incoming.on('error', () => undefined);
-      incoming.on('close', () => {
-        result.complete = incoming.complete;
-        result.endedAt = Date.now();
-        resolve(result);
-      });
-    });
-    outgoing.end(options.body);
-  });
-}
-
 /** Waits until something holds; fails after ten seconds. */
 export async function until(
   holds: () => boolean | Promise<boolean>,
