Close the callers' connections before the end of a planned stop

The stop had begun at 1.000 s; a request came on a kept connection at 3.784 s, after the process had seen that nothing ran and before it ended, reached an upstream and was cut. Ruled out: the upstream (its run ended by the cut), the grace time (8 s). Idle connections are now closed first, and what was read until then is served.

--- a/packages/gateway/src/lib/front_server.ts
+++ b/packages/gateway/src/lib/front_server.ts
@@ -63,6 +63,15 @@
     this.server.headersTimeout = limits.headerTimeout;
   }
 
+  /**
+   * Takes no more connections and ends the idle ones: what a caller sends on
+   * them from now on is not read.
+   */
+  close(): void {
+    this.server.close();
+    this.server.closeIdleConnections();
+  }
+
   /** Requests that are being read or served. */
   active(): number {
     return this.running;
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -224,20 +224,28 @@
     this.peers.beat();
     const grace = this.parts.settings.stop.graceSeconds * SECOND;
     const most = grace - STOP_RESERVE;
-    await new Promise<void>(resolve => {
+    await this.idle(begun + BALANCER_NOTICE, begun + most);
+    // Kept connections may bring requests until they are closed.
+    this.front.close();
+    await this.idle(this.clock.now(), begun + most);
+    const left = most + STOP_RESERVE / 2 - (this.clock.now() - begun);
+    await within(this.budgets.returnShares(), Math.max(0, left));
+    await pause(LINK_FLUSH);
+    this.parts.log.info('gateway.stopped', {active: this.front.active()});
+  }
+
+  /** Waits until no request is served, from a time on and up to another. */
+  private idle(from: Millis, until: Millis): Promise<void> {
+    return new Promise(resolve => {
       const timer = setInterval(() => {
-        const elapsed = this.clock.now() - begun;
-        const idle = elapsed > BALANCER_NOTICE && this.front.active() === 0;
-        if (idle || elapsed > most) {
+        const now = this.clock.now();
+        const idle = now > from && this.front.active() === 0;
+        if (idle || now > until) {
           clearInterval(timer);
           resolve();
         }
       }, STOP_INTERVAL);
     });
-    const left = most + STOP_RESERVE / 2 - (this.clock.now() - begun);
-    await within(this.budgets.returnShares(), Math.max(0, left));
-    await pause(LINK_FLUSH);
-    this.parts.log.info('gateway.stopped', {active: this.front.active()});
   }
 
   /** Whether the instance takes new connections. */
