--- a/packages/decisions/src/lib/topology.ts
+++ b/packages/decisions/src/lib/topology.ts
@@ -178,11 +178,8 @@
     if (state.pausedUntil > now) {
       return false;
     }
-    const known = state.heardAt > -Infinity;
     state.chosenAt ??= now;
-    const since = known
-      ? Math.max(state.heardAt, state.chosenAt)
-      : state.chosenAt;
+    const since = Math.max(state.heardAt, state.chosenAt);
     if (now - since <= RELAY_SILENCE) {
       return true;
     }
--- a/packages/gateway/src/lib/peer_task.ts
+++ b/packages/gateway/src/lib/peer_task.ts
@@ -145,19 +145,16 @@
 
   /** Sends a message that all instances are to have; it may be lost. */
   spread(message: PeerMessage): void {
-    const {relay, followers, equals} = this.exchange;
-    const above = relay === undefined ? [] : [relay];
-    for (const address of [...above, ...followers, ...equals]) {
+    for (const address of allPartners(this.exchange)) {
       this.fleet.send(address, message);
     }
   }
 
   /** Passes a message that is to reach all instances on to the next ones. */
   passOn(from: string, message: PeerMessage): void {
-    const {relay, followers, equals} = this.exchange;
+    const {followers} = this.exchange;
     const fromBelow = followers.includes(from);
-    const above = relay === undefined ? [] : [relay];
-    const next = fromBelow ? [...above, ...followers, ...equals] : followers;
+    const next = fromBelow ? allPartners(this.exchange) : followers;
     for (const address of next.filter(one => one !== from)) {
       this.fleet.send(address, message);
     }
@@ -171,9 +168,7 @@
       this.topology.leave();
     }
     this.rewire(now);
-    const {relay, followers, equals} = this.exchange;
-    const above = relay === undefined ? [] : [relay];
-    const partners = new Set([...above, ...followers, ...equals]);
+    const partners = new Set(allPartners(this.exchange));
     for (const address of partners) {
       const silent = this.topology.silence(address, now) > LINK_SILENCE;
       if (silent) {
@@ -236,10 +231,9 @@
       const instances = this.count();
       this.log.info('peer.relay', {relay, before: before.relay, instances});
     }
-    const kept = new Set([...next.followers, ...next.equals, next.relay]);
-    const {relay, followers, equals} = before;
-    for (const address of [...followers, ...equals, relay]) {
-      if (address !== undefined && !kept.has(address)) {
+    const kept = new Set(allPartners(next));
+    for (const address of allPartners(before)) {
+      if (!kept.has(address)) {
         this.relayViews.delete(address);
         this.owner.parted(address);
       }
@@ -304,3 +298,9 @@
     return fresh ? view : undefined;
   }
 }
+
+/** Addresses of all with whom news are exchanged. */
+function allPartners({relay, followers, equals}: Exchange): string[] {
+  const above = relay === undefined ? [] : [relay];
+  return [...above, ...followers, ...equals];
+}
