Report what a process has used of its taken tokens

Change: an entry of a budget page carries what its process had used at its last write; the next process on the machine logs it with what was taken; a gauge has the tokens of a running process by state. No decision changes.

--- a/packages/decisions/src/lib/prepaid_page.ts
+++ b/packages/decisions/src/lib/prepaid_page.ts
@@ -13,6 +13,12 @@
   instance: string;
   /** Tokens taken, by account. */
   taken: Record<string, number>;
+  /**
+   * Tokens that were spent, reserved, or given to peers less those received
+   * from them, at the last write of the process, by account. For diagnosis: a
+   * process may use more until its next write.
+   */
+  used: Record<string, number>;
 }
 
 /** Budgets of some accounts, as stored in one value of the store. */
@@ -29,6 +35,17 @@
  */
 export type PageChange = ReadonlyMap<string, number>;
 
+/** What a process writes to a page. */
+export interface HolderUpdate {
+  /** Identity of the process. */
+  holder: string;
+  /** Machine on which it runs. */
+  instance: string;
+  change: PageChange;
+  /** As `PageHolder.used`. */
+  used: Record<string, number>;
+}
+
 /** Returns a page from which nothing has been taken. */
 export function emptyPage(): PrepaidPage {
   return {closed: {}, holders: {}};
@@ -53,19 +70,16 @@
 }
 
 /**
- * Returns the page after a change by the process `holder`. What earlier
- * processes of the same instance have taken is added to `closed`.
+ * Returns the page after an update by a process. What earlier processes of the
+ * same instance have taken is added to `closed`.
  */
-export function applyChange(
+export function applyUpdate(
   page: PrepaidPage,
-  holder: string,
-  instance: string,
-  change: PageChange,
+  {holder, instance, change, used}: HolderUpdate,
 ): PrepaidPage {
   const next: PrepaidPage = {closed: {...page.closed}, holders: {}};
   for (const [id, pageHolder] of Object.entries(page.holders)) {
-    const isPredecessor = pageHolder.instance === instance && id !== holder;
-    if (isPredecessor) {
+    if (isPredecessor(id, pageHolder, holder, instance)) {
       addTokens(next.closed, pageHolder.taken);
     } else {
       next.holders[id] = pageHolder;
@@ -75,10 +89,31 @@
   for (const [account, tokens] of change) {
     taken[account] = (taken[account] ?? 0) + tokens;
   }
-  next.holders[holder] = {instance, taken};
+  next.holders[holder] = {instance, taken, used};
   return next;
 }
 
+/** Returns the entries of earlier processes of the same instance. */
+export function predecessorsOf(
+  page: PrepaidPage,
+  holder: string,
+  instance: string,
+): Array<[id: string, entry: PageHolder]> {
+  return Object.entries(page.holders).filter(([id, entry]) =>
+    isPredecessor(id, entry, holder, instance),
+  );
+}
+
+/** Whether an entry belongs to an earlier process of the same instance. */
+function isPredecessor(
+  id: string,
+  entry: PageHolder,
+  holder: string,
+  instance: string,
+): boolean {
+  return entry.instance === instance && id !== holder;
+}
+
 function addTokens(
   sums: Record<string, number>,
   added: Record<string, number>,
--- a/packages/decisions/src/lib/prepaid_shares.ts
+++ b/packages/decisions/src/lib/prepaid_shares.ts
@@ -7,13 +7,14 @@
  * unavailable for many seconds; a budget runs out.
  */
 import {
-  applyChange,
+  applyUpdate,
   emptyPage,
+  predecessorsOf,
   takenByHolder,
   totalTaken,
 } from './prepaid_page.js';
 import type {Millis} from './clock.js';
-import type {PageChange, PrepaidPage} from './prepaid_page.js';
+import type {PageChange, PageHolder, PrepaidPage} from './prepaid_page.js';
 
 /** A conditional write of a page to the store. */
 export interface PageWrite {
@@ -22,6 +23,18 @@
   page: PrepaidPage;
   /** Tokens that the write takes (positive) or returns (negative). */
   change: PageChange;
+  /** Entries of earlier processes of the instance that the write closes. */
+  closed: Array<[holder: string, entry: PageHolder]>;
+}
+
+/** Tokens of all accounts of one process, by their state. */
+export interface TokenTotals {
+  /** Taken from the budgets, according to the known pages. */
+  taken: number;
+  spent: number;
+  reserved: number;
+  /** Given to peers, less those received from them. */
+  given: number;
 }
 
 /** Settings that identify the instance and determine the size of its shares. */
@@ -224,6 +237,18 @@
     return [...this.shares.keys()];
   }
 
+  /** Returns the sums over all accounts. For metrics. */
+  totals(): TokenTotals {
+    const totals: TokenTotals = {taken: 0, spent: 0, reserved: 0, given: 0};
+    for (const [account, share] of this.shares) {
+      totals.taken += takenByHolder(this.page, this.settings.holder, account);
+      totals.spent += share.spent;
+      totals.reserved += share.reserved;
+      totals.given += share.netGiven;
+    }
+    return totals;
+  }
+
   /** Returns the tokens of an account that no instance has taken. */
   untakenTokens(account: string, view: ShareView): number {
     return view.granted(account) - totalTaken(this.page, account);
@@ -306,13 +331,28 @@
     const {holder, instance} = this.settings;
     const write: PageWrite = {
       expectedRevision: this.revision,
-      page: applyChange(this.page, holder, instance, change),
+      page: applyUpdate(this.page, {
+        holder,
+        instance,
+        change,
+        used: this.usedTokens(),
+      }),
       change,
+      closed: predecessorsOf(this.page, holder, instance),
     };
     this.pendingWrites.push(write);
     return write;
   }
 
+  /** Tokens spent, reserved, or given to peers on balance, by account. */
+  private usedTokens(): Record<string, number> {
+    const used: Record<string, number> = {};
+    for (const [account, {spent, reserved, netGiven}] of this.shares) {
+      used[account] = spent + reserved + netGiven;
+    }
+    return used;
+  }
+
   /** Tokens to take from the store (positive) or to return (negative). */
   private tokensToTake(account: string, view: ShareView): number {
     const share = this.shareOf(account);
--- a/packages/gateway/src/lib/budget_page.ts
+++ b/packages/gateway/src/lib/budget_page.ts
@@ -134,6 +134,7 @@
           revision: result.revision,
           change: JSON.stringify([...write.change]),
         });
+        this.logClosed(write);
         break;
       case StoreOutcome.Conflict:
         if (result.item === undefined) {
@@ -155,6 +156,21 @@
     }
   }
 
+  /**
+   * Logs what the closed processes had taken, and what of it they had reported
+   * as used: the difference is not spent, or was used after their last write.
+   */
+  private logClosed({closed}: PageWrite): void {
+    for (const [holder, {taken, used}] of closed) {
+      this.log.info('budget.closed', {
+        key: this.key,
+        holder,
+        taken: JSON.stringify(taken),
+        used: JSON.stringify(used),
+      });
+    }
+  }
+
   /** Decodes a page from the store and records it if it is valid. */
   private recordItem(item: StoreItem): void {
     const decoded = PAGE_CODEC.decode(item.value);
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -118,7 +118,7 @@
     // Identity of this process, under which it holds prepaid tokens and
     // connects to peers; a restarted instance gets another one.
     const holder = `${instance}.${randomId(4)}`;
-    this.metrics = new GatewayMetrics(store);
+    this.metrics = new GatewayMetrics(store, () => this.budgets.totals());
     this.stateSync = new StateSync(
       this.routeTable,
       this.upstreamRegistry,
--- a/packages/gateway/src/lib/gateway_metrics.ts
+++ b/packages/gateway/src/lib/gateway_metrics.ts
@@ -4,7 +4,7 @@
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 import type {Store} from './ports.js';
 import type {Server} from 'node:http';
-import type {Millis} from '@citrontrestle/decisions';
+import type {Millis, TokenTotals} from '@citrontrestle/decisions';
 
 /** Upper bounds of the buckets of latency histograms. */
 const LATENCY_BUCKETS: Millis[] = [
@@ -19,7 +19,8 @@
   private readonly timeToFirstByte: Histogram;
   private readonly server: Server;
 
-  constructor(store: Store) {
+  /** @param budgetTotals returns the prepaid tokens of this process. */
+  constructor(store: Store, budgetTotals: () => TokenTotals) {
     const registers = [this.registry];
     this.requests = new Counter({
       name: 'citrontrestle_requests_total',
@@ -52,6 +53,17 @@
         }
       },
     });
+    const budgetTokens = new Gauge({
+      name: 'citrontrestle_budget_tokens',
+      help: 'Prepaid tokens of this process over all accounts, by state',
+      labelNames: ['state'],
+      registers,
+      collect: () => {
+        for (const [state, tokens] of Object.entries(budgetTotals())) {
+          budgetTokens.set({state}, Number(tokens));
+        }
+      },
+    });
     this.server = createServer((_incoming, response) => {
       void this.registry.metrics().then(text => {
         response.writeHead(200, {'Content-Type': this.registry.contentType});
--- a/packages/gateway/src/lib/page_codec.ts
+++ b/packages/gateway/src/lib/page_codec.ts
@@ -10,7 +10,12 @@
   closed: TOKENS_BY_ACCOUNT,
   holders: z.record(
     z.string(),
-    z.object({instance: z.string(), taken: TOKENS_BY_ACCOUNT}),
+    z.object({
+      instance: z.string(),
+      taken: TOKENS_BY_ACCOUNT,
+      // Missing in entries of earlier versions.
+      used: TOKENS_BY_ACCOUNT.default({}),
+    }),
   ),
 });
 
--- a/packages/gateway/src/lib/prepaid_budgets.ts
+++ b/packages/gateway/src/lib/prepaid_budgets.ts
@@ -7,7 +7,12 @@
 import {partitionIndex} from '@citrontrestle/decisions';
 import {BudgetPage} from './budget_page.js';
 import type {Store} from './ports.js';
-import type {Clock, Millis, ShareView} from '@citrontrestle/decisions';
+import type {
+  Clock,
+  Millis,
+  ShareView,
+  TokenTotals,
+} from '@citrontrestle/decisions';
 import type {Log} from '@citrontrestle/runtime';
 
 /** Outcome of a reservation. */
@@ -361,6 +366,19 @@
     );
   }
 
+  /** Returns the sums over all accounts. For metrics. */
+  totals(): TokenTotals {
+    const totals: TokenTotals = {taken: 0, spent: 0, reserved: 0, given: 0};
+    for (const {shares} of this.pages) {
+      const {taken, spent, reserved, given} = shares.totals();
+      totals.taken += taken;
+      totals.spent += spent;
+      totals.reserved += reserved;
+      totals.given += given;
+    }
+    return totals;
+  }
+
   /** Samples spending rates and brings the shares to their target sizes. */
   private maintain(): void {
     const now = this.clock.now();
--- a/packages/model/src/lib/prepaid_model.ts
+++ b/packages/model/src/lib/prepaid_model.ts
@@ -4,7 +4,7 @@
  */
 import fc from 'fast-check';
 import {
-  applyChange,
+  applyUpdate,
   emptyPage,
   ManualClock,
   PrepaidShares,
@@ -345,7 +345,12 @@
     const availableTokens = this.sharesOf(instance).availableTokens(ACCOUNT);
     const holder = `i${instance}.${this.incarnations[instance]}`;
     const change = new Map([[ACCOUNT, -Math.max(0, availableTokens)]]);
-    this.page = applyChange(this.page, holder, `i${instance}`, change);
+    this.page = applyUpdate(this.page, {
+      holder,
+      instance: `i${instance}`,
+      change,
+      used: {},
+    });
     this.revision += 1;
   }
 
