Test that service comes back after instances ended abruptly (fails)

The test replays such ends on the shares of eight instances, with the policy of the gateway, which moves to a module of its own, unchanged.

--- a/packages/decisions/src/lib/prepaid_shares.ts
+++ b/packages/decisions/src/lib/prepaid_shares.ts
@@ -15,6 +15,7 @@
 } from './prepaid_page.js';
 import type {Millis} from './clock.js';
 import type {PageChange, PageHolder, PrepaidPage} from './prepaid_page.js';
+import type {SharePolicy} from './share_policy.js';
 
 /** A conditional write of a page to the store. */
 export interface PageWrite {
@@ -38,33 +39,11 @@
 }
 
 /** Settings that identify the instance and determine the size of its shares. */
-export interface ShareSettings {
+export interface ShareSettings extends SharePolicy {
   /** Identity of this process; a restarted instance has another one. */
   holder: string;
   /** Name of the machine; it stays the same when the process restarts. */
   instance: string;
-  /** Time for which a share should last at the current spending rate. */
-  horizon: Millis;
-  /**
-   * Maximum that all instances together hold, as a fraction of the tokens that
-   * nobody holds. An instance's own part of this maximum is its fraction of all
-   * tokens taken so far, but at least an equal part.
-   */
-  maxHeldFraction: number;
-  /**
-   * Near the end of a budget, the instances hold at most the fraction
-   * `remaining time / lowBudgetTime`, if that is below `maxHeldFraction`. The
-   * remaining time is how long the budget lasts at the long-term spending rate.
-   * Tokens left in the store during an outage can still be spent after it,
-   * whereas tokens held by an instance that ends abruptly are lost.
-   */
-  lowBudgetTime: Millis;
-  /**
-   * Fraction of a full budget that all instances together hold without demand.
-   * The amount falls with the square of the remaining fraction of the budget,
-   * because an instance that is killed loses its share.
-   */
-  idleFraction: number;
 }
 
 /** State of the fleet that the size of a share depends on. */
--- /dev/null
+++ b/packages/decisions/src/test/share_fleet.ts
@@ -0,0 +1,114 @@
+/**
+ * A small fleet whose instances share one prepaid budget through a store that
+ * answers at once or never. For tests of the sizes of shares.
+ */
+import {emptyPage} from '../lib/prepaid_page.js';
+import {PrepaidShares} from '../lib/prepaid_shares.js';
+import {SHARE_POLICY} from '../lib/share_policy.js';
+import type {PrepaidPage} from '../lib/prepaid_page.js';
+import type {ShareView} from '../lib/prepaid_shares.js';
+
+/** The only account of the fleet. */
+export const ACCOUNT = 'club';
+
+/** Number of instances of the fleet. */
+export const INSTANCES = 8;
+
+/** Tokens of each request. */
+export const REQUEST_TOKENS = 10_000;
+
+const SECOND = 1_000;
+
+/** Number of times per second that the instances check their shares. */
+const TICKS_PER_SECOND = 4;
+
+/** Instances with one budget, and a store that answers at once or never. */
+export class ShareFleet {
+  readonly instanceShares: PrepaidShares[] = [];
+  page: PrepaidPage = emptyPage();
+  storeAvailable = true;
+  served = 0;
+  refused = 0;
+  private revision = 1;
+  private now = 0;
+  private processCount = 0;
+
+  constructor(private readonly granted: number) {
+    for (let index = 0; index < INSTANCES; index++) {
+      this.instanceShares.push(this.startProcess(index));
+    }
+    this.writeShares();
+  }
+
+  /** Sends requests to the first `instances` instances in turn. */
+  run(seconds: number, perSecond: number, instances = INSTANCES): void {
+    for (let tick = 0; tick < seconds * TICKS_PER_SECOND; tick++) {
+      this.now += SECOND / TICKS_PER_SECOND;
+      this.instanceShares.forEach(share => share.sampleRates(this.now));
+      for (let count = 0; count < perSecond / TICKS_PER_SECOND; count++) {
+        this.request((tick + count) % instances);
+      }
+      this.writeShares();
+    }
+  }
+
+  /** Ends processes abruptly; the next ones on their machines start at once. */
+  kill(indexes: readonly number[]): void {
+    for (const index of indexes) {
+      this.instanceShares[index] = this.startProcess(index);
+    }
+  }
+
+  /** Lets each instance read the page and write it once. */
+  writeShares(): void {
+    for (const share of this.storeAvailable ? this.instanceShares : []) {
+      share.recordPage(this.revision, this.page);
+      const write = share.planWrite([ACCOUNT], this.view());
+      if (write !== undefined) {
+        this.revision += 1;
+        this.page = write.page;
+        share.recordPage(this.revision, write.page);
+      }
+    }
+  }
+
+  private startProcess(index: number): PrepaidShares {
+    this.processCount += 1;
+    const shares = new PrepaidShares({
+      ...SHARE_POLICY,
+      holder: `i${index}.${this.processCount}`,
+      instance: `i${index}`,
+    });
+    shares.recordPage(this.revision, this.page);
+    return shares;
+  }
+
+  private request(instance: number): void {
+    const share = this.instanceShares[instance];
+    const peers = this.instanceShares.filter(other => other !== share);
+    let reserved = share?.reserve(ACCOUNT, REQUEST_TOKENS) ?? false;
+    for (const peer of peers) {
+      if (!reserved) {
+        share?.receiveFromPeer(
+          ACCOUNT,
+          peer.giveToPeer(ACCOUNT, REQUEST_TOKENS),
+        );
+        reserved = share?.reserve(ACCOUNT, REQUEST_TOKENS) ?? false;
+      }
+    }
+    if (reserved) {
+      share?.settle(ACCOUNT, REQUEST_TOKENS, REQUEST_TOKENS);
+      this.served += 1;
+    } else {
+      this.refused += 1;
+    }
+  }
+
+  private view(): ShareView {
+    return {
+      now: this.now,
+      instances: INSTANCES,
+      granted: () => this.granted,
+    };
+  }
+}
--- a/packages/gateway/src/lib/prepaid_budgets.ts
+++ b/packages/gateway/src/lib/prepaid_budgets.ts
@@ -4,7 +4,7 @@
  * an instance has taken from a budget in advance are its share of the budget,
  * from which it reserves tokens without a call to the store.
  */
-import {partitionIndex} from '@citrontrestle/decisions';
+import {partitionIndex, SHARE_POLICY} from '@citrontrestle/decisions';
 import {BudgetPage} from './budget_page.js';
 import type {Store} from './ports.js';
 import type {
@@ -61,21 +61,6 @@
 /** Number of pages. The name of an account determines its page. */
 const PAGE_COUNT = 2;
 
-/** Time for which a share should last while the store is unavailable. */
-const SHARE_HORIZON: Millis = 12_000;
-
-/**
- * Maximum that all instances together hold, as a fraction of the tokens that
- * nobody holds.
- */
-const MAX_HELD_FRACTION = 0.65;
-
-/** Remaining lifetime of a budget below which the instances hold less of it. */
-const LOW_BUDGET_TIME: Millis = 20_000;
-
-/** Fraction of a full budget that all instances together hold when idle. */
-const IDLE_FRACTION = 0.6;
-
 /** Interval at which shares are checked and adjusted. */
 const MAINTENANCE_INTERVAL: Millis = 250;
 
@@ -173,14 +158,7 @@
     this.startedAt = clock.now();
     for (let index = 0; index < PAGE_COUNT; index++) {
       const key = `${PAGE_KEY_PREFIX}${index}`;
-      const settings = {
-        holder,
-        instance,
-        horizon: SHARE_HORIZON,
-        maxHeldFraction: MAX_HELD_FRACTION,
-        lowBudgetTime: LOW_BUDGET_TIME,
-        idleFraction: IDLE_FRACTION,
-      };
+      const settings = {...SHARE_POLICY, holder, instance};
       const onCallEnded = () => this.serveWaitingRequests();
       this.pages.push(
         new BudgetPage(key, settings, store, clock, log, onCallEnded),
