Return what an ended process cannot have used of its tokens

Cause: the next process on a machine counted all that the one before had taken as spent. A share is sized for an outage of the store, about 12 s of spending, but only what is spent at once is used in touch with the store.

Change: a process may use its share beyond a limit, written with the entry, only as the entry gets older than 2 s; its successor on the machine returns what cannot have been used. Nothing is returned if the two clocks of the machine disagree, the store's era changed, or the entry is of an older version. Entries are written again every 1.2 s, and at once after a conflict: routine writes mostly lost against another instance's and were not repeated, so entries were old. In the model, what is taken must now cover what is used, reserved and available at every step, with kills, losses of power, suspensions and set clocks; two planted bugs more are found.

--- a/packages/decisions/src/lib/prepaid_page.ts
+++ b/packages/decisions/src/lib/prepaid_page.ts
@@ -3,12 +3,14 @@
  * some accounts. It states how many tokens of each account's grant each process
  * has taken. Taken tokens count as spent until the process gives them back.
  */
+import {elapsedTime, usableTokens} from './share_release.js';
+import type {MachineTime, Millis} from './clock.js';
 
 /** What one process of an instance has taken. */
 export interface PageHolder {
   /**
    * Machine on which the process runs. The next process on that machine moves
-   * the tokens of this one to `closed`.
+   * the tokens that this one may have used to `closed`.
    */
   instance: string;
   /** Tokens taken, by account. */
@@ -19,6 +21,18 @@
    * process may use more until its next write.
    */
   used: Record<string, number>;
+  /**
+   * Tokens that the process may use, counted as `used`, while its last write is
+   * recent, by account; see `usableTokens`. All taken ones if it is missing.
+   */
+  limits: Record<string, number>;
+  /**
+   * Time from which the age of the entry counts, as the clocks of the machine
+   * show it; undefined if unknown.
+   */
+  confirmedAt: MachineTime | undefined;
+  /** Era of the store in which the entry was written; see `Store.era`. */
+  era: string;
 }
 
 /** Budgets of some accounts, as stored in one value of the store. */
@@ -42,8 +56,15 @@
   /** Machine on which it runs. */
   instance: string;
   change: PageChange;
-  /** As `PageHolder.used`. */
-  used: Record<string, number>;
+  used: PageHolder['used'];
+  limits: PageHolder['limits'];
+  confirmedAt: MachineTime;
+  era: string;
+  /**
+   * A time at which no earlier process of the instance ran any more; undefined
+   * if unknown.
+   */
+  startedAt: MachineTime | undefined;
 }
 
 /** Returns a page from which nothing has been taken. */
@@ -69,49 +90,88 @@
   return page.holders[holder]?.taken[account] ?? 0;
 }
 
+/** An entry of an ended process that an update closes. */
+export interface ClosedHolder {
+  /** Identity of the ended process. */
+  holder: string;
+  entry: PageHolder;
+  /** Age of its last write when it had ended; undefined if unknown. */
+  age: Millis | undefined;
+  /** The most tokens that it can have used, by account. */
+  maxUsed: Record<string, number>;
+}
+
+/** A page after an update, and the entries that the update closes. */
+export interface PageUpdate {
+  page: PrepaidPage;
+  closed: ClosedHolder[];
+}
+
 /**
  * Returns the page after an update by a process. What earlier processes of the
- * same instance have taken is added to `closed`.
+ * same instance may have used is added to `closed` of the page; the rest is
+ * returned.
  */
 export function applyUpdate(
   page: PrepaidPage,
-  {holder, instance, change, used}: HolderUpdate,
-): PrepaidPage {
+  update: HolderUpdate,
+): PageUpdate {
+  const {holder, instance, change, used, limits, confirmedAt, era} = update;
   const next: PrepaidPage = {closed: {...page.closed}, holders: {}};
-  for (const [id, pageHolder] of Object.entries(page.holders)) {
-    if (isPredecessor(id, pageHolder, holder, instance)) {
-      addTokens(next.closed, pageHolder.taken);
+  const closed: ClosedHolder[] = [];
+  for (const [id, entry] of Object.entries(page.holders)) {
+    const isPredecessor = entry.instance === instance && id !== holder;
+    if (isPredecessor) {
+      const closedHolder = closePageHolder(id, entry, update);
+      closed.push(closedHolder);
+      addTokens(next.closed, closedHolder.maxUsed);
     } else {
-      next.holders[id] = pageHolder;
+      next.holders[id] = entry;
     }
   }
   const taken = {...page.holders[holder]?.taken};
   for (const [account, tokens] of change) {
     taken[account] = (taken[account] ?? 0) + tokens;
   }
-  next.holders[holder] = {instance, taken, used};
-  return next;
+  next.holders[holder] = {instance, taken, used, limits, confirmedAt, era};
+  return {page: next, closed};
 }
 
-/** Returns the entries of earlier processes of the same instance. */
-export function predecessorsOf(
-  page: PrepaidPage,
+/**
+ * Determines the most tokens that an ended process can have used: all that it
+ * had taken, unless the age of its last write is known.
+ * @param successor a later process on the same machine.
+ */
+export function closePageHolder(
   holder: string,
-  instance: string,
-): Array<[id: string, entry: PageHolder]> {
-  return Object.entries(page.holders).filter(([id, entry]) =>
-    isPredecessor(id, entry, holder, instance),
-  );
+  entry: PageHolder,
+  successor: Pick<HolderUpdate, 'startedAt' | 'era'>,
+): ClosedHolder {
+  const {taken, limits} = entry;
+  const age = ageAtEnd(entry, successor);
+  if (age === undefined) {
+    return {holder, entry, age, maxUsed: taken};
+  }
+  const maxUsed: Record<string, number> = {};
+  for (const [account, tokens] of Object.entries(taken)) {
+    const limit = limits[account] ?? tokens;
+    maxUsed[account] = Math.ceil(usableTokens(tokens, limit, age));
+  }
+  return {holder, entry, age, maxUsed};
 }
 
-/** Whether an entry belongs to an earlier process of the same instance. */
-function isPredecessor(
-  id: string,
-  entry: PageHolder,
-  holder: string,
-  instance: string,
-): boolean {
-  return entry.instance === instance && id !== holder;
+/**
+ * Returns the maximum age of an entry when its process ended, or undefined if
+ * that is unknown.
+ */
+function ageAtEnd(
+  {confirmedAt, era}: PageHolder,
+  {startedAt, era: currentEra}: Pick<HolderUpdate, 'startedAt' | 'era'>,
+): Millis | undefined {
+  const isKnown = confirmedAt !== undefined && startedAt !== undefined;
+  return isKnown && era === currentEra
+    ? elapsedTime(confirmedAt, startedAt)
+    : undefined;
 }
 
 function addTokens(
--- a/packages/decisions/src/lib/prepaid_shares.ts
+++ b/packages/decisions/src/lib/prepaid_shares.ts
@@ -9,12 +9,17 @@
 import {
   applyUpdate,
   emptyPage,
-  predecessorsOf,
   takenByHolder,
   totalTaken,
 } from './prepaid_page.js';
-import type {Millis} from './clock.js';
-import type {PageChange, PageHolder, PrepaidPage} from './prepaid_page.js';
+import {usableTokens} from './share_release.js';
+import type {MachineClock, MachineTime, Millis} from './clock.js';
+import type {
+  ClosedHolder,
+  PageChange,
+  PageHolder,
+  PrepaidPage,
+} from './prepaid_page.js';
 import type {SharePolicy} from './share_policy.js';
 
 /** A conditional write of a page to the store. */
@@ -25,7 +30,7 @@
   /** Tokens that the write takes (positive) or returns (negative). */
   change: PageChange;
   /** Entries of earlier processes of the instance that the write closes. */
-  closed: Array<[holder: string, entry: PageHolder]>;
+  closed: ClosedHolder[];
 }
 
 /** Tokens of all accounts of one process, by their state. */
@@ -44,6 +49,9 @@
   holder: string;
   /** Name of the machine; it stays the same when the process restarts. */
   instance: string;
+  clock: MachineClock;
+  /** Returns the era of the store; see `Store.era`. */
+  storeEra: () => string;
 }
 
 /** State of the fleet that the size of a share depends on. */
@@ -76,6 +84,12 @@
 /** Minimum time between two samples of the spending rates. */
 const RATE_SAMPLE_INTERVAL: Millis = 1_000;
 
+/** Time for which the limit of a share lasts at the current spending rate. */
+const LIMIT_HORIZON: Millis = 4_000;
+
+/** Fraction of a share that the limit allows to be used without demand. */
+const IDLE_LIMIT_FRACTION = 0.25;
+
 interface Share {
   /** Tokens spent by requests that have ended. */
   spent: number;
@@ -105,6 +119,8 @@
   /** Writes that may still take effect. */
   private pendingWrites: PageWrite[] = [];
   private lastSampleAt: Millis = 0;
+  /** When earlier processes of this instance had ended; undefined if unknown. */
+  private startedAt: MachineTime | undefined;
 
   constructor(private readonly settings: ShareSettings) {}
 
@@ -113,6 +129,14 @@
     return this.revision;
   }
 
+  /**
+   * Records that no earlier process of this instance runs any more. Until then
+   * all tokens of earlier ones count as used.
+   */
+  recordPredecessorsEnded(): void {
+    this.startedAt ??= this.settings.clock.machineTime();
+  }
+
   /** Records a page that was read or written. Older pages are ignored. */
   recordPage(revision: number, page: PrepaidPage): void {
     if (revision <= this.revision) {
@@ -128,11 +152,21 @@
 
   /** Returns the tokens of an account that may be reserved now. */
   availableTokens(account: string): number {
-    const {spent, reserved, netGiven} = this.shareOf(account);
-    const taken = takenByHolder(this.page, this.settings.holder, account);
-    return (
-      taken - this.tokensBeingReturned(account) - spent - reserved - netGiven
-    );
+    const age = this.entryAge();
+    const usable = this.minOverEntries(entry => {
+      const taken = entry.taken[account] ?? 0;
+      return usableTokens(taken, entry.limits[account] ?? taken, age);
+    });
+    return usable - usedTokens(this.shareOf(account));
+  }
+
+  /**
+   * Returns the tokens of an account that this process holds unused, those that
+   * it may not use yet included.
+   */
+  heldTokens(account: string): number {
+    const taken = this.minOverEntries(entry => entry.taken[account] ?? 0);
+    return taken - usedTokens(this.shareOf(account));
   }
 
   /** Reserves tokens of the share; returns false if it holds too few. */
@@ -261,10 +295,13 @@
   /** Whether requests wait for tokens that the store may have. */
   hasUrgentDemand(view: ShareView): boolean {
     for (const [account, share] of this.shares) {
-      const missing =
-        share.awaitedTokens - Math.max(0, this.availableTokens(account));
-      const untaken = this.untakenTokens(account, view);
-      if (share.awaitedTokens > 0 && missing > 0 && untaken > 0) {
+      const available = Math.max(0, this.availableTokens(account));
+      const isMissing =
+        share.awaitedTokens > 0 && share.awaitedTokens > available;
+      const canBeSupplied =
+        this.untakenTokens(account, view) > 0 ||
+        this.heldTokens(account) > available;
+      if (isMissing && canBeSupplied) {
         return true;
       }
     }
@@ -286,14 +323,16 @@
         change.set(account, tokens);
       }
     }
-    return change.size === 0 ? undefined : this.createWrite(change);
+    return change.size > 0 || this.mustConfirm()
+      ? this.createWrite(change)
+      : undefined;
   }
 
   /** Returns the write that gives back all unreserved tokens, if any. */
   planReturn(): PageWrite | undefined {
     const change = new Map<string, number>();
     for (const account of this.shares.keys()) {
-      const spare = Math.floor(this.availableTokens(account));
+      const spare = Math.floor(this.heldTokens(account));
       if (spare > 0) {
         change.set(account, -spare);
       }
@@ -307,39 +346,113 @@
   }
 
   private createWrite(change: PageChange): PageWrite {
-    const {holder, instance} = this.settings;
+    const {holder, instance, storeEra} = this.settings;
+    const {page, closed} = applyUpdate(this.page, {
+      holder,
+      instance,
+      change,
+      used: this.usedByAccount(),
+      limits: this.limitsAfter(change),
+      confirmedAt: this.nextConfirmedAt(),
+      era: storeEra(),
+      startedAt: this.startedAt,
+    });
     const write: PageWrite = {
       expectedRevision: this.revision,
-      page: applyUpdate(this.page, {
-        holder,
-        instance,
-        change,
-        used: this.usedTokens(),
-      }),
+      page,
       change,
-      closed: predecessorsOf(this.page, holder, instance),
+      closed,
     };
     this.pendingWrites.push(write);
     return write;
   }
 
   /** Tokens spent, reserved, or given to peers on balance, by account. */
-  private usedTokens(): Record<string, number> {
+  private usedByAccount(): Record<string, number> {
     const used: Record<string, number> = {};
-    for (const [account, {spent, reserved, netGiven}] of this.shares) {
-      used[account] = spent + reserved + netGiven;
+    for (const [account, share] of this.shares) {
+      used[account] = usedTokens(share);
     }
     return used;
   }
 
+  /** Returns the limits to write with a change of the taken tokens. */
+  private limitsAfter(change: PageChange): Record<string, number> {
+    const limits: Record<string, number> = {};
+    for (const [account, share] of this.shares) {
+      const held = this.heldTokens(account) + (change.get(account) ?? 0);
+      const rate = Math.max(share.spendingRate, share.longTermRate);
+      const margin = Math.max(
+        rate * LIMIT_HORIZON,
+        held * IDLE_LIMIT_FRACTION,
+        share.largestReservation,
+      );
+      const usable = Math.min(held, share.awaitedTokens + margin);
+      limits[account] = Math.floor(usedTokens(share) + usable);
+    }
+    return limits;
+  }
+
+  /**
+   * Returns the time from which the age of the next written entry counts. While
+   * the outcome of earlier writes is unknown, it is theirs: this process may
+   * have used tokens according to their age.
+   */
+  private nextConfirmedAt(): MachineTime {
+    const pending = this.pendingWrites.at(-1);
+    const entry = pending && this.entryOf(pending.page);
+    return entry?.confirmedAt ?? this.settings.clock.machineTime();
+  }
+
+  /**
+   * Whether the entry must be written again in time, since it has tokens that
+   * may be used only while it gets no newer one.
+   */
+  private mustConfirm(): boolean {
+    const entry = this.entryOf(this.page);
+    return Object.entries(entry?.taken ?? {}).some(
+      ([account, taken]) => taken > (entry?.limits[account] ?? taken),
+    );
+  }
+
+  /** Age of the newest entry that the store may have. */
+  private entryAge(): Millis {
+    const newest = Math.max(
+      ...this.possibleEntries().map(
+        entry => entry.confirmedAt?.monotonic ?? -Infinity,
+      ),
+    );
+    return this.settings.clock.machineTime().monotonic - newest;
+  }
+
+  /** Returns the minimum over all entries that the store may have; 0 for none. */
+  private minOverEntries(tokensOf: (entry: PageHolder) => number): number {
+    const entries = this.possibleEntries();
+    const isWritten = this.entryOf(this.page) !== undefined;
+    const minimum = Math.min(...entries.map(tokensOf));
+    return isWritten ? minimum : Math.min(0, minimum);
+  }
+
+  /** Entries of this process that the store has or may have. */
+  private possibleEntries(): PageHolder[] {
+    const pages = [this.page, ...this.pendingWrites.map(({page}) => page)];
+    return pages
+      .map(page => this.entryOf(page))
+      .filter(entry => entry !== undefined);
+  }
+
+  private entryOf(page: PrepaidPage): PageHolder | undefined {
+    return page.holders[this.settings.holder];
+  }
+
   /** Tokens to take from the store (positive) or to return (negative). */
   private tokensToTake(account: string, view: ShareView): number {
     const share = this.shareOf(account);
-    const available = this.availableTokens(account);
+    const held = this.heldTokens(account);
     const untaken = Math.max(0, this.untakenTokens(account, view));
     const granted = view.granted(account);
     const instanceFraction = this.instanceFraction(account, view);
-    const remaining = untaken + Math.max(0, available);
+    const remaining = untaken + Math.max(0, held);
     const size = this.targetSize(
       share,
       remaining,
@@ -347,13 +460,13 @@
       instanceFraction,
       view,
     );
-    const missing = share.awaitedTokens - available;
-    if (available < size * REFILL_THRESHOLD || missing > 0) {
-      const tokens = Math.max(size - available, missing);
+    const missing = share.awaitedTokens - held;
+    if (held < size * REFILL_THRESHOLD || missing > 0) {
+      const tokens = Math.max(size - held, missing);
       return Math.min(Math.ceil(tokens), untaken);
     }
-    if (available > size * SURPLUS_MULTIPLE + share.largestReservation) {
-      return -Math.floor(available - size - share.largestReservation);
+    if (held > size * SURPLUS_MULTIPLE + share.largestReservation) {
+      return -Math.floor(held - size - share.largestReservation);
     }
     return 0;
   }
@@ -400,15 +513,6 @@
       : equalFraction;
   }
 
-  /** Tokens given back by writes whose outcome is still unknown. */
-  private tokensBeingReturned(account: string): number {
-    let sum = 0;
-    for (const {change} of this.pendingWrites) {
-      sum += Math.max(0, -(change.get(account) ?? 0));
-    }
-    return sum;
-  }
-
   private shareOf(account: string): Share {
     let share = this.shares.get(account);
     if (share === undefined) {
@@ -428,3 +532,8 @@
     return share;
   }
 }
+
+/** Tokens of a share that are spent, reserved, or given to peers on balance. */
+function usedTokens({spent, reserved, netGiven}: Share): number {
+  return spent + reserved + netGiven;
+}
--- a/packages/decisions/src/test/ended_instances_test.ts
+++ b/packages/decisions/src/test/ended_instances_test.ts
@@ -50,15 +50,22 @@
 ];
 
 describe('service after instances have ended abruptly', () => {
-  for (const {name, ends} of CASES) {
-    it(`comes back: ${name}`, () => {
+  const causes = [
+    {cause: 'processes are killed', powerLoss: false},
+    {cause: 'machines lose power', powerLoss: true},
+  ];
+  const cases = CASES.flatMap(ends =>
+    causes.map(cause => ({...ends, ...cause})),
+  );
+  for (const {name, ends, cause, powerLoss} of cases) {
+    it(`comes back: ${cause}: ${name}`, () => {
       const fleet = new ShareFleet(
         GRANT_FACTOR * TRAFFIC_SECONDS * REQUEST_RATE * REQUEST_TOKENS,
       );
       let now = 0;
       for (const end of [...ends, {at: FINAL_END, indexes: ALL}]) {
         fleet.run(end.at - now, REQUEST_RATE);
-        fleet.kill(end.indexes);
+        fleet.kill(end.indexes, powerLoss);
         now = end.at;
       }
       fleet.run(RECOVERY_SECONDS, REQUEST_RATE);
--- a/packages/decisions/src/test/share_fleet.ts
+++ b/packages/decisions/src/test/share_fleet.ts
@@ -3,6 +3,7 @@
  * answers at once or never. For tests of the sizes of shares.
  */
 import {emptyPage} from '../lib/prepaid_page.js';
+import {ManualClock, ManualMachineClock} from '../lib/clock.js';
 import {PrepaidShares} from '../lib/prepaid_shares.js';
 import {SHARE_POLICY} from '../lib/share_policy.js';
 import type {PrepaidPage} from '../lib/prepaid_page.js';
@@ -30,7 +31,11 @@
   served = 0;
   refused = 0;
   private revision = 1;
-  private now = 0;
+  private readonly clock = new ManualClock();
+  private readonly machineClocks = Array.from(
+    {length: INSTANCES},
+    () => new ManualMachineClock(this.clock),
+  );
   private processCount = 0;
 
   constructor(private readonly granted: number) {
@@ -43,8 +48,8 @@
   /** Sends requests to the first `instances` instances in turn. */
   run(seconds: number, perSecond: number, instances = INSTANCES): void {
     for (let tick = 0; tick < seconds * TICKS_PER_SECOND; tick++) {
-      this.now += SECOND / TICKS_PER_SECOND;
-      this.instanceShares.forEach(share => share.sampleRates(this.now));
+      this.clock.advance(SECOND / TICKS_PER_SECOND);
+      this.instanceShares.forEach(share => share.sampleRates(this.clock.now()));
       for (let count = 0; count < perSecond / TICKS_PER_SECOND; count++) {
         this.request((tick + count) % instances);
       }
@@ -52,9 +57,15 @@
     }
   }
 
-  /** Ends processes abruptly; the next ones on their machines start at once. */
-  kill(indexes: readonly number[]): void {
+  /**
+   * Ends processes abruptly; the next ones on their machines start at once.
+   * @param powerLoss whether the machines restart as well.
+   */
+  kill(indexes: readonly number[], powerLoss: boolean): void {
     for (const index of indexes) {
+      if (powerLoss) {
+        this.machineClocks[index]?.restart(0);
+      }
       this.instanceShares[index] = this.startProcess(index);
     }
   }
@@ -78,7 +89,10 @@
       ...SHARE_POLICY,
       holder: `i${index}.${this.processCount}`,
       instance: `i${index}`,
+      clock: this.machineClocks[index] as ManualMachineClock,
+      storeEra: () => '',
     });
+    shares.recordPredecessorsEnded();
     shares.recordPage(this.revision, this.page);
     return shares;
   }
@@ -106,7 +120,7 @@
 
   private view(): ShareView {
     return {
-      now: this.now,
+      now: this.clock.now(),
       instances: INSTANCES,
       granted: () => this.granted,
     };
--- a/packages/gateway/src/lib/budget_page.ts
+++ b/packages/gateway/src/lib/budget_page.ts
@@ -30,7 +30,10 @@
  */
 export class BudgetPage {
   readonly shares: PrepaidShares;
-  /** Start time of the last write; -Infinity before the first one. */
+  /**
+   * Start time of the last write; -Infinity before the first one, and after one
+   * that another instance's write preceded, so that it is repeated at once.
+   */
   lastWriteStartedAt: Millis = -Infinity;
   private callInProgress = false;
   private lastCallFailed = false;
@@ -137,6 +140,7 @@
         this.logClosed(write);
         break;
       case StoreOutcome.Conflict:
+        this.lastWriteStartedAt = -Infinity;
         if (result.item === undefined) {
           void this.read();
         } else {
@@ -157,16 +161,19 @@
   }
 
   /**
-   * Logs what the closed processes had taken, and what of it they had reported
-   * as used: the difference is not spent, or was used after their last write.
+   * Logs what the closed processes had taken, what of it they had reported as
+   * used at their last write, and what of it is kept, since they may have used
+   * it afterwards; the rest is returned.
    */
   private logClosed({closed}: PageWrite): void {
-    for (const [holder, {taken, used}] of closed) {
+    for (const {holder, entry, age, maxUsed} of closed) {
       this.log.info('budget.closed', {
         key: this.key,
         holder,
-        taken: JSON.stringify(taken),
-        used: JSON.stringify(used),
+        ageMs: age === undefined ? undefined : Math.round(age),
+        taken: JSON.stringify(entry.taken),
+        used: JSON.stringify(entry.used),
+        kept: JSON.stringify(maxUsed),
       });
     }
   }
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -11,6 +11,7 @@
   sleep,
   randomId,
   MonotonicClock,
+  SystemMachineClock,
   waitAtMost,
 } from '@citrontrestle/runtime';
 import {PrepaidBudgets} from './prepaid_budgets.js';
@@ -158,24 +159,33 @@
         onPartnerRemoved: address => this.peerExchange.forgetPartner(address),
       },
     );
-    this.budgets = new PrepaidBudgets(holder, instance, store, clock, log, {
-      grantedTokens: account => this.routeTable.grantedTokens(account) ?? 0,
-      budgetedAccounts: () => this.routeTable.budgetedAccounts(),
-      drawingInstanceCount: () => this.tokenExchange.drawingInstanceCount(),
-      requestFromRelay: (account, tokens, prefetch) =>
-        this.tokenExchange.requestFromRelay(account, tokens, prefetch),
-      returnToRelay: (account, tokens) =>
-        this.tokenExchange.returnToRelay(account, tokens),
-      hasResponsiveRelay: () =>
-        this.peerNetwork.responsiveRelay() !== undefined,
-      requestFromPeers: (account, tokens) =>
-        this.tokenExchange.requestFromPeers(account, tokens),
-      giveToRandomPeer: (account, tokens) =>
-        this.tokenExchange.giveToRandomPeer(account, tokens),
-      callAfter: (delay, callback) => {
-        setTimeout(callback, delay);
+    const machineClock = new SystemMachineClock();
+    this.budgets = new PrepaidBudgets(
+      holder,
+      instance,
+      store,
+      clock,
+      machineClock,
+      log,
+      {
+        grantedTokens: account => this.routeTable.grantedTokens(account) ?? 0,
+        budgetedAccounts: () => this.routeTable.budgetedAccounts(),
+        drawingInstanceCount: () => this.tokenExchange.drawingInstanceCount(),
+        requestFromRelay: (account, tokens, prefetch) =>
+          this.tokenExchange.requestFromRelay(account, tokens, prefetch),
+        returnToRelay: (account, tokens) =>
+          this.tokenExchange.returnToRelay(account, tokens),
+        hasResponsiveRelay: () =>
+          this.peerNetwork.responsiveRelay() !== undefined,
+        requestFromPeers: (account, tokens) =>
+          this.tokenExchange.requestFromPeers(account, tokens),
+        giveToRandomPeer: (account, tokens) =>
+          this.tokenExchange.giveToRandomPeer(account, tokens),
+        callAfter: (delay, callback) => {
+          setTimeout(callback, delay);
+        },
       },
-    });
+    );
     this.crashWatch = new CrashWatch(clock, {
       reportCrash: (fingerprint, upstream) => {
         log.warn('request.crashed-upstream', {fingerprint, upstream});
--- a/packages/gateway/src/lib/page_codec.ts
+++ b/packages/gateway/src/lib/page_codec.ts
@@ -13,8 +13,14 @@
     z.object({
       instance: z.string(),
       taken: TOKENS_BY_ACCOUNT,
-      // Missing in entries of earlier versions.
+      // The following are missing in entries of earlier versions.
       used: TOKENS_BY_ACCOUNT.default({}),
+      limits: TOKENS_BY_ACCOUNT.default({}),
+      confirmedAt: z
+        .object({monotonic: z.number(), wall: z.number()})
+        .optional()
+        .transform(time => time),
+      era: z.string().default(''),
     }),
   ),
 });
--- a/packages/gateway/src/lib/ports.ts
+++ b/packages/gateway/src/lib/ports.ts
@@ -101,6 +101,11 @@
     expectedRevision: number,
     value: Buffer,
   ): Promise<StoreWriteResult>;
+  /**
+   * Returns a name of the store's present history. It changes when the store
+   * has lost changes that it had confirmed.
+   */
+  era(): string;
   /** Number of calls made so far, by kind of call. */
   callCounts(): Readonly<Record<string, number>>;
   /** Closes the connections to the store. */
--- a/packages/gateway/src/lib/prepaid_budgets.ts
+++ b/packages/gateway/src/lib/prepaid_budgets.ts
@@ -9,6 +9,7 @@
 import type {Store} from './ports.js';
 import type {
   Clock,
+  MachineClock,
   Millis,
   ShareView,
   TokenTotals,
@@ -152,22 +153,35 @@
     instance: string,
     store: Store,
     private readonly clock: Clock,
+    machineClock: MachineClock,
     private readonly log: Log,
     private readonly context: BudgetContext,
   ) {
     this.startedAt = clock.now();
     for (let index = 0; index < PAGE_COUNT; index++) {
       const key = `${PAGE_KEY_PREFIX}${index}`;
-      const settings = {...SHARE_POLICY, holder, instance};
-      const onCallEnded = () => this.serveWaitingRequests();
-      this.pages.push(
-        new BudgetPage(key, settings, store, clock, log, onCallEnded),
-      );
+      const settings = {
+        ...SHARE_POLICY,
+        holder,
+        instance,
+        clock: machineClock,
+        storeEra: () => store.era(),
+      };
+      const page = new BudgetPage(key, settings, store, clock, log, () => {
+        this.serveWaitingRequests();
+        this.readOrWriteIfDue(page);
+      });
+      this.pages.push(page);
     }
   }
 
-  /** Starts adjusting the shares at regular intervals. */
+  /**
+   * Starts adjusting the shares at regular intervals. To be called when the
+   * addresses of the instance are listened on: no earlier process of it runs
+   * then, so what that left unused can be returned.
+   */
   start(): void {
+    this.pages.forEach(page => page.shares.recordPredecessorsEnded());
     this.maintenanceTimer = setInterval(
       () => this.maintain(),
       MAINTENANCE_INTERVAL,
@@ -470,8 +484,9 @@
     }
     const untaken = page.shares.untakenTokens(account, this.currentView());
     const missingTokens = tokens - page.shares.availableTokens(account);
+    const isHeld = page.shares.heldTokens(account) + untaken >= tokens;
     const isCurrent = page.isCurrentAt(request.waitingSince, MAX_PAGE_AGE);
-    const storeHasTooFew = isCurrent && untaken < missingTokens;
+    const storeHasTooFew = isCurrent && !isHeld;
     const waitTime = now - request.waitingSince;
     const isStoreSlow = waitTime >= STORE_WAIT;
     if (
--- a/packages/model/src/lib/prepaid_model.ts
+++ b/packages/model/src/lib/prepaid_model.ts
@@ -7,10 +7,16 @@
   applyUpdate,
   emptyPage,
   ManualClock,
+  ManualMachineClock,
   PrepaidShares,
   totalTaken,
 } from '@citrontrestle/decisions';
-import type {PageWrite, PrepaidPage, ShareView} from '@citrontrestle/decisions';
+import type {
+  Millis,
+  PageWrite,
+  PrepaidPage,
+  ShareView,
+} from '@citrontrestle/decisions';
 
 /** Bugs that can be planted into the model to verify that it detects them. */
 export enum PrepaidPlantedBug {
@@ -28,6 +34,13 @@
    * all the same.
    */
   FreedSupply = 'freed-supply',
+  /**
+   * The time since the last write of a process is taken from the monotonic time
+   * of its machine, although that started anew with the machine.
+   */
+  TrustedMonotonicTime = 'trusted-monotonic-time',
+  /** The next process of a machine starts before the last one has ended. */
+  EarlySuccessor = 'early-successor',
 }
 
 /** Kinds of steps. */
@@ -48,6 +61,12 @@
   Supply = 'supply',
   /** An instance is killed and restarted. */
   Kill = 'kill',
+  /** A machine loses power; its monotonic time starts anew. */
+  PowerLoss = 'power-loss',
+  /** The time of day of a machine is adjusted. */
+  AdjustWall = 'adjust-wall',
+  /** A machine is suspended for some time, which passes for the others. */
+  Suspend = 'suspend',
   /** The grant grows; only one instance learns of it. */
   TopUp = 'top-up',
   /** The store executes a delayed write. */
@@ -99,12 +118,27 @@
 /** Maximum tokens of one request, write or transfer. */
 const MAX_TOKENS = 40;
 
+/** Maximum tokens that one request reserves. */
+const MAX_REQUEST_TOKENS = 8;
+
 /** Tokens granted to the account at the start. */
 const INITIAL_GRANT = 60;
 
 /** Maximum tokens added by one top-up. */
 const MAX_TOP_UP = 20;
 
+/** Time for which a step lasts, for each of its tokens. */
+const MILLIS_PER_TOKEN: Millis = 100;
+
+/**
+ * The monotonic time of a machine that restarts is at most this much lower than
+ * before: the more alike they are, the harder it is to notice.
+ */
+const MAX_MONOTONIC_LOSS: Millis = 6_000;
+
+/** How much too early successors start with `EarlySuccessor`. */
+const EARLY_START: Millis = 4_000;
+
 /** Bounds for the number of steps in a sequence. */
 const MIN_STEPS = 60;
 const MAX_STEPS = 150;
@@ -136,6 +170,10 @@
   /** The grant that each instance knows; it may be outdated. */
   private readonly knownGrants =
     Array<number>(INSTANCE_COUNT).fill(INITIAL_GRANT);
+  private readonly machineClocks = Array.from(
+    {length: INSTANCE_COUNT},
+    () => new ManualMachineClock(this.clock),
+  );
   /** Number of restarts of each instance. */
   private readonly incarnations = Array<number>(INSTANCE_COUNT).fill(0);
   private readonly shares: PrepaidShares[] = [];
@@ -153,9 +191,15 @@
     [StepKind.Gift]: step => this.giveToPeer(step),
     [StepKind.Supply]: step => this.supplyFollower(step),
     [StepKind.Kill]: step => this.kill(step.instance),
+    [StepKind.PowerLoss]: step => this.losePower(step),
+    [StepKind.AdjustWall]: step =>
+      this.machineClockOf(step.instance).adjustWall(
+        (step.tokens - MAX_TOKENS / 2) * MILLIS_PER_TOKEN,
+      ),
+    [StepKind.Suspend]: step => this.suspend(step),
     [StepKind.TopUp]: step => this.topUp(step),
     [StepKind.ExecuteLate]: step => this.executeLate(step),
-    [StepKind.Wait]: step => this.clock.advance(step.tokens * 100),
+    [StepKind.Wait]: step => this.clock.advance(step.tokens * MILLIS_PER_TOKEN),
   };
 
   constructor(private readonly plantedBug: PrepaidPlantedBug) {
@@ -176,25 +220,39 @@
       (sum, request) => sum + request.tokens,
       0,
     );
-    return this.consumedTokens + reservedTokens > this.grantedTokens
-      ? `${this.consumedTokens} tokens consumed and ${reservedTokens} reserved of ${this.grantedTokens} granted`
+    const availableTokens = this.shares.reduce(
+      (sum, shares) => sum + Math.max(0, shares.availableTokens(ACCOUNT)),
+      0,
+    );
+    const spendableTokens =
+      this.consumedTokens + reservedTokens + availableTokens;
+    return spendableTokens > takenTokens
+      ? `${this.consumedTokens} tokens consumed, ${reservedTokens} reserved and ${availableTokens} available of ${takenTokens} taken`
       : undefined;
   }
 
+  private machineClockOf(instance: number): ManualMachineClock {
+    return this.machineClocks[instance] as ManualMachineClock;
+  }
+
   private sharesOf(instance: number): PrepaidShares {
     return this.shares[instance] as PrepaidShares;
   }
 
   /** Creates the empty shares of a new incarnation of an instance. */
   private createShares(instance: number): PrepaidShares {
-    return new PrepaidShares({
+    const shares = new PrepaidShares({
       holder: `i${instance}.${this.incarnations[instance]}`,
       instance: `i${instance}`,
+      clock: this.machineClockOf(instance),
+      storeEra: () => '',
       horizon: 1_000,
       maxHeldFraction: 0.7,
       lowBudgetTime: 30_000,
       idleFraction: 0.35,
     });
+    shares.recordPredecessorsEnded();
+    return shares;
   }
 
   /** Returns the state of the fleet as an instance knows it. */
@@ -206,7 +264,9 @@
     };
   }
 
-  private request({instance, tokens}: Step): void {
+  private request(step: Step): void {
+    const {instance} = step;
+    const tokens = requestTokens(step);
     if (this.sharesOf(instance).reserve(ACCOUNT, tokens)) {
       const incarnation = this.incarnations[instance] ?? 0;
       this.runningRequests.push({instance, incarnation, tokens});
@@ -233,7 +293,9 @@
    * Plans a write while a request waits for `tokens`, and sends it to the store.
    * @param isReturn whether to return all unreserved tokens.
    */
-  private writePage({instance, fate, tokens}: Step, isReturn: boolean): void {
+  private writePage(step: Step, isReturn: boolean): void {
+    const {instance, fate} = step;
+    const tokens = requestTokens(step);
     const shares = this.sharesOf(instance);
     shares.sampleRates(this.clock.now());
     shares.adjustAwaitedTokens(ACCOUNT, tokens);
@@ -333,10 +395,38 @@
     // The requests of the killed process may continue at their upstreams, so they
     // stay in `runningRequests`.
     this.incarnations[instance] = incarnation + 1;
+    const isEarly = this.plantedBug === PrepaidPlantedBug.EarlySuccessor;
+    const clock = this.machineClockOf(instance);
+    if (isEarly) {
+      clock.suspend(EARLY_START);
+      clock.adjustWall(-EARLY_START);
+    }
     this.shares[instance] = this.createShares(instance);
+    if (isEarly) {
+      clock.suspend(-EARLY_START);
+      clock.adjustWall(EARLY_START);
+    }
     this.readPage(instance);
   }
 
+  private losePower({instance, pick}: Step): void {
+    const clock = this.machineClockOf(instance);
+    const before = clock.machineTime().monotonic;
+    const after = before - (pick % MAX_MONOTONIC_LOSS);
+    clock.restart(after);
+    if (this.plantedBug === PrepaidPlantedBug.TrustedMonotonicTime) {
+      // The clocks then seem to agree.
+      clock.adjustWall(after - before);
+    }
+    this.kill(instance);
+  }
+
+  private suspend({instance, tokens}: Step): void {
+    const duration = tokens * MILLIS_PER_TOKEN;
+    this.clock.advance(duration);
+    this.machineClockOf(instance).suspend(duration);
+  }
+
   /**
    * Returns the available tokens of a running instance to the budget without
    * telling the instance; used by `PrepaidPlantedBug.PrematureReclaim`.
@@ -345,12 +435,17 @@
     const availableTokens = this.sharesOf(instance).availableTokens(ACCOUNT);
     const holder = `i${instance}.${this.incarnations[instance]}`;
     const change = new Map([[ACCOUNT, -Math.max(0, availableTokens)]]);
-    this.page = applyUpdate(this.page, {
+    const time = this.machineClockOf(instance).machineTime();
+    ({page: this.page} = applyUpdate(this.page, {
       holder,
       instance: `i${instance}`,
       change,
       used: {},
-    });
+      limits: {},
+      confirmedAt: time,
+      era: '',
+      startedAt: time,
+    }));
     this.revision += 1;
   }
 
@@ -360,6 +455,14 @@
   }
 }
 
+/**
+ * Returns the tokens of the request of a step. It is small, so that what a
+ * share allows to be used at once is often less than the share.
+ */
+function requestTokens({tokens}: Step): number {
+  return 1 + (tokens % MAX_REQUEST_TOKENS);
+}
+
 /** Result of a fuzzing run. */
 export interface PrepaidFuzzResult {
   /** The violation and the shrunk sequence; empty if there is none. */
--- a/packages/runtime/src/lib/system_clock.ts
+++ b/packages/runtime/src/lib/system_clock.ts
@@ -1,4 +1,11 @@
-import type {Clock, Millis} from '@citrontrestle/decisions';
+import type {
+  Clock,
+  MachineClock,
+  MachineTime,
+  Millis,
+} from '@citrontrestle/decisions';
+
+const NANOSECONDS_PER_MILLISECOND = 1_000_000;
 
 /** Wall clock of the machine; may jump when it is adjusted. */
 export class SystemClock implements Clock {
@@ -13,3 +20,14 @@
     return performance.now();
   }
 }
+
+/** The clocks that all processes of the machine share. */
+export class SystemMachineClock implements MachineClock {
+  machineTime(): MachineTime {
+    const nanoseconds = Number(process.hrtime.bigint());
+    return {
+      monotonic: nanoseconds / NANOSECONDS_PER_MILLISECOND,
+      wall: Date.now(),
+    };
+  }
+}
