--- a/packages/stand_ins/src/lib/hosted/server.ts
+++ b/packages/stand_ins/src/lib/hosted/server.ts
@@ -75,6 +75,11 @@
 /** A server in the process of the test, with a fault that the test can set. */
 export class HostedServer {
   fault = ServerFault.None;
+  /**
+   * Requests per second that it takes from all gateways together, which it
+   * names in its answers; undefined if it names no limit.
+   */
+  requestLimit: number | undefined;
   /** Requests that it executed. */
   readonly runs: ServerRun[] = [];
   /** Number of requests received, whether or not they were executed. */
@@ -104,7 +109,9 @@
 
   /** Returns the headers that each answer to a request carries. */
   answerHeaders(run: ServerRun): Record<string, string> {
+    const {requestLimit} = this;
     return {
+      ...(requestLimit !== undefined && {'Server-Limit': `${requestLimit}`}),
       'X-Request-Id': run.id,
       'X-Response-Seal': `seal-${this.settings.id}`,
       'X-Server-Load': `1,0,${this.settings.slots}`,
