Hold at most two fifths of what is left of a budget in advance

Returning unused tokens does not help there: a machine that starts anew cannot tell how old the last write of the process before is, since its monotonic time starts anew too and the time of day may be set.

Cause: all instances together held up to 65 in 100 of what was left of a budget, so two losses of power left 12 in 100 of it.

Change: at most 40 in 100.

--- a/packages/decisions/src/lib/share_policy.ts
+++ b/packages/decisions/src/lib/share_policy.ts
@@ -7,7 +7,7 @@
   horizon: Millis;
   /**
    * Maximum that all instances together hold, as a fraction of the tokens that
-   * nobody holds. An instance's own part of this maximum is its fraction of all
+   * nobody holds: it is lost if all of them lose power at once. An instance's own part of this maximum is its fraction of all
    * tokens taken so far, but at least an equal part.
    */
   maxHeldFraction: number;
@@ -30,7 +30,7 @@
 /** The policy of the gateway. */
 export const SHARE_POLICY: SharePolicy = {
   horizon: 12_000,
-  maxHeldFraction: 0.65,
+  maxHeldFraction: 0.4,
   lowBudgetTime: 20_000,
   idleFraction: 0.6,
 };
