Keep all instances together to the limits that upstreams name

The class: a bound that holds for all instances together and that no instance can keep by itself; retries have one of their own already.

Change: the limit is read from every answer of the upstream, also from one that rejects, and told to all instances. All choose the same few users of it by rank, in all zones; each sends at its part's pace. Other requests go to other upstreams.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -25,6 +25,7 @@
 export * from './lib/share_policy.js';
 export * from './lib/share_release.js';
 export * from './lib/repeat_allowance.js';
+export * from './lib/request_limits.js';
 export * from './lib/repeat_rule.js';
 export * from './lib/route_table.js';
 export * from './lib/routing.js';
--- a/packages/gateway/src/lib/forwarding.ts
+++ b/packages/gateway/src/lib/forwarding.ts
@@ -29,6 +29,7 @@
   Millis,
   PlacedRequest,
   PlacementRequest,
+  UpstreamListing,
 } from '@citrontrestle/decisions';
 
 /** How the forwarding of a request ended. */
@@ -162,7 +163,7 @@
     }
     const placed = context.placement.choose(
       this.placementRequest,
-      context.upstreamRegistry.usableUpstreams(this.serviceName, now),
+      this.candidates(now),
       {now, zone: context.zone, excluded: this.triedUpstreams},
     );
     if (placed === undefined) {
@@ -175,6 +176,7 @@
     this.result.attempts += 1;
     this.result.upstream = placed.upstream.id;
     context.placement.recordStart(this.placementRequest, placed, now);
+    context.limitWatch.recordSent(placed.upstream.id);
     this.attemptStartedAt = now;
     context.linkLoad.recordBytes(
       0,
@@ -202,6 +204,10 @@
       context.dialect,
       {
         onHead: received => this.handleHead(received),
+        onRequestLimit: perSecond => {
+          const {id} = placed.upstream;
+          context.limitWatch.recordResponse(id, perSecond, now);
+        },
         onData: chunk => this.handleData(chunk),
         onComplete: () => this.handleComplete(),
         onFailure: (failure, reason) => this.handleFailure(failure, reason),
@@ -209,6 +215,14 @@
     );
   }
 
+  /** Returns the upstreams that may get the request now, tried ones included. */
+  private candidates(now: Millis): UpstreamListing[] {
+    const {upstreamRegistry, limitWatch} = this.context;
+    return limitWatch.withinLimits(
+      upstreamRegistry.usableUpstreams(this.serviceName, now),
+    );
+  }
+
   /** Returns the request's urgency at a model engine; undefined elsewhere. */
   private urgency({prefillTime}: PlacedRequest): number | undefined {
     const {latencyTarget} = this.request.route;
@@ -248,13 +262,11 @@
   private tryTakeRepeat(): boolean {
     const {context} = this;
     const now = context.clock.now();
-    const hasOtherUpstream = context.upstreamRegistry
-      .usableUpstreams(this.serviceName, now)
-      .some(
-        upstream =>
-          !this.triedUpstreams.has(upstream.id) &&
-          upstream.id !== this.currentUpstream(),
-      );
+    const hasOtherUpstream = this.candidates(now).some(
+      upstream =>
+        !this.triedUpstreams.has(upstream.id) &&
+        upstream.id !== this.currentUpstream(),
+    );
     const hasTime = this.deadline - now > MIN_ATTEMPT_TIME;
     const instanceCount = context.instanceCount();
     return (
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -17,6 +17,7 @@
 import {PrepaidBudgets} from './prepaid_budgets.js';
 import {CrashWatch} from './crash_watch.js';
 import {FrontServer} from './front_server.js';
+import {LimitWatch} from './limit_watch.js';
 import {GatewayMetrics} from './gateway_metrics.js';
 import {PeerMessageKind} from './peer_message.js';
 import {PeerExchange} from './peer_exchange.js';
@@ -103,6 +104,7 @@
   private readonly budgets: PrepaidBudgets;
   private readonly peerNetwork: PeerNetwork;
   private readonly crashWatch: CrashWatch;
+  private readonly limitWatch: LimitWatch;
   private readonly peerExchange: PeerExchange;
   private readonly tokenExchange: TokenExchange;
   private readonly requestService: RequestService;
@@ -199,6 +201,13 @@
         });
       },
     });
+    this.limitWatch = new LimitWatch(clock, log, {
+      fleetView: () => this.peerNetwork.fleetView(),
+      reportLimit: (upstream, perSecond) => {
+        const kind = PeerMessageKind.UpstreamLimit;
+        this.peerNetwork.broadcast({kind, upstream, perSecond});
+      },
+    });
     this.tokenExchange = new TokenExchange(this.budgets, this.peerNetwork, log);
     this.peerExchange = new PeerExchange({
       clock,
@@ -210,6 +219,7 @@
       budgets: this.budgets,
       tokenExchange: this.tokenExchange,
       crashWatch: this.crashWatch,
+      limitWatch: this.limitWatch,
       peerNetwork: this.peerNetwork,
     });
     this.frontServer = new FrontServer(dialect, this);
@@ -228,6 +238,7 @@
         window: repeats.windowSeconds * SECOND,
       }),
       crashWatch: this.crashWatch,
+      limitWatch: this.limitWatch,
       linkLoad: this.linkLoad,
       instanceCount: () => this.instanceCount(),
       random: Math.random,
@@ -383,7 +394,9 @@
   private prune(): void {
     const now = this.clock.now();
     this.upstreamRegistry.prune(now);
-    this.placement.prune(id => this.upstreamRegistry.isListed(id));
+    const isListed = (id: string) => this.upstreamRegistry.isListed(id);
+    this.placement.prune(isListed);
+    this.limitWatch.prune(isListed);
   }
 
   /** Logs counts and resource use, for operators who collect no metrics. */
--- a/packages/gateway/src/lib/instance_context.ts
+++ b/packages/gateway/src/lib/instance_context.ts
@@ -1,6 +1,7 @@
 /** Components of an instance that the forwarding of requests uses. */
 import type {Dialect} from './ports.js';
 import type {CrashWatch} from './crash_watch.js';
+import type {LimitWatch} from './limit_watch.js';
 import type {
   Clock,
   LinkLoad,
@@ -24,6 +25,7 @@
   upstreamRegistry: UpstreamRegistry;
   repeatAllowance: RepeatAllowance;
   crashWatch: CrashWatch;
+  limitWatch: LimitWatch;
   /** Traffic on the machine's network link. */
   linkLoad: LinkLoad;
   /** Returns the number of instances that may be running, at least 1. */
--- a/packages/gateway/src/lib/peer_exchange.ts
+++ b/packages/gateway/src/lib/peer_exchange.ts
@@ -7,6 +7,7 @@
 import {FeedMode} from './store_feed.js';
 import type {PrepaidBudgets} from './prepaid_budgets.js';
 import type {CrashWatch} from './crash_watch.js';
+import type {LimitWatch} from './limit_watch.js';
 import type {PeerMessage} from './peer_message.js';
 import type {PeerNetwork} from './peer_network.js';
 import type {StateSync} from './state_sync.js';
@@ -44,6 +45,7 @@
   budgets: PrepaidBudgets;
   tokenExchange: TokenExchange;
   crashWatch: CrashWatch;
+  limitWatch: LimitWatch;
   peerNetwork: PeerNetwork;
 }
 
@@ -114,6 +116,11 @@
       this.dependencies.crashWatch.clear(message.fingerprint);
       this.dependencies.peerNetwork.forwardBroadcast(from, message);
     },
+    [PeerMessageKind.UpstreamLimit]: (message, from) => {
+      const {upstream, perSecond} = message;
+      this.dependencies.limitWatch.recordPeerReport(upstream, perSecond, from);
+      this.dependencies.peerNetwork.forwardBroadcast(from, message);
+    },
   };
 
   constructor(private readonly dependencies: PeerExchangeDependencies) {}
--- a/packages/gateway/src/lib/peer_message.ts
+++ b/packages/gateway/src/lib/peer_message.ts
@@ -24,6 +24,8 @@
   SuspectReport = 'suspect',
   /** Broadcast when a request that was suspected has been answered. */
   SuspectCleared = 'cleared',
+  /** Broadcast when an upstream names a limit on requests, or none any more. */
+  UpstreamLimit = 'limit',
 }
 
 /** Maximum length of ids, addresses and other names, in characters. */
@@ -147,6 +149,12 @@
     kind: z.literal(PeerMessageKind.SuspectCleared),
     fingerprint: nameSchema,
   }),
+  z.object({
+    kind: z.literal(PeerMessageKind.UpstreamLimit),
+    upstream: nameSchema,
+    /** Requests per second; missing if the upstream names no limit. */
+    perSecond: z.number().nonnegative().optional(),
+  }),
 ]);
 
 /** A message between gateways. */
--- a/packages/gateway/src/lib/peer_network.ts
+++ b/packages/gateway/src/lib/peer_network.ts
@@ -8,7 +8,12 @@
 import {PEER_MESSAGE_SCHEMA, PeerMessageKind} from './peer_message.js';
 import type {PeerMessage} from './peer_message.js';
 import type {FleetMessageHandler, EntryIdentity} from '@citrontrestle/fleet';
-import type {Clock, ExchangePartners, Millis} from '@citrontrestle/decisions';
+import type {
+  Clock,
+  ExchangePartners,
+  FleetView,
+  Millis,
+} from '@citrontrestle/decisions';
 import type {Log} from '@citrontrestle/runtime';
 
 /** State of an instance that its heartbeats report. */
@@ -133,6 +138,19 @@
     return this.currentPartners;
   }
 
+  /**
+   * Returns this instance and the known running ones, without those that are
+   * stopping. In a large fleet, only some of other zones are known.
+   */
+  fleetView(): FleetView {
+    const {address, zone} = this.settings;
+    const self = {address, zone};
+    const members = this.topology
+      .liveMembers(this.clock.now())
+      .filter(({leaving}) => !leaving);
+    return {self, members: [self, ...members]};
+  }
+
   /** Returns the addresses of all peers that are known to run. */
   livePeers(): string[] {
     return this.topology
--- a/packages/gateway/src/lib/ports.ts
+++ b/packages/gateway/src/lib/ports.ts
@@ -180,6 +180,11 @@
   hasContentEncoding: boolean;
   /** Load of the upstream; undefined if it is missing or malformed. */
   load: ReportedLoad | undefined;
+  /**
+   * Requests per second that the upstream takes from all instances together;
+   * undefined if it names no limit.
+   */
+  requestLimit: number | undefined;
 }
 
 /**
--- a/packages/gateway/src/lib/upstream_call.ts
+++ b/packages/gateway/src/lib/upstream_call.ts
@@ -51,6 +51,11 @@
  */
 export interface UpstreamCallListener {
   onHead(receivedHead: ReceivedHead): void;
+  /**
+   * Called with each response of the upstream, before any other method: the
+   * limit that it names, undefined if it names none.
+   */
+  onRequestLimit(perSecond: number | undefined): void;
   onData(chunk: Buffer): void;
   onComplete(): void;
   onFailure(failure: CallFailure, reason: string): void;
@@ -157,6 +162,9 @@
       status,
       response.headers,
     );
+    if (!head.isMisdirected) {
+      this.listener.onRequestLimit(head.requestLimit);
+    }
     if (head.notExecuted) {
       response.resume();
       this.finish();
