--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -20,6 +20,7 @@
 export * from './lib/partition_table.js';
 export * from './lib/peer_table.js';
 export * from './lib/placement.js';
+export * from './lib/page_entries.js';
 export * from './lib/prepaid_page.js';
 export * from './lib/prepaid_shares.js';
 export * from './lib/share_policy.js';
--- a/packages/decisions/src/lib/prepaid_shares.ts
+++ b/packages/decisions/src/lib/prepaid_shares.ts
@@ -6,33 +6,14 @@
  * situations: one account sends many times its usual traffic; the store is
  * unavailable for many seconds; a budget runs out.
  */
-import {
-  applyUpdate,
-  emptyPage,
-  takenByHolder,
-  totalTaken,
-} from './prepaid_page.js';
-import {usableTokens} from './share_release.js';
+import {PageEntries} from './page_entries.js';
+import {applyUpdate, takenByHolder, totalTaken} from './prepaid_page.js';
+import {SpendingRate} from './spending_rate.js';
 import type {MachineClock, MachineTime, Millis} from './clock.js';
-import type {
-  ClosedHolder,
-  PageChange,
-  PageHolder,
-  PrepaidPage,
-} from './prepaid_page.js';
+import type {PageWrite} from './page_entries.js';
+import type {PageChange, PrepaidPage} from './prepaid_page.js';
 import type {SharePolicy} from './share_policy.js';
 
-/** A conditional write of a page to the store. */
-export interface PageWrite {
-  /** The page is written only if this is still its revision in the store. */
-  expectedRevision: number;
-  page: PrepaidPage;
-  /** Tokens that the write takes (positive) or returns (negative). */
-  change: PageChange;
-  /** Entries of earlier processes of the instance that the write closes. */
-  closed: ClosedHolder[];
-}
-
 /** Tokens of all accounts of one process, by their state. */
 export interface TokenTotals {
   /** Taken from the budgets, according to the known pages. */
@@ -75,12 +56,6 @@
 /** As `SURPLUS_MULTIPLE`, for an instance that gets its tokens from a relay. */
 const FOLLOWER_SURPLUS_MULTIPLE = 2;
 
-/** Weight of the latest sample in the moving average of the spending rate. */
-const RATE_WEIGHT = 0.25;
-
-/** Weight of the latest sample in the long-term average of that rate. */
-const LONG_TERM_RATE_WEIGHT = 0.05;
-
 /** Minimum time between two samples of the spending rates. */
 const RATE_SAMPLE_INTERVAL: Millis = 1_000;
 
@@ -101,32 +76,24 @@
   awaitedTokens: number;
   /** Largest reservation so far, in tokens. */
   largestReservation: number;
-  /** Moving average of the spending rate, in tokens per millisecond. */
-  spendingRate: number;
-  /** Moving average over a longer time, in tokens per millisecond. */
-  longTermRate: number;
-  /** Number of rate samples since the first reservation. */
-  sampleCount: number;
-  /** Tokens reserved since the last rate sample. */
-  reservedSinceSample: number;
+  rate: SpendingRate;
 }
 
 /** The shares that one instance holds of the accounts on one page. */
 export class PrepaidShares {
   private readonly shares = new Map<string, Share>();
-  private page: PrepaidPage = emptyPage();
-  private revision = -1;
-  /** Writes that may still take effect. */
-  private pendingWrites: PageWrite[] = [];
+  private readonly entries: PageEntries;
   private lastSampleAt: Millis = 0;
   /** When earlier processes of this instance had ended; undefined if unknown. */
   private startedAt: MachineTime | undefined;
 
-  constructor(private readonly settings: ShareSettings) {}
+  constructor(private readonly settings: ShareSettings) {
+    this.entries = new PageEntries(settings.holder, settings.clock);
+  }
 
   /** Returns the revision of the known page; -1 before the first read. */
   knownRevision(): number {
-    return this.revision;
+    return this.entries.revision();
   }
 
   /**
@@ -139,24 +106,12 @@
 
   /** Records a page that was read or written. Older pages are ignored. */
   recordPage(revision: number, page: PrepaidPage): void {
-    if (revision <= this.revision) {
-      return;
-    }
-    this.revision = revision;
-    this.page = page;
-    // Writes that expect an older revision can no longer take effect.
-    this.pendingWrites = this.pendingWrites.filter(
-      write => write.expectedRevision >= revision,
-    );
+    this.entries.recordPage(revision, page);
   }
 
   /** Returns the tokens of an account that may be reserved now. */
   availableTokens(account: string): number {
-    const age = this.entryAge();
-    const usable = this.minOverEntries(entry => {
-      const taken = entry.taken[account] ?? 0;
-      return usableTokens(taken, entry.limits[account] ?? taken, age);
-    });
+    const usable = this.entries.usableTokens(account);
     return usable - usedTokens(this.shareOf(account));
   }
 
@@ -165,7 +120,7 @@
    * it may not use yet included.
    */
   heldTokens(account: string): number {
-    const taken = this.minOverEntries(entry => entry.taken[account] ?? 0);
+    const taken = this.entries.takenTokens(account);
     return taken - usedTokens(this.shareOf(account));
   }
 
@@ -177,7 +132,7 @@
       return false;
     }
     share.reserved += tokens;
-    share.reservedSinceSample += tokens;
+    share.rate.record(tokens);
     return true;
   }
 
@@ -235,7 +190,7 @@
    */
   imbalance(account: string, horizon: Millis): number {
     const share = this.shareOf(account);
-    const targetSize = share.spendingRate * horizon;
+    const targetSize = share.rate.recent() * horizon;
     const available = this.availableTokens(account);
     if (available < targetSize * FOLLOWER_REFILL_THRESHOLD) {
       return Math.ceil(targetSize - available);
@@ -254,7 +209,11 @@
   totals(): TokenTotals {
     const totals: TokenTotals = {taken: 0, spent: 0, reserved: 0, given: 0};
     for (const [account, share] of this.shares) {
-      totals.taken += takenByHolder(this.page, this.settings.holder, account);
+      totals.taken += takenByHolder(
+        this.entries.page(),
+        this.settings.holder,
+        account,
+      );
       totals.spent += share.spent;
       totals.reserved += share.reserved;
       totals.given += share.netGiven;
@@ -264,7 +223,7 @@
 
   /** Returns the tokens of an account that no instance has taken. */
   untakenTokens(account: string, view: ShareView): number {
-    return view.granted(account) - totalTaken(this.page, account);
+    return view.granted(account) - totalTaken(this.entries.page(), account);
   }
 
   /** Samples the spending rates, unless the last sample is too recent. */
@@ -274,21 +233,8 @@
       return;
     }
     this.lastSampleAt = now;
-    for (const share of this.shares.values()) {
-      const rate = share.reservedSinceSample / elapsed;
-      if (share.sampleCount > 0 || rate > 0) {
-        share.sampleCount += 1;
-      }
-      // The first samples have equal weights, so that the average starts at the
-      // measured rate instead of rising slowly from 0.
-      const weight = Math.max(RATE_WEIGHT, 1 / Math.max(1, share.sampleCount));
-      share.spendingRate += weight * (rate - share.spendingRate);
-      const longTermWeight = Math.max(
-        LONG_TERM_RATE_WEIGHT,
-        1 / Math.max(1, share.sampleCount),
-      );
-      share.longTermRate += longTermWeight * (rate - share.longTermRate);
-      share.reservedSinceSample = 0;
+    for (const {rate} of this.shares.values()) {
+      rate.sample(elapsed);
     }
   }
 
@@ -313,7 +259,7 @@
     accounts: Iterable<string>,
     view: ShareView,
   ): PageWrite | undefined {
-    if (this.revision < 0) {
+    if (this.entries.revision() < 0) {
       return undefined;
     }
     const change = new Map<string, number>();
@@ -323,7 +269,7 @@
         change.set(account, tokens);
       }
     }
-    return change.size > 0 || this.mustConfirm()
+    return change.size > 0 || this.entries.mustConfirm()
       ? this.createWrite(change)
       : undefined;
   }
@@ -342,28 +288,28 @@
 
   /** Forgets a write that is known to have had no effect. */
   discardWrite(write: PageWrite): void {
-    this.pendingWrites = this.pendingWrites.filter(other => other !== write);
+    this.entries.discardWrite(write);
   }
 
   private createWrite(change: PageChange): PageWrite {
     const {holder, instance, storeEra} = this.settings;
-    const {page, closed} = applyUpdate(this.page, {
+    const {page, closed} = applyUpdate(this.entries.page(), {
       holder,
       instance,
       change,
       used: this.usedByAccount(),
       limits: this.limitsAfter(change),
-      confirmedAt: this.nextConfirmedAt(),
+      confirmedAt: this.entries.nextConfirmedAt(),
       era: storeEra(),
       startedAt: this.startedAt,
     });
     const write: PageWrite = {
-      expectedRevision: this.revision,
+      expectedRevision: this.entries.revision(),
       page,
       change,
       closed,
     };
-    this.pendingWrites.push(write);
+    this.entries.recordWrite(write);
     return write;
   }
 
@@ -381,7 +327,7 @@
     const limits: Record<string, number> = {};
     for (const [account, share] of this.shares) {
       const held = this.heldTokens(account) + (change.get(account) ?? 0);
-      const rate = Math.max(share.spendingRate, share.longTermRate);
+      const rate = Math.max(share.rate.recent(), share.rate.longTerm());
       const margin = Math.max(
         rate * LIMIT_HORIZON,
         held * IDLE_LIMIT_FRACTION,
@@ -393,58 +339,6 @@
     return limits;
   }
 
-  /**
-   * Returns the time from which the age of the next written entry counts. While
-   * the outcome of earlier writes is unknown, it is theirs: this process may
-   * have used tokens according to their age.
-   */
-  private nextConfirmedAt(): MachineTime {
-    const pending = this.pendingWrites.at(-1);
-    const entry = pending && this.entryOf(pending.page);
-    return entry?.confirmedAt ?? this.settings.clock.machineTime();
-  }
-
-  /**
-   * Whether the entry must be written again in time, since it has tokens that
-   * may be used only while it gets no newer one.
-   */
-  private mustConfirm(): boolean {
-    const entry = this.entryOf(this.page);
-    return Object.entries(entry?.taken ?? {}).some(
-      ([account, taken]) => taken > (entry?.limits[account] ?? taken),
-    );
-  }
-
-  /** Age of the newest entry that the store may have. */
-  private entryAge(): Millis {
-    const newest = Math.max(
-      ...this.possibleEntries().map(
-        entry => entry.confirmedAt?.monotonic ?? -Infinity,
-      ),
-    );
-    return this.settings.clock.machineTime().monotonic - newest;
-  }
-
-  /** Returns the minimum over all entries that the store may have; 0 for none. */
-  private minOverEntries(tokensOf: (entry: PageHolder) => number): number {
-    const entries = this.possibleEntries();
-    const isWritten = this.entryOf(this.page) !== undefined;
-    const minimum = Math.min(...entries.map(tokensOf));
-    return isWritten ? minimum : Math.min(0, minimum);
-  }
-
-  /** Entries of this process that the store has or may have. */
-  private possibleEntries(): PageHolder[] {
-    const pages = [this.page, ...this.pendingWrites.map(({page}) => page)];
-    return pages
-      .map(page => this.entryOf(page))
-      .filter(entry => entry !== undefined);
-  }
-
-  private entryOf(page: PrepaidPage): PageHolder | undefined {
-    return page.holders[this.settings.holder];
-  }
-
   /** Tokens to take from the store (positive) or to return (negative). */
   private tokensToTake(account: string, view: ShareView): number {
     const share = this.shareOf(account);
@@ -486,8 +380,8 @@
     const idleSize =
       (remaining * remainingFraction * idleFraction) /
       Math.max(1, view.instances);
-    const neededSize = share.spendingRate * horizon;
-    const {longTermRate} = share;
+    const neededSize = share.rate.recent() * horizon;
+    const longTermRate = share.rate.longTerm();
     const remainingTime =
       longTermRate > 0
         ? (remaining * instanceFraction) / longTermRate
@@ -505,8 +399,12 @@
    * equal part.
    */
   private instanceFraction(account: string, view: ShareView): number {
-    const ownTaken = takenByHolder(this.page, this.settings.holder, account);
-    const allTaken = totalTaken(this.page, account);
+    const ownTaken = takenByHolder(
+      this.entries.page(),
+      this.settings.holder,
+      account,
+    );
+    const allTaken = totalTaken(this.entries.page(), account);
     const equalFraction = 1 / Math.max(1, view.instances);
     return allTaken > 0
       ? Math.max(equalFraction, ownTaken / allTaken)
@@ -522,10 +420,7 @@
         netGiven: 0,
         awaitedTokens: 0,
         largestReservation: 0,
-        spendingRate: 0,
-        longTermRate: 0,
-        sampleCount: 0,
-        reservedSinceSample: 0,
+        rate: new SpendingRate(),
       };
       this.shares.set(account, share);
     }
