--- a/packages/decisions/src/lib/request_limits.ts
+++ b/packages/decisions/src/lib/request_limits.ts
@@ -111,6 +111,11 @@
     return this.limits.delete(upstream) ? LimitChange.Lifted : LimitChange.None;
   }
 
+  /** Whether no limit is known. */
+  isEmpty(): boolean {
+    return this.limits.size === 0;
+  }
+
   /** Whether this instance may send one more request to an upstream now. */
   maySend(upstream: string, fleet: FleetView, now: Millis): boolean {
     const limit = this.limitOf(upstream, now);
--- a/packages/gateway/src/lib/limit_watch.ts
+++ b/packages/gateway/src/lib/limit_watch.ts
@@ -39,6 +39,9 @@
 
   /** Returns the upstreams to which one more request may be sent now. */
   withinLimits(upstreams: readonly UpstreamListing[]): UpstreamListing[] {
+    if (this.limits.isEmpty()) {
+      return [...upstreams];
+    }
     const now = this.clock.now();
     const fleet = this.context.fleetView();
     return upstreams.filter(({id}) => this.limits.maySend(id, fleet, now));
