Repeat the last write instead of creating ever more while the store is silent

Found on reading: each write without an answer was kept, with a whole page, until a newer revision was seen, and each reservation looks through all of them; an outage of an hour would keep 1,800. Now at most four are kept, then the last is repeated. The test failed with 60 of 60 writes kept.

--- a/packages/decisions/src/lib/page_entries.ts
+++ b/packages/decisions/src/lib/page_entries.ts
@@ -23,6 +23,12 @@
   closed: ClosedHolder[];
 }
 
+/**
+ * Number of writes with unknown outcomes from which on the last one is repeated
+ * instead of creating others.
+ */
+const MAX_PENDING_WRITES = 4;
+
 /** The known page, and the entries of one process that the store may have. */
 export class PageEntries {
   private knownPage: PrepaidPage = emptyPage();
@@ -68,6 +74,16 @@
     this.pendingWrites = this.pendingWrites.filter(other => other !== write);
   }
 
+  /**
+   * Returns the write to repeat if too many have unknown outcomes. It is a copy:
+   * to discard it does not discard the first one, which may still take effect.
+   */
+  writeToRepeat(): PageWrite | undefined {
+    const last = this.pendingWrites.at(-1);
+    const isFull = this.pendingWrites.length >= MAX_PENDING_WRITES;
+    return last !== undefined && isFull ? {...last} : undefined;
+  }
+
   /** Returns the tokens of an account that the process may use now, in all. */
   usableTokens(account: string): number {
     const age = this.age();
--- a/packages/decisions/src/lib/prepaid_shares.ts
+++ b/packages/decisions/src/lib/prepaid_shares.ts
@@ -262,6 +262,10 @@
     if (this.entries.revision() < 0) {
       return undefined;
     }
+    const repeated = this.entries.writeToRepeat();
+    if (repeated !== undefined) {
+      return repeated;
+    }
     const change = new Map<string, number>();
     for (const account of accounts) {
       const tokens = this.tokensToTake(account, view);
--- a/packages/decisions/src/test/prepaid_shares_test.ts
+++ b/packages/decisions/src/test/prepaid_shares_test.ts
@@ -66,4 +66,18 @@
     const after = fleet.instanceShares[7]?.availableTokens(ACCOUNT) ?? 0;
     expect(after).to.be.below(before / 2);
   });
+
+  it('creates a bounded number of writes while the store does not answer', () => {
+    const fleet = new ShareFleet(10_000_000);
+    const [shares] = fleet.instanceShares;
+    const pages = new Set<unknown>();
+    for (let second = 0; second < 60; second++) {
+      shares?.reserve(ACCOUNT, REQUEST_TOKENS);
+      const write = shares?.planWrite([ACCOUNT], fleet.view());
+      if (write !== undefined) {
+        pages.add(write.page);
+      }
+    }
+    expect(pages.size).to.be.within(1, 10);
+  });
 });
--- a/packages/decisions/src/test/share_fleet.ts
+++ b/packages/decisions/src/test/share_fleet.ts
@@ -118,7 +118,8 @@
     }
   }
 
-  private view(): ShareView {
+  /** Returns the state of the fleet as each instance knows it. */
+  view(): ShareView {
     return {
       now: this.clock.now(),
       instances: INSTANCES,
