--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -163,12 +163,7 @@
     );
     const machineClock = new SystemMachineClock();
     this.budgets = new PrepaidBudgets(
-      holder,
-      instance,
-      store,
-      clock,
-      machineClock,
-      log,
+      {holder, instance, store, clock, machineClock, log},
       {
         grantedTokens: account => this.routeTable.grantedTokens(account) ?? 0,
         budgetedAccounts: () => this.routeTable.budgetedAccounts(),
--- a/packages/gateway/src/lib/page_codec.ts
+++ b/packages/gateway/src/lib/page_codec.ts
@@ -16,6 +16,7 @@
       // The following are missing in entries of earlier versions.
       used: TOKENS_BY_ACCOUNT.default({}),
       limits: TOKENS_BY_ACCOUNT.default({}),
+      // The transformation makes the key required, as in `PageHolder`.
       confirmedAt: z
         .object({monotonic: z.number(), wall: z.number()})
         .optional()
--- a/packages/gateway/src/lib/prepaid_budgets.ts
+++ b/packages/gateway/src/lib/prepaid_budgets.ts
@@ -28,6 +28,18 @@
   Unavailable = 'unavailable',
 }
 
+/** The process for which a `PrepaidBudgets` works, and what it uses. */
+export interface BudgetDependencies {
+  /** Identity of this process; a restarted instance has another. */
+  holder: string;
+  /** Name of the instance, the same after a restart. */
+  instance: string;
+  store: Store;
+  clock: Clock;
+  machineClock: MachineClock;
+  log: Log;
+}
+
 /** What a `PrepaidBudgets` needs from the other components of its instance. */
 export interface BudgetContext {
   /** Returns the tokens granted to an account in total, spent ones included. */
@@ -144,19 +156,15 @@
   /** Whether the shares are being returned before a planned stop. */
   private isStopping = false;
 
-  /**
-   * @param holder identity of this process; a restarted instance has another.
-   * @param instance name of the instance, the same after a restart.
-   */
+  private readonly clock: Clock;
+  private readonly log: Log;
+
   constructor(
-    holder: string,
-    instance: string,
-    store: Store,
-    private readonly clock: Clock,
-    machineClock: MachineClock,
-    private readonly log: Log,
+    {holder, instance, store, clock, machineClock, log}: BudgetDependencies,
     private readonly context: BudgetContext,
   ) {
+    this.clock = clock;
+    this.log = log;
     this.startedAt = clock.now();
     for (let index = 0; index < PAGE_COUNT; index++) {
       const key = `${PAGE_KEY_PREFIX}${index}`;
