Write no page before the addresses of the instance are listened on

Found on reading: a request that came between the first listener and the start of the budgets could have a page written without the proof that the process before had ended, and all its tokens kept as spent.

--- a/packages/gateway/src/lib/prepaid_budgets.ts
+++ b/packages/gateway/src/lib/prepaid_budgets.ts
@@ -153,6 +153,8 @@
   private waitingRequests: WaitingRequest[] = [];
   private maintenanceTimer: NodeJS.Timeout | undefined;
   private readonly startedAt: Millis;
+  /** Whether `start` was called; the store is not called before. */
+  private isStarted = false;
   /** Whether the shares are being returned before a planned stop. */
   private isStopping = false;
 
@@ -189,6 +191,7 @@
    * then, so what that left unused can be returned.
    */
   start(): void {
+    this.isStarted = true;
     this.pages.forEach(page => page.shares.recordPredecessorsEnded());
     this.maintenanceTimer = setInterval(
       () => this.maintain(),
@@ -407,6 +410,7 @@
   private readOrWriteIfDue(page: BudgetPage): void {
     const now = this.clock.now();
     if (
+      !this.isStarted ||
       this.isStopping ||
       !page.canCallStore() ||
       this.context.hasResponsiveRelay()
