Let the limit of a share follow the long-term rate only

Cause: the limit allowed for the largest request so far, on every instance, so small accounts still lost much of their grant with killed processes.

--- a/packages/decisions/src/lib/prepaid_shares.ts
+++ b/packages/decisions/src/lib/prepaid_shares.ts
@@ -59,7 +59,7 @@
 /** Minimum time between two samples of the spending rates. */
 const RATE_SAMPLE_INTERVAL: Millis = 1_000;
 
-/** Time for which the limit of a share lasts at the current spending rate. */
+/** Time for which the limit of a share lasts at the long-term spending rate. */
 const LIMIT_HORIZON: Millis = 4_000;
 
 /** Fraction of a share that the limit allows to be used without demand. */
@@ -331,12 +331,8 @@
     const limits: Record<string, number> = {};
     for (const [account, share] of this.shares) {
       const held = this.heldTokens(account) + (change.get(account) ?? 0);
-      const rate = Math.max(share.rate.recent(), share.rate.longTerm());
-      const margin = Math.max(
-        rate * LIMIT_HORIZON,
-        held * IDLE_LIMIT_FRACTION,
-        share.largestReservation,
-      );
+      const rate = share.rate.longTerm();
+      const margin = Math.max(rate * LIMIT_HORIZON, held * IDLE_LIMIT_FRACTION);
       const usable = Math.min(held, share.awaitedTokens + margin);
       limits[account] = Math.floor(usedTokens(share) + usable);
     }
