Log the parts and the events of requests that upstreams crash under

Nothing told requests that had got events (bystanders) from those of which nothing had come back, nor whether they share a part of their prompts. request.crashed-upstream now has the request, its parts and the events that its caller had got. No decision changes.

Run: crash_watch_test green.

--- a/packages/gateway/src/lib/crash_watch.ts
+++ b/packages/gateway/src/lib/crash_watch.ts
@@ -16,17 +16,27 @@
  */
 const CRASH_WINDOW: Millis = 5_000;
 
+/** A request whose response was not received completely. */
+export interface LostRequest {
+  id: string;
+  fingerprint: string;
+  /** Identifiers of the parts of its prompt, in order. */
+  parts: readonly string[];
+  /** Number of events that the caller has received. */
+  events: number;
+}
+
 /** Informs the other instances of what this one detected. */
 export interface CrashReporter {
   /** Reports that an upstream crashed while it ran a request. */
-  reportCrash(fingerprint: string, upstream: string): void;
+  reportCrash(request: LostRequest, upstream: string): void;
   /** Reports that a request that was suspect has been answered. */
   reportCleared(fingerprint: string): void;
 }
 
 /** An upstream's response that was not received completely. */
 interface LostResponse {
-  fingerprint: string;
+  request: LostRequest;
   lostAt: Millis;
 }
 
@@ -45,10 +55,10 @@
   ) {}
 
   /** Records that an upstream did not respond completely to a request. */
-  recordLostResponse(fingerprint: string, upstream: string): void {
+  recordLostResponse(request: LostRequest, upstream: string): void {
     const now = this.clock.now();
     const recentLosses = this.recentLosses(upstream, now);
-    recentLosses.push({fingerprint, lostAt: now});
+    recentLosses.push({request, lostAt: now});
     this.lossesByUpstream.set(upstream, recentLosses);
   }
 
@@ -59,9 +69,9 @@
   recordDown(upstream: string): void {
     const recentLosses = this.recentLosses(upstream, this.clock.now());
     this.lossesByUpstream.delete(upstream);
-    for (const {fingerprint} of recentLosses) {
-      this.recordCrash(fingerprint, upstream);
-      this.reporter.reportCrash(fingerprint, upstream);
+    for (const {request} of recentLosses) {
+      this.recordCrash(request.fingerprint, upstream);
+      this.reporter.reportCrash(request, upstream);
     }
   }
 
--- a/packages/gateway/src/lib/forwarding.ts
+++ b/packages/gateway/src/lib/forwarding.ts
@@ -22,6 +22,7 @@
 import {RefusalReason} from './refusal.js';
 import {CallFailure, UpstreamCall} from './upstream_call.js';
 import type {CallerResponse} from './caller_response.js';
+import type {LostRequest} from './crash_watch.js';
 import type {AdmittedRequest} from './admission.js';
 import type {ReceivedHead} from './upstream_call.js';
 import type {InstanceContext} from './instance_context.js';
@@ -423,7 +424,7 @@
     this.result.mayHaveRun = true;
     this.usedUpstreams.add(upstream?.id ?? '');
     this.context.crashWatch.recordLostResponse(
-      this.request.fingerprint,
+      this.lostRequest(),
       upstream?.id ?? '',
     );
     const failRequest = () => this.giveUp(RefusalReason.UpstreamFailed);
@@ -434,6 +435,17 @@
     }
   }
 
+  /** Returns what is known of this request if its upstream crashed. */
+  private lostRequest(): LostRequest {
+    const {callerRequest, fingerprint} = this.request;
+    return {
+      id: callerRequest.id,
+      fingerprint,
+      parts: callerRequest.promptParts.map(({id}) => id),
+      events: this.result.deliveredEvents,
+    };
+  }
+
   /** Tries another upstream after an attempt of which no byte was sent. */
   private retryUnsent(): void {
     if (this.unsentAttempts > MAX_UNSENT_RETRIES) {
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -184,8 +184,14 @@
       },
     );
     this.crashWatch = new CrashWatch(clock, {
-      reportCrash: (fingerprint, upstream) => {
-        log.warn('request.crashed-upstream', {fingerprint, upstream});
+      reportCrash: ({id, fingerprint, parts, events}, upstream) => {
+        log.warn('request.crashed-upstream', {
+          request: id,
+          fingerprint,
+          parts: parts.join(','),
+          events,
+          upstream,
+        });
         const kind = PeerMessageKind.SuspectReport;
         this.peerNetwork.broadcast({kind, fingerprint, upstream});
       },
--- a/packages/gateway/src/test/crash_watch_test.ts
+++ b/packages/gateway/src/test/crash_watch_test.ts
@@ -7,7 +7,12 @@
 import {ManualClock} from '@citrontrestle/decisions';
 import {CrashWatch} from '../lib/crash_watch.js';
 
-const REQUEST = 'fingerprint';
+const REQUEST = {
+  id: 'request-1',
+  fingerprint: 'fingerprint',
+  parts: [],
+  events: 0,
+};
 
 interface CrashCase {
   name: string;
@@ -64,7 +69,7 @@
       const clock = new ManualClock();
       const reports: string[] = [];
       const watch = new CrashWatch(clock, {
-        reportCrash: (_fingerprint, upstream) => reports.push(upstream),
+        reportCrash: (_request, upstream) => reports.push(upstream),
         reportCleared: () => reports.push('cleared'),
       });
       for (const {upstream, down, delay} of losses) {
@@ -75,10 +80,10 @@
         }
       }
       if (answered === true) {
-        watch.recordAnswer(REQUEST);
+        watch.recordAnswer(REQUEST.fingerprint);
         expect(reports).to.include('cleared');
       }
-      expect(watch.isBlocked(REQUEST)).to.equal(blocked);
+      expect(watch.isBlocked(REQUEST.fingerprint)).to.equal(blocked);
     });
   }
 });
