--- a/packages/stand_ins/src/lib/hosted/server.ts
+++ b/packages/stand_ins/src/lib/hosted/server.ts
@@ -80,6 +80,13 @@
    * names in its answers; undefined if it names no limit.
    */
   requestLimit: number | undefined;
+  /**
+   * Prompt part under which the server crashes when it begins to write an
+   * answer; undefined if there is none. The last part of a prompt never counts.
+   */
+  crashingPart: string | undefined;
+  /** Called when the server has crashed. */
+  onCrash: () => void = () => undefined;
   /** Requests that it executed. */
   readonly runs: ServerRun[] = [];
   /** Number of requests received, whether or not they were executed. */
@@ -170,8 +177,30 @@
     outgoing.on('close', () => {
       run.cancelled = !outgoing.writableFinished;
     });
+    if (this.crashesUnder(run)) {
+      setTimeout(() => this.crash(), this.settings.stepMs);
+      return;
+    }
     FAULT_HANDLERS[this.fault](this, outgoing, run);
   }
+
+  private crashesUnder(run: ServerRun): boolean {
+    return (
+      this.crashingPart !== undefined &&
+      sharedParts(run).includes(this.crashingPart)
+    );
+  }
+
+  private crash(): void {
+    this.stop();
+    this.onCrash();
+  }
+}
+
+/** Returns the identifiers of the parts of a prompt without the last one. */
+export function sharedParts({headers}: Pick<ServerRun, 'headers'>): string[] {
+  const entries = String(headers['x-prompt-prefix'] ?? '').split(',');
+  return entries.slice(0, -1).map(entry => entry.replace(/:.*$/, ''));
 }
 
 /**
