Find what upstreams crash under by the shared parts of prompts

Cause: a crash was counted against the digest of method, path, account and body. The requests share one part of the prompt and nothing else, so each had one crash and none was refused. Besides, an instance found a crash only when it sent the next request there or the store removed the upstream (1 to 3.5 s), and what was known was lost with each process.

Now: the lost requests of which nothing had come back are evidence against their fingerprint and their parts but the last; an answer that goes on clears them everywhere. A trait is convicted after three crashes not cleared (four if it was ever answered); what it explains is not held against others. An instance that loses a response checks at once whether the upstream still listens. Silence is no longer taken for a crash, nor a removal around an outage of the store. Verdicts are in one key of the store, and heartbeats carry its revision, so an instance that starts or was cut off knows them; one request in the whole fleet tries a verdict after 2 and 20 minutes. A request under suspicion is not repeated.

--- a/packages/gateway/src/lib/admission.ts
+++ b/packages/gateway/src/lib/admission.ts
@@ -35,6 +35,11 @@
    * sends a request again under another identifier.
    */
   fingerprint: string;
+  /**
+   * Identifiers of the parts of its prompt but the last, which is its own or
+   * that of its session.
+   */
+  sharedParts: string[];
 }
 
 /** An admitted request, or the identifier of a refused one and the reason. */
@@ -87,6 +92,9 @@
     account,
     arrivedAt,
     fingerprint,
+    sharedParts: callerRequest.promptParts
+      .slice(0, -1)
+      .map(({id: part}) => part),
   };
   return {ok: true, request};
 }
--- a/packages/gateway/src/lib/forwarding.ts
+++ b/packages/gateway/src/lib/forwarding.ts
@@ -14,6 +14,7 @@
   urgencyOf,
 } from '@citrontrestle/decisions';
 import {ESTIMATED_HEAD_BYTES} from './admission.js';
+import {SURVIVED_EVENTS} from './crash_watch.js';
 import {
   ResponseRelay,
   RelayCompletion,
@@ -87,6 +88,8 @@
   private placed: PlacedRequest | undefined;
   /** Whether the current attempt has delivered an event. */
   private hasFirstToken = false;
+  /** Number of events that the attempts before the current one delivered. */
+  private earlierEvents = 0;
   /** Upstreams of all ended attempts; none of them is tried again. */
   private readonly triedUpstreams = new Set<string>();
   /** Upstreams that ran the request or may have run it. */
@@ -174,6 +177,7 @@
     this.placed = placed;
     this.responseRelay.reset();
     this.hasFirstToken = false;
+    this.earlierEvents = this.responseRelay.deliveredEvents;
     this.result.attempts += 1;
     this.result.upstream = placed.upstream.id;
     context.placement.recordStart(this.placementRequest, placed, now);
@@ -350,6 +354,13 @@
     if (this.response.hasBegun()) {
       this.result.firstByteAt ??= this.context.clock.now();
     }
+    const survivesFrom = this.earlierEvents + SURVIVED_EVENTS;
+    if (
+      eventsBefore < survivesFrom &&
+      this.result.deliveredEvents >= survivesFrom
+    ) {
+      this.context.crashWatch.recordAnswer(this.request);
+    }
     const isFirstEvent =
       !this.hasFirstToken && this.responseRelay.deliveredEvents > eventsBefore;
     if (isFirstEvent && this.placed !== undefined) {
@@ -407,9 +418,11 @@
       events: this.result.deliveredEvents,
     });
     this.endAttempt(FAILURE_OUTCOMES[failure]);
-    if (failure === CallFailure.NotSent) {
+    if (UNSENT_FAILURES.has(failure)) {
       this.unsentAttempts += 1;
-      this.context.crashWatch.recordDown(upstream?.id ?? '');
+      if (failure === CallFailure.ConnectionRefused) {
+        this.context.crashWatch.recordDown(upstream?.id ?? '');
+      }
       this.retryUnsent();
       return;
     }
@@ -423,10 +436,9 @@
     }
     this.result.mayHaveRun = true;
     this.usedUpstreams.add(upstream?.id ?? '');
-    this.context.crashWatch.recordLostResponse(
-      this.lostRequest(),
-      upstream?.id ?? '',
-    );
+    if (upstream !== undefined) {
+      this.context.crashWatch.recordLostResponse(this.lostRequest(), upstream);
+    }
     const failRequest = () => this.giveUp(RefusalReason.UpstreamFailed);
     if (this.mayRepeat()) {
       this.repeatIfAllowed(failRequest);
@@ -437,12 +449,12 @@
 
   /** Returns what is known of this request if its upstream crashed. */
   private lostRequest(): LostRequest {
-    const {callerRequest, fingerprint} = this.request;
+    const {callerRequest, fingerprint, sharedParts} = this.request;
     return {
       id: callerRequest.id,
       fingerprint,
-      parts: callerRequest.promptParts.map(({id}) => id),
-      events: this.result.deliveredEvents,
+      sharedParts,
+      events: this.result.deliveredEvents - this.earlierEvents,
     };
   }
 
@@ -456,17 +468,19 @@
   }
 
   /**
-   * Whether the request may be sent to one more upstream.
+   * Whether the request may be sent to one more upstream. One that may have
+   * crashed an upstream is not.
    * @param runningUpstreams upstreams whose attempt has not ended yet and that
    *     are therefore not among `usedUpstreams`.
    */
   private mayRepeat(runningUpstreams = 0): boolean {
-    return mayRepeat({
+    const isAllowed = mayRepeat({
       route: this.request.route,
       upstreamsUsed: this.usedUpstreams.size + runningUpstreams,
       answerBegun: this.response.hasBegun(),
       canResume: this.responseRelay.canResume(),
     });
+    return isAllowed && !this.context.crashWatch.isSuspect(this.request);
   }
 
   /**
@@ -583,12 +597,19 @@
 /** How each failure of a call counts for its upstream. */
 const FAILURE_OUTCOMES: Readonly<Record<CallFailure, PlacementOutcome>> = {
   [CallFailure.NotSent]: PlacementOutcome.Failed,
+  [CallFailure.ConnectionRefused]: PlacementOutcome.Failed,
   [CallFailure.NotExecuted]: PlacementOutcome.Rejected,
   [CallFailure.Replaced]: PlacementOutcome.Rejected,
   [CallFailure.ResponseLost]: PlacementOutcome.Failed,
   [CallFailure.InvalidResponse]: PlacementOutcome.Failed,
 };
 
+/** Failures before which no byte of the request was sent. */
+const UNSENT_FAILURES = new Set([
+  CallFailure.NotSent,
+  CallFailure.ConnectionRefused,
+]);
+
 /** Failures that prove that the upstream did not run the request. */
 const NOT_EXECUTED_FAILURES = new Set([
   CallFailure.NotExecuted,
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -1,5 +1,6 @@
 /** One gateway process: creates its components and connects them. */
 import {
+  CrashVerdicts,
   LinkLoad,
   Placement,
   RepeatAllowance,
@@ -15,7 +16,8 @@
   waitAtMost,
 } from '@citrontrestle/runtime';
 import {PrepaidBudgets} from './prepaid_budgets.js';
-import {CrashWatch} from './crash_watch.js';
+import {isRefusing} from './connection_check.js';
+import {CrashWatch, partTraits} from './crash_watch.js';
 import {FrontServer} from './front_server.js';
 import {LimitWatch} from './limit_watch.js';
 import {GatewayMetrics} from './gateway_metrics.js';
@@ -25,6 +27,7 @@
 import {ReadyServer} from './ready_server.js';
 import {RequestRecorder} from './request_recorder.js';
 import {RequestService} from './request_service.js';
+import {SharedVerdicts} from './shared_verdicts.js';
 import {StateSync} from './state_sync.js';
 import {TokenExchange} from './token_exchange.js';
 import {UpstreamAgent} from './upstream_agent.js';
@@ -103,6 +106,8 @@
   private readonly stateSync: StateSync;
   private readonly budgets: PrepaidBudgets;
   private readonly peerNetwork: PeerNetwork;
+  private readonly crashVerdicts = new CrashVerdicts();
+  private readonly sharedVerdicts: SharedVerdicts;
   private readonly crashWatch: CrashWatch;
   private readonly limitWatch: LimitWatch;
   private readonly peerExchange: PeerExchange;
@@ -183,25 +188,13 @@
         },
       },
     );
-    this.crashWatch = new CrashWatch(clock, {
-      reportCrash: ({id, fingerprint, parts, events}, upstream) => {
-        log.warn('request.crashed-upstream', {
-          request: id,
-          fingerprint,
-          parts: parts.join(','),
-          events,
-          upstream,
-        });
-        const kind = PeerMessageKind.SuspectReport;
-        this.peerNetwork.broadcast({kind, fingerprint, upstream});
-      },
-      reportCleared: fingerprint => {
-        this.peerNetwork.broadcast({
-          kind: PeerMessageKind.SuspectCleared,
-          fingerprint,
-        });
-      },
-    });
+    this.sharedVerdicts = new SharedVerdicts(
+      this.crashVerdicts,
+      store,
+      clock,
+      log,
+    );
+    this.crashWatch = this.createCrashWatch();
     this.limitWatch = new LimitWatch(clock, log, {
       fleetView: () => this.peerNetwork.fleetView(),
       reportLimit: (upstream, perSecond) => {
@@ -221,6 +214,7 @@
       tokenExchange: this.tokenExchange,
       crashWatch: this.crashWatch,
       limitWatch: this.limitWatch,
+      sharedVerdicts: this.sharedVerdicts,
       peerNetwork: this.peerNetwork,
     });
     this.frontServer = new FrontServer(dialect, this);
@@ -258,10 +252,38 @@
     );
   }
 
+  /** Connects the detection of crashes to the other instances. */
+  private createCrashWatch(): CrashWatch {
+    const {log} = this.dependencies;
+    return new CrashWatch(this.crashVerdicts, this.clock, {
+      reportCrash: ({id, fingerprint, sharedParts, events}, upstream) => {
+        log.warn('request.crashed-upstream', {
+          request: id,
+          fingerprint,
+          parts: sharedParts.join(','),
+          events,
+          upstream,
+        });
+        const kind = PeerMessageKind.SuspectReport;
+        const traits = partTraits(sharedParts);
+        this.peerNetwork.broadcast({kind, fingerprint, traits, upstream});
+      },
+      reportCleared: ({fingerprint, sharedParts}) => {
+        const kind = PeerMessageKind.SuspectCleared;
+        const traits = partTraits(sharedParts);
+        this.peerNetwork.broadcast({kind, fingerprint, traits});
+      },
+      onConvicted: () => void this.sharedVerdicts.save(),
+      isRefusing,
+      claimTrial: verdict => this.sharedVerdicts.claimTrial(verdict),
+    });
+  }
+
   /** Starts all components; rejects if an address cannot be listened on. */
   async start(): Promise<void> {
     const {settings, log} = this.dependencies;
     this.stateSync.start();
+    this.sharedVerdicts.start();
     await Promise.all([
       this.frontServer.listen(settings.listen.callers),
       this.readyServer.listen(settings.listen.ready),
@@ -360,6 +382,7 @@
     return {
       version: this.routeTable.version(),
       revision: this.upstreamRegistry.revision(),
+      verdicts: this.sharedVerdicts.knownRevision(),
       leaving: this.stopStartedAt !== undefined,
       storeSilence: this.storeSilence(),
     };
--- a/packages/gateway/src/lib/peer_exchange.ts
+++ b/packages/gateway/src/lib/peer_exchange.ts
@@ -10,6 +10,7 @@
 import type {LimitWatch} from './limit_watch.js';
 import type {PeerMessage} from './peer_message.js';
 import type {PeerNetwork} from './peer_network.js';
+import type {SharedVerdicts} from './shared_verdicts.js';
 import type {StateSync} from './state_sync.js';
 import type {TokenExchange} from './token_exchange.js';
 import type {
@@ -46,6 +47,7 @@
   tokenExchange: TokenExchange;
   crashWatch: CrashWatch;
   limitWatch: LimitWatch;
+  sharedVerdicts: SharedVerdicts;
   peerNetwork: PeerNetwork;
 }
 
@@ -106,14 +108,16 @@
     [PeerMessageKind.TokenRefusal]: ({account, tokens, exhausted}) =>
       this.dependencies.budgets.recordRelayRefusal(account, tokens, exhausted),
     [PeerMessageKind.SuspectReport]: (message, from) => {
+      const {fingerprint, traits, upstream} = message;
       this.dependencies.crashWatch.recordCrash(
-        message.fingerprint,
-        message.upstream,
+        [fingerprint, ...traits],
+        upstream,
       );
       this.dependencies.peerNetwork.forwardBroadcast(from, message);
     },
     [PeerMessageKind.SuspectCleared]: (message, from) => {
-      this.dependencies.crashWatch.clear(message.fingerprint);
+      const {fingerprint, traits} = message;
+      this.dependencies.crashWatch.clear([fingerprint, ...traits]);
       this.dependencies.peerNetwork.forwardBroadcast(from, message);
     },
     [PeerMessageKind.UpstreamLimit]: (message, from) => {
@@ -242,12 +246,13 @@
     }
   }
 
-  /** Requests the configuration or the upstreams if the sender's are newer. */
+  /** Gets the configuration, upstreams or verdicts if the sender's are newer. */
   private handleHeartbeat(
-    {version, revision}: MessageOf<PeerMessageKind.Heartbeat>,
+    {version, revision, verdicts}: MessageOf<PeerMessageKind.Heartbeat>,
     from: string,
   ): void {
     const {routeTable, upstreamRegistry, peerNetwork} = this.dependencies;
+    this.dependencies.sharedVerdicts.learnRevision(verdicts);
     if (version > routeTable.version()) {
       peerNetwork.send(from, {kind: PeerMessageKind.ConfigurationRequest});
     }
--- a/packages/gateway/src/lib/peer_message.ts
+++ b/packages/gateway/src/lib/peer_message.ts
@@ -30,6 +30,8 @@
 
 /** Maximum length of ids, addresses and other names, in characters. */
 const MAX_NAME_LENGTH = 256;
+/** Maximum number of traits of a request. */
+const MAX_TRAITS = 64;
 /** Maximum number of members in one heartbeat. */
 const MAX_MEMBERS = 2_000;
 
@@ -67,6 +69,8 @@
     version: z.number(),
     /** Newest store revision contained in the sender's list of upstreams. */
     revision: z.number(),
+    /** Newest store revision of the verdicts on crashes that the sender has. */
+    verdicts: z.number().default(0),
     leaving: z.boolean(),
     capacity: z.number(),
     /** Milliseconds since the store last answered the sender or its relay. */
@@ -143,11 +147,15 @@
   z.object({
     kind: z.literal(PeerMessageKind.SuspectReport),
     fingerprint: nameSchema,
+    /** The process of the upstream that crashed. */
     upstream: nameSchema,
+    /** Traits beside the fingerprint; see `CrashVerdicts`. */
+    traits: z.array(nameSchema).max(MAX_TRAITS).default([]),
   }),
   z.object({
     kind: z.literal(PeerMessageKind.SuspectCleared),
     fingerprint: nameSchema,
+    traits: z.array(nameSchema).max(MAX_TRAITS).default([]),
   }),
   z.object({
     kind: z.literal(PeerMessageKind.UpstreamLimit),
--- a/packages/gateway/src/lib/peer_network.ts
+++ b/packages/gateway/src/lib/peer_network.ts
@@ -22,6 +22,8 @@
   version: number;
   /** Newest store revision contained in the list of upstreams. */
   revision: number;
+  /** Newest store revision of the verdicts on crashes. */
+  verdicts: number;
   /** Whether the instance is stopping. */
   leaving: boolean;
   /** Time since the store last answered the instance or its relay. */
--- a/packages/gateway/src/lib/request_service.ts
+++ b/packages/gateway/src/lib/request_service.ts
@@ -64,7 +64,10 @@
     linkLoad.recordBytes(admitted.body.length + ESTIMATED_HEAD_BYTES, 0, now);
     if (linkLoad.isSaturated(now)) {
       this.refuse(admitted, response, RefusalReason.MachineBusy);
-    } else if (crashWatch.isBlocked(admitted.fingerprint)) {
+    } else if (
+      crashWatch.isBlocked(admitted) &&
+      !crashWatch.takeTrial(admitted)
+    ) {
       this.refuse(admitted, response, RefusalReason.CrashesUpstreams);
     } else if (tokensToReserve(admitted) === 0) {
       startForwarding();
@@ -144,7 +147,7 @@
       );
     }
     if (result.outcome === ANSWERED) {
-      this.context.crashWatch.recordAnswer(admitted.fingerprint);
+      this.context.crashWatch.recordAnswer(admitted);
     }
     this.recorder.recordEnd(admitted, result);
   }
--- a/packages/gateway/src/lib/state_sync.ts
+++ b/packages/gateway/src/lib/state_sync.ts
@@ -18,7 +18,10 @@
 export interface StateSyncHandler {
   /** Called after a newer configuration was put in force. */
   onConfigurationChanged(): void;
-  /** Called when a usable upstream was removed without leaving first. */
+  /**
+   * Called when a usable upstream was removed without leaving first, unless only
+   * its heartbeats may have been lost in an outage of the store.
+   */
   onUpstreamLost(upstream: string): void;
   /**
    * Called with the updates that were not known yet.
@@ -180,7 +183,7 @@
           service,
           lapsed: afterOutage,
         });
-        if (wasUsable && listing === undefined) {
+        if (wasUsable && listing === undefined && !afterOutage) {
           this.handler.onUpstreamLost(id);
         }
       }
--- a/packages/gateway/src/lib/upstream_call.ts
+++ b/packages/gateway/src/lib/upstream_call.ts
@@ -12,6 +12,8 @@
 export enum CallFailure {
   /** No connection was established, so no byte of the request was sent. */
   NotSent = 'not-sent',
+  /** The upstream refuses connections, so no byte of the request was sent. */
+  ConnectionRefused = 'connection-refused',
   /** The upstream states that it did not run the request. */
   NotExecuted = 'not-executed',
   /**
@@ -147,9 +149,10 @@
       });
     });
     outgoingRequest.on('error', (error: NodeJS.ErrnoException) => {
-      const failure = this.mayHaveSent
-        ? CallFailure.ResponseLost
-        : CallFailure.NotSent;
+      const {ResponseLost, NotSent, ConnectionRefused} = CallFailure;
+      const unsent =
+        error.code === 'ECONNREFUSED' ? ConnectionRefused : NotSent;
+      const failure = this.mayHaveSent ? ResponseLost : unsent;
       this.fail(failure, error.code ?? error.message);
     });
     outgoingRequest.on('response', response => this.handleResponse(response));
--- a/packages/gateway/src/test/crash_watch_test.ts
+++ b/packages/gateway/src/test/crash_watch_test.ts
@@ -4,13 +4,14 @@
  * upstream counts once.
  */
 import {expect} from 'chai';
-import {ManualClock} from '@citrontrestle/decisions';
+import {CrashVerdicts, ManualClock} from '@citrontrestle/decisions';
 import {CrashWatch} from '../lib/crash_watch.js';
+import type {UpstreamListing} from '@citrontrestle/decisions';
 
 const REQUEST = {
   id: 'request-1',
   fingerprint: 'fingerprint',
-  parts: [],
+  sharedParts: [],
   events: 0,
 };
 
@@ -63,27 +64,44 @@
   },
 ];
 
+/** Returns an upstream whose process is always the same. */
+function listing(id: string): UpstreamListing {
+  return {
+    id,
+    service: 'models',
+    address: '127.0.0.1:1',
+    zone: 'north',
+    slots: 8,
+    leaving: false,
+    startedAt: 1,
+    cold: 0,
+  };
+}
+
 describe('a request that may have crashed upstreams', () => {
   for (const {name, losses, answered, blocked} of CASES) {
     it(`${name}: ${blocked ? 'is refused' : 'is served'}`, () => {
       const clock = new ManualClock();
       const reports: string[] = [];
-      const watch = new CrashWatch(clock, {
+      const watch = new CrashWatch(new CrashVerdicts(), clock, {
         reportCrash: (_request, upstream) => reports.push(upstream),
         reportCleared: () => reports.push('cleared'),
+        onConvicted: () => undefined,
+        isRefusing: () => Promise.resolve(false),
+        claimTrial: () => Promise.resolve(false),
       });
       for (const {upstream, down, delay} of losses) {
-        watch.recordLostResponse(REQUEST, upstream);
+        watch.recordLostResponse(REQUEST, listing(upstream));
         clock.advance(delay ?? 100);
         if (down) {
           watch.recordDown(upstream);
         }
       }
       if (answered === true) {
-        watch.recordAnswer(REQUEST.fingerprint);
+        watch.recordAnswer(REQUEST);
         expect(reports).to.include('cleared');
       }
-      expect(watch.isBlocked(REQUEST.fingerprint)).to.equal(blocked);
+      expect(watch.isBlocked(REQUEST)).to.equal(blocked);
     });
   }
 });
