--- a/packages/gateway/src/lib/shared_verdicts.ts
+++ b/packages/gateway/src/lib/shared_verdicts.ts
@@ -20,6 +20,12 @@
 /** Interval at which unread and unsaved verdicts are tried again. */
 const RETRY_INTERVAL: Millis = 500;
 
+/**
+ * Interval at which known verdicts are read again, as an operator may have
+ * lifted them.
+ */
+const REREAD_INTERVAL: Millis = 30_000;
+
 /**
  * Time for which an instance leaves it to the one that convicted to save the
  * verdict.
@@ -42,6 +48,7 @@
   /** The verdicts as last read or written, encoded. */
   private sharedValue = encode([]);
   private needsRead = true;
+  private lastReadAt: Millis = -Infinity;
   private callInProgress = false;
   /** Since when the verdicts differ from those in the store. */
   private unsavedSince: Millis | undefined;
@@ -99,7 +106,7 @@
     if (this.callInProgress) {
       return;
     }
-    if (this.needsRead || this.era !== this.store.era()) {
+    if (this.needsRead || this.isRereadDue()) {
       await this.read();
     }
     const isUnsaved = encode(this.verdicts.list()) !== this.sharedValue;
@@ -111,8 +118,15 @@
     }
   }
 
+  private isRereadDue(): boolean {
+    const isOld = this.clock.now() - this.lastReadAt >= REREAD_INTERVAL;
+    const hasVerdicts = this.verdicts.list().length > 0;
+    return this.era !== this.store.era() || (isOld && hasVerdicts);
+  }
+
   private async read(): Promise<void> {
     this.callInProgress = true;
+    this.lastReadAt = this.clock.now();
     const era = this.store.era();
     const result = await this.store.read(VERDICTS_KEY);
     this.callInProgress = false;
