--- a/packages/decisions/src/lib/upstream_registry.ts
+++ b/packages/decisions/src/lib/upstream_registry.ts
@@ -12,6 +12,8 @@
   /** Address as `ip:port`. */
   address: string;
   zone: string;
+  /** Version of its software; empty if unknown. */
+  version: string;
   /** Requests that the upstream can run at once. */
   slots: number;
   /** Whether the upstream is shutting down; it gets no new requests. */
--- a/packages/decisions/src/test/placement_test.ts
+++ b/packages/decisions/src/test/placement_test.ts
@@ -19,6 +19,7 @@
     service: 'models',
     address: `10.0.0.${index}:1`,
     zone: ZONES[index % ZONES.length] ?? '',
+    version: 'v1',
     slots: 8,
     leaving: false,
     startedAt: 0,
--- a/packages/decisions/src/test/upstream_registry_test.ts
+++ b/packages/decisions/src/test/upstream_registry_test.ts
@@ -14,6 +14,7 @@
     service: SERVICE,
     address: '10.0.0.1:1',
     zone: 'north',
+    version: 'v1',
     slots: 6,
     leaving,
     startedAt: 0,
--- a/packages/gateway/src/lib/forwarding.ts
+++ b/packages/gateway/src/lib/forwarding.ts
@@ -40,6 +40,8 @@
   outcome: string;
   /** Identifier of the last upstream tried; undefined if none was. */
   upstream: string | undefined;
+  /** Version of that upstream's software. */
+  upstreamVersion: string | undefined;
   attempts: number;
   /** Whether an upstream may have begun to run the request. */
   mayHaveRun: boolean;
@@ -100,6 +102,7 @@
   private readonly result: ForwardingResult = {
     outcome: '',
     upstream: undefined,
+    upstreamVersion: undefined,
     attempts: 0,
     mayHaveRun: false,
     deliveredEvents: 0,
@@ -180,6 +183,7 @@
     this.earlierEvents = this.responseRelay.deliveredEvents;
     this.result.attempts += 1;
     this.result.upstream = placed.upstream.id;
+    this.result.upstreamVersion = placed.upstream.version;
     context.placement.recordStart(this.placementRequest, placed, now);
     context.limitWatch.recordSent(placed.upstream.id);
     this.attemptStartedAt = now;
@@ -412,6 +416,7 @@
       request: this.request.callerRequest.id,
       upstream: upstream?.id ?? '',
       address: upstream?.address ?? '',
+      upstreamVersion: upstream?.version,
       failure,
       reason,
       attempt: this.result.attempts,
--- a/packages/gateway/src/lib/peer_message.ts
+++ b/packages/gateway/src/lib/peer_message.ts
@@ -54,6 +54,8 @@
   service: nameSchema,
   address: nameSchema,
   zone: nameSchema,
+  // Missing in messages of earlier versions of the gateway.
+  version: nameSchema.default(''),
   slots: z.number(),
   leaving: z.boolean(),
   startedAt: z.number(),
--- a/packages/gateway/src/lib/ports.ts
+++ b/packages/gateway/src/lib/ports.ts
@@ -142,6 +142,11 @@
    * not resume a stream.
    */
   lastEventId: string | undefined;
+  /**
+   * Identifier of the request that brought the first event of the stream that
+   * this one resumes; undefined if the caller names none.
+   */
+  resumedRequestId: string | undefined;
 }
 
 /** Values that the gateway adds to a request to an upstream. */
--- a/packages/gateway/src/lib/request_service.ts
+++ b/packages/gateway/src/lib/request_service.ts
@@ -128,6 +128,7 @@
     this.recorder.recordEnd(admitted, {
       outcome: reason,
       upstream: undefined,
+      upstreamVersion: undefined,
       attempts: 0,
       mayHaveRun: false,
       deliveredEvents: 0,
--- a/packages/gateway/src/test/crash_watch_test.ts
+++ b/packages/gateway/src/test/crash_watch_test.ts
@@ -71,6 +71,7 @@
     service: 'models',
     address: '127.0.0.1:1',
     zone: 'north',
+    version: 'v1',
     slots: 8,
     leaving: false,
     startedAt: 1,
--- a/packages/stand_ins/src/lib/hosted/fleet.ts
+++ b/packages/stand_ins/src/lib/hosted/fleet.ts
@@ -173,6 +173,7 @@
       id,
       service,
       zone: 'north',
+      version: 'v1',
       slots: 8,
       stepMs: 5,
       eventCount: 6,
--- a/packages/stand_ins/src/lib/hosted/server.ts
+++ b/packages/stand_ins/src/lib/hosted/server.ts
@@ -57,6 +57,8 @@
   id: string;
   service: string;
   zone: string;
+  /** Version of its software. */
+  version: string;
   /** Number of slots that the server reports. */
   slots: number;
   /** Delay before each event of a stream and before a plain answer. */
@@ -130,9 +132,8 @@
     address: string,
     state: string,
   ): Record<string, unknown> {
-    const {service, zone, slots} = this.settings;
+    const {service, zone, slots, version} = this.settings;
     const coldRemainingMs = 0;
-    const version = 'v1';
     return {service, address, zone, slots, state, version, coldRemainingMs};
   }
 
