Let streams go on only at the software version that began them

Cause: upstreams of a service were taken as interchangeable; the version of their entries was read by nobody. An instance went on with a stream at any of them, and a caller's own try at another instance had nothing that said where the stream began.

Now: a resumable stream is bound to the version of the upstream that delivered its first event. The instance that began it tells the others at once, or its relay in a large fleet, and an instance that does not know a stream asks. Unknown streams are refused at once, unless the service has had one version for longer than a stream lasts. A key with the account lets nobody take up another account's stream. A peer that is heard for the first time becomes a partner at once, not up to 0.3 s later: the test showed streams of that time told to nobody.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -32,6 +32,7 @@
 export * from './lib/route_table.js';
 export * from './lib/routing.js';
 export * from './lib/silence.js';
+export * from './lib/stream_origins.js';
 export * from './lib/suspects.js';
 export * from './lib/token_search.js';
 export * from './lib/topology.js';
--- a/packages/decisions/src/lib/upstream_registry.ts
+++ b/packages/decisions/src/lib/upstream_registry.ts
@@ -73,6 +73,10 @@
 export class UpstreamRegistry {
   private readonly entries = new Map<string, RegistryEntry>();
   private newestRevision = 0;
+  /** When each version was last listed, by service and version. */
+  private readonly versionTimes = new Map<string, Map<string, Millis>>();
+  /** When the first update was applied. */
+  private knownSince: Millis | undefined;
 
   /** Newest revision of the store that was applied. */
   revision(): number {
@@ -96,6 +100,9 @@
       return UpstreamUpdateOutcome.Stale;
     }
     const {revision, listing} = update;
+    this.knownSince ??= now;
+    this.noteVersion(previous?.listing, now);
+    this.noteVersion(listing, now);
     const retained =
       listing === undefined && afterOutage ? previous?.listing : undefined;
     this.entries.set(update.id, {
@@ -139,9 +146,10 @@
    * Records that another process responded at the address of an upstream. The
    * upstream gets no more requests until a newer update lists it again.
    */
-  markReplaced(id: string): void {
+  markReplaced(id: string, now: Millis): void {
     const entry = this.entries.get(id);
     if (entry !== undefined) {
+      this.noteVersion(entry.listing, now);
       entry.listing = undefined;
       entry.expiresAt = undefined;
     }
@@ -159,6 +167,28 @@
     return listings;
   }
 
+  /**
+   * Returns the version that all upstreams of a service have had for the time
+   * `duration`; undefined if they had several or that is unknown.
+   */
+  onlyVersion(
+    service: string,
+    duration: Millis,
+    now: Millis,
+  ): string | undefined {
+    for (const {listing} of this.entries.values()) {
+      this.noteVersion(listing, now);
+    }
+    const times = this.versionTimes.get(service) ?? new Map<string, Millis>();
+    const versions = [...times]
+      .filter(([, listedAt]) => now - listedAt <= duration)
+      .map(([version]) => version);
+    const isKnownLongEnough = now - (this.knownSince ?? now) >= duration;
+    const [version] = versions;
+    const isOnly = versions.length === 1 && version !== '';
+    return isOnly && isKnownLongEnough ? version : undefined;
+  }
+
   /** Whether an upstream may get new requests. */
   isUsable(id: string, now: Millis): boolean {
     const entry = this.entries.get(id);
@@ -184,8 +214,20 @@
     }));
   }
 
-  /** Ends grace periods, and drops upstreams that were removed long ago. */
+  /**
+   * Ends grace periods, and drops upstreams and versions that were removed long
+   * ago.
+   */
   prune(now: Millis): void {
+    for (const [service, times] of this.versionTimes) {
+      const isOld = [...times.values()].every(t => now - t > TOMBSTONE_TTL);
+      const isListed = [...this.entries.values()].some(
+        entry => entry.listing?.service === service,
+      );
+      if (isOld && !isListed) {
+        this.versionTimes.delete(service);
+      }
+    }
     for (const [id, entry] of this.entries) {
       if (entry.expiresAt !== undefined && now >= entry.expiresAt) {
         entry.listing = undefined;
@@ -198,6 +240,17 @@
     }
   }
 
+  /** Records that an upstream of a service has been listed until now. */
+  private noteVersion(listing: UpstreamListing | undefined, now: Millis): void {
+    if (listing === undefined) {
+      return;
+    }
+    const {service, version} = listing;
+    const times = this.versionTimes.get(service) ?? new Map<string, Millis>();
+    times.set(version, now);
+    this.versionTimes.set(service, times);
+  }
+
   /** Whether an upstream may get new requests, of one service if given. */
   private isEntryUsable(
     entry: RegistryEntry,
--- a/packages/decisions/src/test/upstream_registry_test.ts
+++ b/packages/decisions/src/test/upstream_registry_test.ts
@@ -8,13 +8,13 @@
 
 const SERVICE = 'desk';
 
-function listing(id: string, leaving = false): UpstreamListing {
+function listing(id: string, leaving = false, version = 'v1'): UpstreamListing {
   return {
     id,
     service: SERVICE,
     address: '10.0.0.1:1',
     zone: 'north',
-    version: 'v1',
+    version,
     slots: 6,
     leaving,
     startedAt: 0,
@@ -96,9 +96,52 @@
   });
 
   it('does not use an upstream whose address belongs to another process', () => {
-    registry.markReplaced('a');
+    registry.markReplaced('a', 0);
     expect(usableIds(0)).to.deep.equal([]);
     applyUpdate('a', 6, listing('a'));
     expect(usableIds(0)).to.deep.equal(['a']);
   });
+
+  const versionCases = [
+    {name: 'for long enough', updates: [], now: 10_000, only: 'v1'},
+    {name: 'for too short a time', updates: [], now: 9_000, only: undefined},
+    {
+      name: 'but another upstream has a second one',
+      updates: [{at: 1_000, listed: listing('b', false, 'v2')}],
+      now: 20_000,
+      only: undefined,
+    },
+    {
+      name: 'but an upstream with a second one has just gone',
+      updates: [
+        {at: 1_000, listed: listing('b', false, 'v2')},
+        {at: 11_000, listed: undefined},
+      ],
+      now: 20_000,
+      only: undefined,
+    },
+    {
+      name: 'and an upstream with a second one has long gone',
+      updates: [
+        {at: 1_000, listed: listing('b', false, 'v2')},
+        {at: 2_000, listed: undefined},
+      ],
+      now: 20_000,
+      only: 'v1',
+    },
+    {
+      name: 'but an upstream does not name its own',
+      updates: [{at: 1_000, listed: listing('b', false, '')}],
+      now: 20_000,
+      only: undefined,
+    },
+  ];
+  for (const {name, updates, now, only} of versionCases) {
+    it(`has had one version ${name}: ${only ?? 'unknown'}`, () => {
+      updates.forEach(({at, listed}, index) =>
+        applyUpdate('b', 10 + index, listed, at),
+      );
+      expect(registry.onlyVersion(SERVICE, 10_000, now)).to.equal(only);
+    });
+  }
 });
--- a/packages/gateway/src/lib/forwarding.ts
+++ b/packages/gateway/src/lib/forwarding.ts
@@ -90,6 +90,11 @@
   private placed: PlacedRequest | undefined;
   /** Whether the current attempt has delivered an event. */
   private hasFirstToken = false;
+  /**
+   * Software version that began the stream and at which alone it may go on;
+   * undefined if it has not begun or may go on anywhere.
+   */
+  private streamVersion: string | undefined;
   /** Number of events that the attempts before the current one delivered. */
   private earlierEvents = 0;
   /** Upstreams of all ended attempts; none of them is tried again. */
@@ -121,7 +126,10 @@
     private readonly response: CallerResponse,
     private readonly context: InstanceContext,
     private readonly onEnd: (result: ForwardingResult) => void,
+    /** Version that began the stream that the request takes up. */
+    resumedVersion?: string,
   ) {
+    this.streamVersion = resumedVersion;
     const {callerRequest, route, arrivedAt} = request;
     const timeout = Math.min(callerRequest.timeout ?? Infinity, route.timeout);
     this.deadline = arrivedAt + timeout;
@@ -227,9 +235,13 @@
   /** Returns the upstreams that may get the request now, tried ones included. */
   private candidates(now: Millis): UpstreamListing[] {
     const {upstreamRegistry, limitWatch} = this.context;
-    return limitWatch.withinLimits(
-      upstreamRegistry.usableUpstreams(this.serviceName, now),
-    );
+    const upstreams = upstreamRegistry.usableUpstreams(this.serviceName, now);
+    const {streamVersion} = this;
+    const compatible =
+      streamVersion === undefined
+        ? upstreams
+        : upstreams.filter(({version}) => version === streamVersion);
+    return limitWatch.withinLimits(compatible);
   }
 
   /** Returns the request's urgency at a model engine; undefined elsewhere. */
@@ -358,6 +370,7 @@
     if (this.response.hasBegun()) {
       this.result.firstByteAt ??= this.context.clock.now();
     }
+    this.recordBeginning();
     const survivesFrom = this.earlierEvents + SURVIVED_EVENTS;
     if (
       eventsBefore < survivesFrom &&
@@ -373,6 +386,18 @@
     }
   }
 
+  /** Binds a resumable stream to the version that delivered its first event. */
+  private recordBeginning(): void {
+    const {route} = this.request;
+    const hasBegun = this.responseRelay.deliveredEvents > 0;
+    const isResumable = route.kind === RouteKind.Streaming && route.resumable;
+    if (isResumable && hasBegun && this.streamVersion === undefined) {
+      const version = this.placed?.upstream.version ?? '';
+      this.streamVersion = version;
+      this.context.streamTracker.recordBeginning(this.request, version);
+    }
+  }
+
   private handleComplete(): void {
     const status = this.responseRelay.status();
     const isServerError = status >= MIN_SERVER_ERROR_STATUS;
@@ -432,7 +457,10 @@
       return;
     }
     if (failure === CallFailure.Replaced) {
-      this.context.upstreamRegistry.markReplaced(upstream?.id ?? '');
+      this.context.upstreamRegistry.markReplaced(
+        upstream?.id ?? '',
+        this.context.clock.now(),
+      );
       this.context.crashWatch.recordDown(upstream?.id ?? '');
     }
     if (NOT_EXECUTED_FAILURES.has(failure)) {
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -6,6 +6,7 @@
   RepeatAllowance,
   RouteTable,
   SECOND,
+  StreamOrigins,
   UpstreamRegistry,
 } from '@citrontrestle/decisions';
 import {
@@ -29,6 +30,7 @@
 import {RequestService} from './request_service.js';
 import {SharedVerdicts} from './shared_verdicts.js';
 import {StateSync} from './state_sync.js';
+import {StreamTracker} from './stream_tracker.js';
 import {TokenExchange} from './token_exchange.js';
 import {UpstreamAgent} from './upstream_agent.js';
 import type {HeartbeatContent} from './peer_network.js';
@@ -110,6 +112,7 @@
   private readonly sharedVerdicts: SharedVerdicts;
   private readonly crashWatch: CrashWatch;
   private readonly limitWatch: LimitWatch;
+  private readonly streamTracker: StreamTracker;
   private readonly peerExchange: PeerExchange;
   private readonly tokenExchange: TokenExchange;
   private readonly requestService: RequestService;
@@ -202,6 +205,7 @@
         this.peerNetwork.broadcast({kind, upstream, perSecond});
       },
     });
+    this.streamTracker = this.createStreamTracker();
     this.tokenExchange = new TokenExchange(this.budgets, this.peerNetwork, log);
     this.peerExchange = new PeerExchange({
       clock,
@@ -215,6 +219,7 @@
       crashWatch: this.crashWatch,
       limitWatch: this.limitWatch,
       sharedVerdicts: this.sharedVerdicts,
+      streamTracker: this.streamTracker,
       peerNetwork: this.peerNetwork,
     });
     this.frontServer = new FrontServer(dialect, this);
@@ -234,6 +239,7 @@
       }),
       crashWatch: this.crashWatch,
       limitWatch: this.limitWatch,
+      streamTracker: this.streamTracker,
       linkLoad: this.linkLoad,
       instanceCount: () => this.instanceCount(),
       random: Math.random,
@@ -279,6 +285,29 @@
     });
   }
 
+  /** Connects the tracker of streams to the other instances. */
+  private createStreamTracker(): StreamTracker {
+    const {peers} = this.dependencies.settings;
+    const asker = peers.advertise ?? peers.listen;
+    const {StreamBeginning, StreamQuery} = PeerMessageKind;
+    return new StreamTracker(
+      new StreamOrigins(),
+      this.upstreamRegistry,
+      this.clock,
+      {
+        tellBeginning: (stream, version) =>
+          this.peerNetwork.sendToHolders({
+            kind: StreamBeginning,
+            stream,
+            version,
+          }),
+        ask: stream =>
+          this.peerNetwork.sendToHolders({kind: StreamQuery, stream, asker}),
+        listAge: () => this.storeSilence(),
+      },
+    );
+  }
+
   /** Starts all components; rejects if an address cannot be listened on. */
   async start(): Promise<void> {
     const {settings, log} = this.dependencies;
--- a/packages/gateway/src/lib/instance_context.ts
+++ b/packages/gateway/src/lib/instance_context.ts
@@ -2,6 +2,7 @@
 import type {Dialect} from './ports.js';
 import type {CrashWatch} from './crash_watch.js';
 import type {LimitWatch} from './limit_watch.js';
+import type {StreamTracker} from './stream_tracker.js';
 import type {
   Clock,
   LinkLoad,
@@ -26,6 +27,7 @@
   repeatAllowance: RepeatAllowance;
   crashWatch: CrashWatch;
   limitWatch: LimitWatch;
+  streamTracker: StreamTracker;
   /** Traffic on the machine's network link. */
   linkLoad: LinkLoad;
   /** Returns the number of instances that may be running, at least 1. */
--- a/packages/gateway/src/lib/peer_exchange.ts
+++ b/packages/gateway/src/lib/peer_exchange.ts
@@ -12,6 +12,7 @@
 import type {PeerNetwork} from './peer_network.js';
 import type {SharedVerdicts} from './shared_verdicts.js';
 import type {StateSync} from './state_sync.js';
+import type {StreamTracker} from './stream_tracker.js';
 import type {TokenExchange} from './token_exchange.js';
 import type {
   Clock,
@@ -48,6 +49,7 @@
   crashWatch: CrashWatch;
   limitWatch: LimitWatch;
   sharedVerdicts: SharedVerdicts;
+  streamTracker: StreamTracker;
   peerNetwork: PeerNetwork;
 }
 
@@ -125,6 +127,12 @@
       this.dependencies.limitWatch.recordPeerReport(upstream, perSecond, from);
       this.dependencies.peerNetwork.forwardBroadcast(from, message);
     },
+    [PeerMessageKind.StreamBeginning]: (message, from) => {
+      this.dependencies.streamTracker.learn(message.stream, message.version);
+      this.copyToOtherRelay(from, message);
+    },
+    [PeerMessageKind.StreamQuery]: (message, from) =>
+      this.answerStreamQuery(message, from),
   };
 
   constructor(private readonly dependencies: PeerExchangeDependencies) {}
@@ -221,6 +229,38 @@
     setTimeout(() => this.sendLoadPeriodically(), interval);
   }
 
+  /**
+   * Passes what a follower told on to one relay of another zone, so that it is
+   * not lost with this instance.
+   */
+  private copyToOtherRelay(from: string, message: PeerMessage): void {
+    const {peerNetwork} = this.dependencies;
+    const {followers, meshPeers} = peerNetwork.partners();
+    const [otherRelay] = meshPeers;
+    if (followers.includes(from) && otherRelay !== undefined) {
+      peerNetwork.send(otherRelay, message);
+    }
+  }
+
+  /** Answers the asker if the stream is known, else asks the other relays. */
+  private answerStreamQuery(
+    message: MessageOf<PeerMessageKind.StreamQuery>,
+    from: string,
+  ): void {
+    const {peerNetwork, streamTracker} = this.dependencies;
+    const {stream, asker} = message;
+    const version = streamTracker.find(stream);
+    if (version !== undefined) {
+      const kind = PeerMessageKind.StreamBeginning;
+      peerNetwork.send(asker, {kind, stream, version});
+      return;
+    }
+    const {followers, meshPeers} = peerNetwork.partners();
+    for (const address of followers.includes(from) ? meshPeers : []) {
+      peerNetwork.send(address, message);
+    }
+  }
+
   /** Sends a load if it has changed or is still to be repeated. */
   private sendLoadIfChanged(
     address: string,
--- a/packages/gateway/src/lib/peer_message.ts
+++ b/packages/gateway/src/lib/peer_message.ts
@@ -26,6 +26,10 @@
   SuspectCleared = 'cleared',
   /** Broadcast when an upstream names a limit on requests, or none any more. */
   UpstreamLimit = 'limit',
+  /** Tells which software version began a stream. */
+  StreamBeginning = 'stream',
+  /** Asks which software version began a stream. */
+  StreamQuery = 'stream-ask',
 }
 
 /** Maximum length of ids, addresses and other names, in characters. */
@@ -165,6 +169,17 @@
     /** Requests per second; missing if the upstream names no limit. */
     perSecond: z.number().nonnegative().optional(),
   }),
+  z.object({
+    kind: z.literal(PeerMessageKind.StreamBeginning),
+    stream: nameSchema,
+    version: nameSchema,
+  }),
+  z.object({
+    kind: z.literal(PeerMessageKind.StreamQuery),
+    stream: nameSchema,
+    /** Address of the instance that asks; it gets the answer. */
+    asker: nameSchema,
+  }),
 ]);
 
 /** A message between gateways. */
--- a/packages/gateway/src/lib/peer_network.ts
+++ b/packages/gateway/src/lib/peer_network.ts
@@ -218,6 +218,14 @@
     }
   }
 
+  /** Sends a message to the relay that is followed, else to all mesh peers. */
+  sendToHolders(message: PeerMessage): void {
+    const {relay, meshPeers} = this.currentPartners;
+    for (const address of relay === undefined ? meshPeers : [relay]) {
+      this.links.send(address, message);
+    }
+  }
+
   /**
    * Forwards a broadcast message from a partner: one from a follower to all
    * other partners, any other one only to the followers, since its sender sends
@@ -282,9 +290,7 @@
   ): void {
     const now = this.clock.now();
     const {capacity, leaving, follows, relays, asks} = heartbeat;
-    if (this.topology.timeSinceHeard(address, now) > MEMBER_TIMEOUT) {
-      this.log.info('peer.heard', {peer: address, holder});
-    }
+    const isNew = this.topology.timeSinceHeard(address, now) > MEMBER_TIMEOUT;
     const sender = {address, zone, capacity, leaving, follows, relays};
     this.topology.recordHeartbeat(sender, now);
     heartbeat.members.forEach(report =>
@@ -292,6 +298,10 @@
     );
     const {count, storeSilence} = heartbeat;
     this.fleetReports.set(address, {count, storeSilence, receivedAt: now});
+    if (isNew) {
+      this.log.info('peer.heard', {peer: address, holder});
+      this.updatePartners(now);
+    }
     if (asks) {
       this.membersSentAt.delete(address);
       this.sendHeartbeat(
--- a/packages/gateway/src/lib/refusal.ts
+++ b/packages/gateway/src/lib/refusal.ts
@@ -17,6 +17,11 @@
   BudgetUnavailable = 'budget-unavailable',
   /** No usable upstream is left to try. */
   NoUpstream = 'no-upstream',
+  /**
+   * The request takes up a stream of which it is not known which software
+   * version began it.
+   */
+  UnknownStream = 'unknown-stream',
   /**
    * Upstreams rejected the request without running it, or its deadline passed
    * before one could run it.
@@ -56,6 +61,7 @@
   [RefusalReason.BudgetExhausted]: {status: 402, retryAfter: undefined},
   [RefusalReason.BudgetUnavailable]: {status: 503, retryAfter: 2_000},
   [RefusalReason.NoUpstream]: {status: 503, retryAfter: 500},
+  [RefusalReason.UnknownStream]: {status: 503, retryAfter: 1_000},
   [RefusalReason.Overloaded]: {status: 503, retryAfter: 500},
   [RefusalReason.CrashesUpstreams]: {status: 503, retryAfter: 5_000},
   [RefusalReason.Stopping]: {status: 503, retryAfter: 100},
--- a/packages/gateway/src/lib/request_service.ts
+++ b/packages/gateway/src/lib/request_service.ts
@@ -2,6 +2,7 @@
  * Serves requests: admits them, reserves prepaid tokens for them and forwards
  * them.
  */
+import {RouteKind} from '@citrontrestle/decisions';
 import {admit, ESTIMATED_HEAD_BYTES, tokensToReserve} from './admission.js';
 import {ReservationOutcome} from './prepaid_budgets.js';
 import {ANSWERED, Forwarding} from './forwarding.js';
@@ -15,6 +16,12 @@
 import type {InstanceContext} from './instance_context.js';
 import type {RouteTable} from '@citrontrestle/decisions';
 
+/** What happens to a request while it is served. */
+interface ServingState {
+  isDisconnected: boolean;
+  forwarding: Forwarding | undefined;
+}
+
 /** Serves the requests of one instance. */
 export class RequestService {
   constructor(
@@ -39,27 +46,16 @@
     return this.serveAdmitted(outcome.request, response);
   }
 
-  /** Refuses the request or forwards it, after reserving tokens if needed. */
+  /**
+   * Refuses the request or forwards it, after reserving tokens and finding where
+   * its stream began, if needed.
+   */
   private serveAdmitted(
     admitted: AdmittedRequest,
     response: CallerResponse,
   ): RequestHandle {
-    const state: {isDisconnected: boolean; forwarding: Forwarding | undefined} =
-      {
-        isDisconnected: false,
-        forwarding: undefined,
-      };
-    const startForwarding = () => {
-      const forwarding = new Forwarding(
-        admitted,
-        response,
-        this.context,
-        result => this.handleEnd(admitted, result),
-      );
-      state.forwarding = forwarding;
-      forwarding.start();
-    };
     const {clock, linkLoad, crashWatch} = this.context;
+    const state: ServingState = {isDisconnected: false, forwarding: undefined};
     const now = clock.now();
     linkLoad.recordBytes(admitted.body.length + ESTIMATED_HEAD_BYTES, 0, now);
     if (linkLoad.isSaturated(now)) {
@@ -69,15 +65,10 @@
       !crashWatch.takeTrial(admitted)
     ) {
       this.refuse(admitted, response, RefusalReason.CrashesUpstreams);
-    } else if (tokensToReserve(admitted) === 0) {
-      startForwarding();
+    } else if (resumesStream(admitted)) {
+      void this.resumeStream(admitted, response, state);
     } else {
-      void this.reserveAndForward(
-        admitted,
-        response,
-        startForwarding,
-        () => state.isDisconnected,
-      );
+      this.reserveAndForward(admitted, response, state);
     }
     return {
       cancel: () => {
@@ -87,16 +78,62 @@
     };
   }
 
+  /**
+   * Forwards a request that takes a stream up to the version that began it;
+   * refuses it if that version is unknown.
+   */
+  private async resumeStream(
+    admitted: AdmittedRequest,
+    response: CallerResponse,
+    state: ServingState,
+  ): Promise<void> {
+    const {streamTracker} = this.context;
+    const version = await streamTracker.versionToResume(admitted);
+    if (state.isDisconnected) {
+      return;
+    }
+    if (version === undefined) {
+      this.refuse(admitted, response, RefusalReason.UnknownStream);
+    } else {
+      this.reserveAndForward(admitted, response, state, version);
+    }
+  }
+
+  /** Forwards the request, after reserving tokens if needed. */
+  private reserveAndForward(
+    admitted: AdmittedRequest,
+    response: CallerResponse,
+    state: ServingState,
+    resumedVersion?: string,
+  ): void {
+    const startForwarding = () => {
+      const forwarding = new Forwarding(
+        admitted,
+        response,
+        this.context,
+        result => this.handleEnd(admitted, result),
+        resumedVersion,
+      );
+      state.forwarding = forwarding;
+      forwarding.start();
+    };
+    if (tokensToReserve(admitted) === 0) {
+      startForwarding();
+    } else {
+      void this.reserve(admitted, response, startForwarding, state);
+    }
+  }
+
   /**
    * Reserves tokens and starts the forwarding; refuses the request if there are
    * none. Does neither, and returns the tokens, if the caller has disconnected
    * in the meantime.
    */
-  private async reserveAndForward(
+  private async reserve(
     admitted: AdmittedRequest,
     response: CallerResponse,
     startForwarding: () => void,
-    isDisconnected: () => boolean,
+    state: ServingState,
   ): Promise<void> {
     const accountName = admitted.account?.name ?? '';
     const tokens = tokensToReserve(admitted);
@@ -106,12 +143,12 @@
       const {BudgetExhausted, BudgetUnavailable} = RefusalReason;
       const reason =
         reservationOutcome === Exhausted ? BudgetExhausted : BudgetUnavailable;
-      if (!isDisconnected()) {
+      if (!state.isDisconnected) {
         this.refuse(admitted, response, reason);
       }
       return;
     }
-    if (isDisconnected()) {
+    if (state.isDisconnected) {
       this.budgets.settle(accountName, tokens, 0);
       return;
     }
@@ -153,3 +190,9 @@
     this.recorder.recordEnd(admitted, result);
   }
 }
+
+/** Whether a request takes a stream up after the events that its caller has. */
+function resumesStream({route, callerRequest}: AdmittedRequest): boolean {
+  const isResumable = route.kind === RouteKind.Streaming && route.resumable;
+  return isResumable && callerRequest.lastEventId !== undefined;
+}
--- /dev/null
+++ b/packages/gateway/src/lib/stream_tracker.ts
@@ -0,0 +1,127 @@
+/**
+ * Finds the software version at which a stream goes on that a caller takes up
+ * again. Callers come to any instance, mostly because the one that began their
+ * stream has ended, so each beginning is told to other instances at once.
+ */
+import {shortDigest} from '@citrontrestle/runtime';
+import type {AdmittedRequest} from './admission.js';
+import type {
+  Clock,
+  Millis,
+  StreamOrigins,
+  UpstreamRegistry,
+} from '@citrontrestle/decisions';
+
+/** Maximum time to wait for another instance that knows a stream. */
+const QUERY_TIMEOUT: Millis = 150;
+
+/**
+ * Maximum age of the list of upstreams from which the only version of a service
+ * is concluded.
+ */
+const MAX_LIST_AGE: Millis = 2_000;
+
+/** Time by which a version is remembered longer than a stream can last. */
+const LIFETIME_MARGIN: Millis = 5_000;
+
+/** What a `StreamTracker` needs from other components. */
+export interface StreamTrackerContext {
+  /** Tells other instances which version began a stream. */
+  tellBeginning(stream: string, version: string): void;
+  /** Asks other instances which version began a stream. */
+  ask(stream: string): void;
+  /** Time since the list of upstreams was up to date. */
+  listAge(): Millis;
+}
+
+/** Knows at which version streams began, or finds it out. */
+export class StreamTracker {
+  /** Called with the version when it becomes known, by stream. */
+  private readonly waiters = new Map<string, Set<(version: string) => void>>();
+
+  constructor(
+    private readonly origins: StreamOrigins,
+    private readonly upstreamRegistry: UpstreamRegistry,
+    private readonly clock: Clock,
+    private readonly context: StreamTrackerContext,
+  ) {}
+
+  /** Records the beginning of a stream at this instance. */
+  recordBeginning(request: AdmittedRequest, version: string): void {
+    const stream = streamKey(request, request.callerRequest.id);
+    this.origins.record(stream, version, this.clock.now());
+    this.context.tellBeginning(stream, version);
+  }
+
+  /** Records what another instance told of a stream. */
+  learn(stream: string, version: string): void {
+    this.origins.record(stream, version, this.clock.now());
+    this.waiters.get(stream)?.forEach(resolve => resolve(version));
+    this.waiters.delete(stream);
+  }
+
+  /** Returns the version that began a stream, as far as this instance knows. */
+  find(stream: string): string | undefined {
+    return this.origins.find(stream, this.clock.now());
+  }
+
+  /**
+   * Returns the version at which a request has to go on with its stream;
+   * undefined if that can't be found out, so that it must not be sent anywhere.
+   */
+  async versionToResume(request: AdmittedRequest): Promise<string | undefined> {
+    const {resumedRequestId} = request.callerRequest;
+    const stream =
+      resumedRequestId === undefined
+        ? undefined
+        : streamKey(request, resumedRequestId);
+    const known = stream === undefined ? undefined : this.find(stream);
+    const version = known ?? this.onlyVersion(request);
+    if (version !== undefined || stream === undefined) {
+      return version;
+    }
+    return this.askOthers(stream);
+  }
+
+  /**
+   * Returns the version of all upstreams that the request may have been sent to
+   * before, if it is the same for as long as a stream can last.
+   */
+  private onlyVersion({route}: AdmittedRequest): string | undefined {
+    if (this.context.listAge() > MAX_LIST_AGE) {
+      return undefined;
+    }
+    const now = this.clock.now();
+    const lifetime = route.timeout + LIFETIME_MARGIN;
+    const versions = route.targets.map(({service}) =>
+      this.upstreamRegistry.onlyVersion(service, lifetime, now),
+    );
+    return new Set(versions).size === 1 ? versions[0] : undefined;
+  }
+
+  private askOthers(stream: string): Promise<string | undefined> {
+    return new Promise(resolve => {
+      const waiters = this.waiters.get(stream) ?? new Set();
+      this.waiters.set(stream, waiters);
+      const finish = (version: string | undefined) => {
+        clearTimeout(timer);
+        waiters.delete(finish);
+        if (waiters.size === 0) {
+          this.waiters.delete(stream);
+        }
+        resolve(version);
+      };
+      const timer = setTimeout(() => finish(undefined), QUERY_TIMEOUT);
+      waiters.add(finish);
+      this.context.ask(stream);
+    });
+  }
+}
+
+/**
+ * Returns the key of the stream that a request of the same account began. A
+ * caller can't take up what another account began.
+ */
+function streamKey({account}: AdmittedRequest, requestId: string): string {
+  return shortDigest(account?.name ?? '', requestId);
+}
