--- a/packages/decisions/src/lib/crash_verdicts.ts
+++ b/packages/decisions/src/lib/crash_verdicts.ts
@@ -6,7 +6,9 @@
  * that are convicted are refused by all instances.
  */
 import {MINUTE} from './clock.js';
+import {findCauses, keyOf} from './crash_causes.js';
 import type {Millis} from './clock.js';
+import type {Crash} from './crash_causes.js';
 
 /** Crashes, not cleared by an answer since, after which a trait is convicted. */
 const CRASHES_TO_CONVICT = 3;
@@ -17,12 +19,6 @@
  */
 const CRASHES_TO_CONVICT_ANSWERED = 4;
 
-/**
- * Crashes after which traits that occur in the same crashes are all convicted;
- * with fewer, one more crash may tell them apart.
- */
-const CRASHES_TO_CONVICT_ALL = 4;
-
 /** Maximum number of traits that are remembered as answered. */
 const MAX_ANSWERED = 10_000;
 
@@ -63,20 +59,6 @@
   isDerived: boolean;
 }
 
-/** Traits that may be the cause of crashes. */
-interface Suspicion {
-  traits: string[];
-  /** Number of crashes in which all of them occur. */
-  crashes: number;
-}
-
-/** A crash of one upstream process. */
-interface Crash {
-  at: Millis;
-  /** Traits of the requests that were lost in it, by request. */
-  requests: Map<string, ReadonlySet<string>>;
-}
-
 /** What one instance knows of crashes and of their causes. */
 export class CrashVerdicts {
   /** By upstream process, the oldest first. */
@@ -239,8 +221,8 @@
     const unexplained = new Map(this.crashes);
     const isUnanswered = (trait: string) => !this.answered.has(trait);
     const groups = [
-      ...this.findCauses(unexplained, CRASHES_TO_CONVICT, isUnanswered),
-      ...this.findCauses(unexplained, CRASHES_TO_CONVICT_ANSWERED, () => true),
+      ...findCauses(unexplained, CRASHES_TO_CONVICT, isUnanswered),
+      ...findCauses(unexplained, CRASHES_TO_CONVICT_ANSWERED, () => true),
     ];
     const derivedKeys = new Set(groups.map(keyOf));
     for (const [key, {isDerived}] of this.verdicts) {
@@ -256,32 +238,6 @@
     return isNew;
   }
 
-  /**
-   * Returns the groups of traits that caused at least `minCrashes`, and removes
-   * their crashes from `unexplained`. A crash has one cause: what is explained
-   * is not held against others, such as those of requests that ran beside it.
-   */
-  private findCauses(
-    unexplained: Map<string, Crash>,
-    minCrashes: number,
-    isConsidered: (trait: string) => boolean,
-  ): string[][] {
-    const causes: string[][] = [];
-    for (;;) {
-      const {traits, crashes} = strongestSuspicion(unexplained, isConsidered);
-      const groups = groupsOf(traits, unexplained);
-      const isCertain =
-        crashes >= CRASHES_TO_CONVICT_ALL || groups.length === 1;
-      if (crashes < minCrashes || !isCertain) {
-        return causes;
-      }
-      causes.push(...groups);
-      for (const upstream of crashesUnder(traits, unexplained)) {
-        unexplained.delete(upstream);
-      }
-    }
-  }
-
   /**
    * Adds a verdict unless a known one covers it; replaces those that it covers.
    * Returns whether it was added.
@@ -336,74 +292,6 @@
   }
 }
 
-/**
- * Returns one of the traits with the most crashes and all that occur in the same
- * crashes.
- */
-function strongestSuspicion(
-  crashes: ReadonlyMap<string, Crash>,
-  isConsidered: (trait: string) => boolean,
-): Suspicion {
-  const upstreamsByTrait = new Map<string, string[]>();
-  for (const [upstream, {requests}] of crashes) {
-    const traits = new Set([...requests.values()].flatMap(lost => [...lost]));
-    for (const trait of [...traits].filter(isConsidered)) {
-      const upstreams = upstreamsByTrait.get(trait) ?? [];
-      upstreams.push(upstream);
-      upstreamsByTrait.set(trait, upstreams);
-    }
-  }
-  let strongest: string[] = [];
-  for (const upstreams of upstreamsByTrait.values()) {
-    strongest = upstreams.length > strongest.length ? upstreams : strongest;
-  }
-  const key = strongest.join(' ');
-  const traits = [...upstreamsByTrait]
-    .filter(([, upstreams]) => upstreams.join(' ') === key)
-    .map(([trait]) => trait);
-  return {traits, crashes: strongest.length};
-}
-
-/**
- * Returns the distinct groups of traits to convict. The group of a trait is what
- * all the lost requests with that trait have in common.
- */
-function groupsOf(
-  traits: readonly string[],
-  crashes: ReadonlyMap<string, Crash>,
-): string[][] {
-  const allRequests = [...crashes.values()].flatMap(({requests}) => [
-    ...requests.values(),
-  ]);
-  const groups = new Map<string, string[]>();
-  for (const trait of traits) {
-    const requests = allRequests.filter(lost => lost.has(trait));
-    const common = [...(requests[0] ?? [])].filter(other =>
-      requests.every(lost => lost.has(other)),
-    );
-    groups.set(keyOf(common), common.sort());
-  }
-  return [...groups.values()];
-}
-
-/** Returns the crashes in which a request with one of the traits was lost. */
-function crashesUnder(
-  traits: readonly string[],
-  crashes: ReadonlyMap<string, Crash>,
-): string[] {
-  return [...crashes]
-    .filter(([, {requests}]) =>
-      [...requests.values()].some(lost =>
-        traits.some(trait => lost.has(trait)),
-      ),
-    )
-    .map(([upstream]) => upstream);
-}
-
-function keyOf(traits: readonly string[]): string {
-  return [...traits].sort().join(' ');
-}
-
 /** Drops the entries that were added first until at most `maxSize` are left. */
 function dropOldest(entries: Map<string, unknown>, maxSize: number): void {
   for (const key of entries.keys()) {
--- a/packages/gateway/src/lib/forwarding.ts
+++ b/packages/gateway/src/lib/forwarding.ts
@@ -20,10 +20,20 @@
   RelayCompletion,
   RelayOutcome,
 } from './response_relay.js';
+import {
+  ANSWERED,
+  CALLER_DISCONNECTED,
+  FAILURE_OUTCOMES,
+  NOT_EXECUTED_FAILURES,
+  reasonForCaller,
+  RESPONSE_ABORTED,
+  UNSENT_FAILURES,
+} from './forwarding_result.js';
 import {RefusalReason} from './refusal.js';
 import {CallFailure, UpstreamCall} from './upstream_call.js';
 import type {CallerResponse} from './caller_response.js';
 import type {LostRequest} from './crash_watch.js';
+import type {ForwardingResult} from './forwarding_result.js';
 import type {AdmittedRequest} from './admission.js';
 import type {ReceivedHead} from './upstream_call.js';
 import type {InstanceContext} from './instance_context.js';
@@ -34,23 +44,6 @@
   UpstreamListing,
 } from '@citrontrestle/decisions';
 
-/** How the forwarding of a request ended. */
-export interface ForwardingResult {
-  /** Outcome as shown in logs and metrics. */
-  outcome: string;
-  /** Identifier of the last upstream tried; undefined if none was. */
-  upstream: string | undefined;
-  /** Version of that upstream's software. */
-  upstreamVersion: string | undefined;
-  attempts: number;
-  /** Whether an upstream may have begun to run the request. */
-  mayHaveRun: boolean;
-  /** Number of stream events written to the caller. */
-  deliveredEvents: number;
-  /** When the first byte was written; undefined if none was. */
-  firstByteAt: Millis | undefined;
-}
-
 /** Minimum time before the deadline at which an attempt is still started. */
 const MIN_ATTEMPT_TIME: Millis = 20;
 
@@ -67,18 +60,6 @@
 /** Lowest HTTP status of an error of the upstream itself. */
 const MIN_SERVER_ERROR_STATUS = 500;
 
-/** Outcome of a request with a complete, successful upstream response. */
-export const ANSWERED = 'answered';
-
-/** Outcome of a request whose caller disconnected. */
-export const CALLER_DISCONNECTED = 'caller-left';
-
-/**
- * Outcome of a request whose response was aborted after its head had been sent
- * to the caller; in logs and metrics the reason follows after a colon.
- */
-export const RESPONSE_ABORTED = 'broken-off';
-
 /**
  * The forwarding of one admitted request. `onEnd` is called once, when the
  * response is complete, refused or aborted, or the caller disconnected.
@@ -566,25 +547,10 @@
       this.finish(`${RESPONSE_ABORTED}:${reason}`);
       return;
     }
-    this.response.refuse(this.reasonForCaller(reason));
+    this.response.refuse(reasonForCaller(reason, this.result.mayHaveRun));
     this.finish(reason);
   }
 
-  /**
-   * Returns the reason to give to the caller. A refusal that promises that the
-   * request never runs is replaced if an upstream may have run it. A timeout
-   * before any upstream could run it becomes such a refusal, which tells the
-   * caller that it may send the request again.
-   */
-  private reasonForCaller(reason: RefusalReason): RefusalReason {
-    if (this.result.mayHaveRun && NOT_EXECUTED_REASONS.has(reason)) {
-      return RefusalReason.UpstreamFailed;
-    }
-    const isSafeToRetry =
-      !this.result.mayHaveRun && reason === RefusalReason.TimedOut;
-    return isSafeToRetry ? RefusalReason.Overloaded : reason;
-  }
-
   /** Ends the current attempt, if any, and reports its outcome to placement. */
   private endAttempt(outcome: PlacementOutcome): void {
     if (this.call?.isRunning() === true) {
@@ -626,32 +592,3 @@
   [RelayOutcome.Backpressure]: forwarding => forwarding.pauseUntilDrained(),
   [RelayOutcome.EventTooLarge]: forwarding => forwarding.failOversizedEvent(),
 };
-
-/** How each failure of a call counts for its upstream. */
-const FAILURE_OUTCOMES: Readonly<Record<CallFailure, PlacementOutcome>> = {
-  [CallFailure.NotSent]: PlacementOutcome.Failed,
-  [CallFailure.ConnectionRefused]: PlacementOutcome.Failed,
-  [CallFailure.NotExecuted]: PlacementOutcome.Rejected,
-  [CallFailure.Replaced]: PlacementOutcome.Rejected,
-  [CallFailure.ResponseLost]: PlacementOutcome.Failed,
-  [CallFailure.InvalidResponse]: PlacementOutcome.Failed,
-};
-
-/** Failures before which no byte of the request was sent. */
-const UNSENT_FAILURES = new Set([
-  CallFailure.NotSent,
-  CallFailure.ConnectionRefused,
-]);
-
-/** Failures that prove that the upstream did not run the request. */
-const NOT_EXECUTED_FAILURES = new Set([
-  CallFailure.NotExecuted,
-  CallFailure.Replaced,
-]);
-
-/** Reasons whose responses promise that the request never runs. */
-const NOT_EXECUTED_REASONS = new Set([
-  RefusalReason.NoUpstream,
-  RefusalReason.Overloaded,
-  RefusalReason.Stopping,
-]);
--- a/packages/gateway/src/lib/request_recorder.ts
+++ b/packages/gateway/src/lib/request_recorder.ts
@@ -2,7 +2,7 @@
 import {tokensToReserve} from './admission.js';
 import type {AdmittedRequest} from './admission.js';
 import type {PrepaidBudgets} from './prepaid_budgets.js';
-import type {ForwardingResult} from './forwarding.js';
+import type {ForwardingResult} from './forwarding_result.js';
 import type {GatewayMetrics} from './gateway_metrics.js';
 import type {RefusalReason} from './refusal.js';
 import type {Clock, Millis, RouteTable} from '@citrontrestle/decisions';
--- a/packages/gateway/src/lib/request_service.ts
+++ b/packages/gateway/src/lib/request_service.ts
@@ -5,12 +5,13 @@
 import {RouteKind} from '@citrontrestle/decisions';
 import {admit, ESTIMATED_HEAD_BYTES, tokensToReserve} from './admission.js';
 import {ReservationOutcome} from './prepaid_budgets.js';
-import {ANSWERED, Forwarding} from './forwarding.js';
+import {Forwarding} from './forwarding.js';
+import {ANSWERED} from './forwarding_result.js';
 import {RefusalReason} from './refusal.js';
 import type {AdmittedRequest} from './admission.js';
 import type {PrepaidBudgets} from './prepaid_budgets.js';
 import type {CallerResponse} from './caller_response.js';
-import type {ForwardingResult} from './forwarding.js';
+import type {ForwardingResult} from './forwarding_result.js';
 import type {RequestHandle, BufferedRequest} from './front_server.js';
 import type {RequestRecorder} from './request_recorder.js';
 import type {InstanceContext} from './instance_context.js';
