Soak with upstreams of two versions, streams taken up again and a part that crashes

Model upstreams have two versions in turn and name them in their events; callers take up resumable streams that were broken off, at any gateway; a new fault lets all model upstreams crash under a part that a quarter of the streams then have. Two checks: a stream goes on at one version, and what crashes upstreams is refused. A run whose upstream crashed counts as disturbed by it, as other faults of upstreams do.

--- a/packages/soak/src/lib/checks.ts
+++ b/packages/soak/src/lib/checks.ts
@@ -2,6 +2,7 @@
  * Checks that the gateway's guarantees held in one run, from what callers and
  * upstreams observed. All times are milliseconds since the epoch.
  */
+import {sharedParts} from '@citrontrestle/stand_ins';
 import type {Millis} from '@citrontrestle/decisions';
 import type {CallerResult, ServerRun} from '@citrontrestle/stand_ins';
 
@@ -26,6 +27,8 @@
   /** Name of the instance that received the request. */
   gateway: string;
   sentAt: number;
+  /** The request whose stream it takes up, and the last event of that. */
+  resumed?: {id: string; lastEvent: number} | undefined;
   /** Filled in once the response or the connection has ended. */
   result: CallerResult;
 }
@@ -50,6 +53,13 @@
   announcedAt: number;
 }
 
+/** A prompt part under which upstreams crashed. */
+export interface CrashingPart {
+  part: string;
+  /** When upstreams crashed under it, the first one first. */
+  crashTimes: number[];
+}
+
 /** What was observed in one run. */
 export interface RunObservations {
   sentRequests: SentRequest[];
@@ -65,6 +75,7 @@
   plannedStops: {gateway: string; signalledAt: number}[];
   revocations: Revocation[];
   upstreamDrains: UpstreamDrain[];
+  crashingParts: CrashingPart[];
 }
 
 /** A guarantee that did not hold. */
@@ -91,6 +102,15 @@
  */
 const CHANGE_PROPAGATION_LIMIT: Millis = 2_000;
 
+/** Crashes under a part before the propagation limit begins to count. */
+const FREE_CRASHES = 5;
+
+/** Time until all instances refuse a part that crashes upstreams. */
+const CRASH_PROPAGATION_LIMIT: Millis = 3_000;
+
+/** Number of requests with the part that may reach upstreams after that. */
+const MAX_LATE_CRASHES = 3;
+
 /** Time after the end of a disruption until time bounds apply again. */
 const RECOVERY_TIME: Millis = 3_000;
 
@@ -124,6 +144,8 @@
   'a planned stop cuts nothing': findRequestsCutByStop,
   'a key that is gone serves nobody': findUsesOfRevokedKeys,
   'an upstream that leaves gets nothing new': findRunsAfterDrain,
+  'a stream goes on at one version': findJoinedStreams,
+  'what crashes upstreams is refused': findLateCrashes,
 };
 
 /**
@@ -229,6 +251,7 @@
 function describeResponseFault({
   id,
   kind,
+  resumed,
   result,
 }: SentRequest): string | undefined {
   if (result.requestId !== id) {
@@ -244,10 +267,12 @@
       : undefined;
   }
   const eventIds = completeEventIds(result);
-  if (eventIds.some((eventId, index) => eventId !== index + 1)) {
-    return `events are not consecutive from 1: ${eventIds.join(',')}`;
+  const firstEvent = 1 + (resumed?.lastEvent ?? 0);
+  if (eventIds.some((eventId, index) => eventId !== index + firstEvent)) {
+    return `events are not consecutive from ${firstEvent}: ${eventIds.join(',')}`;
   }
-  const isTruncated = eventIds.length < EVENTS_PER_STREAM && looksComplete;
+  const lastEvent = eventIds.at(-1) ?? firstEvent - 1;
+  const isTruncated = lastEvent < EVENTS_PER_STREAM && looksComplete;
   return isTruncated
     ? `stream ended as complete after ${eventIds.length} events`
     : undefined;
@@ -368,6 +393,61 @@
     }));
 }
 
+/** Finds streams with events of several versions, over a caller's tries. */
+function findJoinedStreams({sentRequests}: RunObservations): Violation[] {
+  const versionsByStream = new Map<string, Set<string>>();
+  for (const {id, resumed, result} of sentRequests) {
+    const stream = resumed?.id ?? id;
+    const versions = versionsByStream.get(stream) ?? new Set();
+    versionsByStream.set(stream, versions);
+    for (const match of result.body?.matchAll(/ of (\S+)\n/g) ?? []) {
+      versions.add(match[1] ?? '');
+    }
+  }
+  return [...versionsByStream]
+    .filter(([, versions]) => versions.size > 1)
+    .map(([id, versions]) => ({
+      guarantee: 'a stream goes on at one version',
+      detail: `events of ${[...versions].join(', ')}`,
+      requestIds: [id],
+    }));
+}
+
+/** Finds parts with which too many requests reached upstreams too late. */
+function findLateCrashes({
+  sentRequests,
+  upstreamRuns,
+  disruptions,
+  crashingParts,
+}: RunObservations): Violation[] {
+  const gatewaysByRequest = new Map(
+    sentRequests.map(request => [request.id, request.gateway]),
+  );
+  return crashingParts.flatMap(({part, crashTimes}) => {
+    const fifthCrashAt = crashTimes[FREE_CRASHES - 1] ?? Infinity;
+    const late = upstreamRuns.filter(
+      ({run}) =>
+        sharedParts(run).includes(part) &&
+        run.startedAt > fifthCrashAt + CRASH_PROPAGATION_LIMIT &&
+        isUndisturbed(
+          disruptions,
+          gatewaysByRequest.get(run.id) ?? '',
+          run.startedAt,
+          run.startedAt,
+        ),
+    );
+    return late.length <= MAX_LATE_CRASHES
+      ? []
+      : [
+          {
+            guarantee: 'what crashes upstreams is refused',
+            detail: `${part} reached upstreams ${late.length} times too late`,
+            requestIds: late.map(({run}) => run.id),
+          },
+        ];
+  });
+}
+
 /**
  * Returns whether no disruption of an instance, nor the recovery time after it,
  * overlapped a period.
@@ -387,8 +467,8 @@
 }
 
 /** Returns the identifiers of the events that arrived completely, in order. */
-function completeEventIds({body}: CallerResult): number[] {
-  return [...body.matchAll(/^id: (\d+)\ndata: token \d+\n\n/gm)].map(match =>
-    Number(match[1]),
-  );
+export function completeEventIds({body}: CallerResult): number[] {
+  return [
+    ...body.matchAll(/^id: (\d+)\ndata: token \d+(?: of \S+)?\n\n/gm),
+  ].map(match => Number(match[1]));
 }
--- a/packages/soak/src/lib/faults.ts
+++ b/packages/soak/src/lib/faults.ts
@@ -5,9 +5,15 @@
   RelayMode,
   ServerFault,
 } from '@citrontrestle/stand_ins';
+import {EVENTS_PER_STREAM} from './checks.js';
 import {FaultKind} from './plan.js';
 import type {Fault} from './plan.js';
-import type {UpstreamDrain, Revocation, Disruption} from './checks.js';
+import type {
+  CrashingPart,
+  Disruption,
+  Revocation,
+  UpstreamDrain,
+} from './checks.js';
 import type {
   GatewayProcess,
   HostedFleet,
@@ -24,6 +30,12 @@
   grantedTokens: number;
 }
 
+/** Service of the upstreams that stream tokens. */
+const MODEL_SERVICE = 'models';
+
+/** Time between two events of a stream. */
+const EVENT_INTERVAL: Millis = 15;
+
 /** Time between the exit of a process and its restart. */
 const RESTART_DELAY: Millis = 150;
 
@@ -45,6 +57,7 @@
   plannedStops: {gateway: string; signalledAt: number}[];
   revocations: Revocation[];
   upstreamDrains: UpstreamDrain[];
+  crashingParts: CrashingPart[];
 }
 
 /** Modes of the store that count as a fault. */
@@ -70,9 +83,13 @@
     plannedStops: [],
     revocations: [],
     upstreamDrains: [],
+    crashingParts: [],
   };
+  /** Prompt part under which model upstreams crash now. */
+  private crashingPart: CrashingPart | undefined;
   private configurationVersion = 10;
   private addedUpstreams = 0;
+  private addedModels = 0;
   private readonly handlers: Readonly<
     Record<FaultKind, (fault: Fault) => Promise<void> | void>
   > = {
@@ -92,6 +109,7 @@
     [FaultKind.Compaction]: () => this.fleet.store.compact(),
     [FaultKind.UpstreamFault]: fault => this.injectUpstreamFault(fault),
     [FaultKind.UpstreamCrash]: fault => this.crashUpstream(fault),
+    [FaultKind.CrashingPart]: fault => this.letPartCrash(fault),
     [FaultKind.UpstreamDrain]: fault => this.drainUpstream(fault),
     [FaultKind.UpstreamLinkFault]: fault => this.degradeUpstreamLink(fault),
     [FaultKind.PeerLinkFault]: fault => this.degradePeerLink(fault),
@@ -121,6 +139,33 @@
     this.fleet.configure(this.configurationVersion, {tenants});
   }
 
+  /** Returns the prompt part that crashes upstreams now, if there is one. */
+  crashingPartName(): string | undefined {
+    return this.crashingPart?.part;
+  }
+
+  /**
+   * Starts an upstream and lists it. Model upstreams have two versions in turn,
+   * which their events name.
+   */
+  async addUpstream(service: string): Promise<void> {
+    this.addedUpstreams += 1;
+    const id = `${service}-${this.addedUpstreams}`;
+    if (service !== MODEL_SERVICE) {
+      await this.fleet.addServer(id, service);
+      return;
+    }
+    this.addedModels += 1;
+    const server = await this.fleet.addServer(id, service, {
+      version: `v${1 + (this.addedModels % 2)}`,
+      namesVersion: true,
+      eventCount: EVENTS_PER_STREAM,
+      stepMs: EVENT_INTERVAL,
+    });
+    server.crashingPart = this.crashingPart?.part;
+    server.onCrash = () => void this.replaceCrashed(server);
+  }
+
   private pickGateway({targetFraction}: Fault): GatewayProcess {
     return pickItem(this.fleet.gateways, targetFraction);
   }
@@ -240,9 +285,32 @@
     this.fleet.unlistServer(server);
   }
 
-  private async addUpstream(service: string): Promise<void> {
-    this.addedUpstreams += 1;
-    await this.fleet.addServer(`added-${this.addedUpstreams}`, service);
+  private async letPartCrash(fault: Fault): Promise<void> {
+    const part = `bad-${this.record.crashingParts.length}`;
+    this.crashingPart = {part, crashTimes: []};
+    this.record.crashingParts.push(this.crashingPart);
+    this.setCrashingPart(part);
+    await pause(fault.duration);
+    // A later fault may have replaced the part.
+    if (this.crashingPart.part === part) {
+      this.crashingPart = undefined;
+      this.setCrashingPart(undefined);
+    }
+  }
+
+  private setCrashingPart(part: string | undefined): void {
+    for (const server of this.fleet.servers) {
+      server.crashingPart =
+        server.settings.service === MODEL_SERVICE ? part : undefined;
+    }
+  }
+
+  private async replaceCrashed(server: HostedServer): Promise<void> {
+    this.crashingPart?.crashTimes.push(Date.now());
+    this.fleet.serverRelays.get(server)?.stop();
+    await pause(ENTRY_EXPIRY_TIME);
+    this.fleet.unlistServer(server);
+    await this.addUpstream(server.settings.service);
   }
 
   private async degradeUpstreamLink(fault: Fault): Promise<void> {
--- a/packages/soak/src/lib/plan.ts
+++ b/packages/soak/src/lib/plan.ts
@@ -27,6 +27,8 @@
    * is added.
    */
   UpstreamCrash = 'upstream-crash',
+  /** All model upstreams crash under a part of some of the prompts. */
+  CrashingPart = 'crashing-part',
   /** A new upstream is added and another one drains. */
   UpstreamDrain = 'upstream-leave',
   /**
--- a/packages/soak/src/lib/soak.ts
+++ b/packages/soak/src/lib/soak.ts
@@ -12,8 +12,8 @@
   waitUntil,
 } from '@citrontrestle/stand_ins';
 import {
+  completeEventIds,
   findViolations,
-  EVENTS_PER_STREAM,
   RequestKind,
   STREAM_TOKENS,
 } from './checks.js';
@@ -62,6 +62,12 @@
 /** Number of upstreams of each service at the start. */
 const UPSTREAMS_PER_SERVICE = 3;
 
+/** Share of the streams with the part that crashes upstreams, if there is one. */
+const CRASHING_SHARE = 0.25;
+
+/** Number of sound parts that prompts share. */
+const SHARED_PARTS = 20;
+
 /** Client accounts of the callers. */
 const ACCOUNT_NAMES = ['club', 'school'];
 
@@ -107,7 +113,12 @@
   const faultInjector = new FaultInjector(fleet, accounts);
   try {
     await startFleet(fleet, faultInjector, plan);
-    const loadGenerator = new LoadGenerator(fleet, accounts, plan);
+    const loadGenerator = new LoadGenerator(
+      fleet,
+      accounts,
+      plan,
+      faultInjector,
+    );
     const injections = plan.faults.map(async fault => {
       await pause(fault.startsAfter);
       await faultInjector.inject(fault);
@@ -132,10 +143,8 @@
 ): Promise<void> {
   faultInjector.configure();
   for (let index = 1; index <= UPSTREAMS_PER_SERVICE; index++) {
-    await fleet.addServer(`desk-${index}`, 'desk');
-    await fleet.addServer(`model-${index}`, 'models', {
-      eventCount: EVENTS_PER_STREAM,
-    });
+    await faultInjector.addUpstream('desk');
+    await faultInjector.addUpstream('models');
   }
   for (let index = 0; index < plan.gatewayCount; index++) {
     await fleet.addGateway();
@@ -165,6 +174,7 @@
     private readonly fleet: HostedFleet,
     private readonly accounts: Account[],
     private readonly plan: RunPlan,
+    private readonly faultInjector: FaultInjector,
   ) {
     this.random = seededRandom(plan.seed + 1);
   }
@@ -188,7 +198,7 @@
 
   /**
    * Sends a random request, and again after a refusal whose Retry-After leaves
-   * enough time.
+   * enough time. Takes a stream up again that was broken off.
    */
   private async sendWithRetry(): Promise<void> {
     const kind = pickItem(Object.values(RequestKind), this.random());
@@ -196,7 +206,18 @@
     const apiKey = pickItem(account.apiKeys, this.random());
     const agent = pickItem(this.agents, this.random());
     const startedAt = Date.now();
-    const {status, headers} = await this.send(kind, account, apiKey, agent);
+    const result = await this.send(kind, account, apiKey, agent);
+    const {status, headers} = result;
+    const lastEvent = completeEventIds(result).at(-1);
+    const isBrokenOff = status === 200 && !result.complete;
+    if (
+      kind === RequestKind.ResumableStream &&
+      isBrokenOff &&
+      lastEvent !== undefined
+    ) {
+      const resumed = {id: result.requestId ?? '', lastEvent};
+      await this.send(kind, account, apiKey, new Agent(), resumed);
+    }
     const retryAfter = Number(headers['retry-after']) * 1_000;
     const remainingTime = CALLER_TIMEOUT - (Date.now() - startedAt);
     if (
@@ -214,6 +235,7 @@
     account: Account,
     apiKey: string,
     agent: Agent,
+    resumed?: SentRequest['resumed'],
   ): Promise<CallerResult> {
     const gateway = pickItem(this.fleet.gateways, this.random());
     const id = `s${this.plan.seed}-${this.sentRequests.length}`;
@@ -225,6 +247,11 @@
       disconnectAfterMs: CALLER_TIMEOUT,
       headers: {
         ...options.headers,
+        ...this.promptHeaders(kind, id),
+        ...(resumed && {
+          'Last-Event-Id': String(resumed.lastEvent),
+          Resumes: resumed.id,
+        }),
         Authorization: `Bearer ${apiKey}`,
         'X-Request-Id': id,
         'X-Request-Deadline-Ms': String(CALLER_TIMEOUT),
@@ -239,10 +266,25 @@
       apiKey,
       gateway: name,
       sentAt,
+      resumed,
     };
     this.sentRequests.push({...requestDetails, result});
     return Object.assign(result, await response);
   }
+
+  /** Returns the prompt of a stream; some have the part that crashes upstreams. */
+  private promptHeaders(kind: RequestKind, id: string): Record<string, string> {
+    if (REQUEST_OPTIONS[kind].headers === undefined) {
+      return {};
+    }
+    const crashingPart = this.faultInjector.crashingPartName();
+    const isBad = crashingPart !== undefined && this.random() < CRASHING_SHARE;
+    const shared = isBad
+      ? crashingPart
+      : `shared-${Math.floor(this.random() * SHARED_PARTS)}`;
+    const ownTokens = STREAM_TOKENS.input / 2;
+    return {'X-Prompt-Prefix': `${shared}:${ownTokens},${id}:${ownTokens}`};
+  }
 }
 
 /** Checks the guarantees and counts the results by status. */
--- a/packages/soak/src/test/checks_test.ts
+++ b/packages/soak/src/test/checks_test.ts
@@ -67,6 +67,7 @@
     plannedStops: [],
     revocations: [],
     upstreamDrains: [],
+    crashingParts: [],
     ...changes,
   };
 }
@@ -84,6 +85,15 @@
 const ABORTED_ANSWER = {status: 0, complete: false, endedAt: 11_000};
 const PLANNED_STOPS = [{gateway: 'g1', signalledAt: 10_500}];
 
+const RESUMABLE = {kind: RequestKind.ResumableStream};
+const BROKEN_OFF = {complete: false};
+const BAD_RUN = {headers: {'x-prompt-prefix': 'bad:10,own:10'}};
+
+/** Returns an event that names the version of its upstream. */
+function versionedEvent(id: number, version: string): string {
+  return `id: ${id}\ndata: token ${id} of ${version}\n\n`;
+}
+
 const CASES: Case[] = [
   {
     name: 'an order that was answered',
@@ -241,6 +251,56 @@
     }),
     violatedGuarantee: undefined,
   },
+  {
+    name: 'a stream that goes on at another version',
+    observations: buildObservations({
+      sentRequests: [
+        buildSentRequest(RESUMABLE, {
+          ...BROKEN_OFF,
+          body: versionedEvent(1, 'v1'),
+        }),
+        buildSentRequest(
+          {...RESUMABLE, id: 'r2', resumed: {id: REQUEST_ID, lastEvent: 1}},
+          {...BROKEN_OFF, requestId: 'r2', body: versionedEvent(2, 'v2')},
+        ),
+      ],
+    }),
+    violatedGuarantee: 'a stream goes on at one version',
+  },
+  {
+    name: 'a stream that goes on at its version',
+    observations: buildObservations({
+      sentRequests: [
+        buildSentRequest(RESUMABLE, {
+          ...BROKEN_OFF,
+          body: versionedEvent(1, 'v1'),
+        }),
+        buildSentRequest(
+          {...RESUMABLE, id: 'r2', resumed: {id: REQUEST_ID, lastEvent: 1}},
+          {...BROKEN_OFF, requestId: 'r2', body: versionedEvent(2, 'v1')},
+        ),
+      ],
+    }),
+    violatedGuarantee: undefined,
+  },
+  {
+    name: 'requests with a part under which five upstreams had crashed',
+    observations: buildObservations({
+      sentRequests: [buildSentRequest({kind: RequestKind.Read}, {})],
+      upstreamRuns: Array.from({length: 4}, () => buildUpstreamRun(BAD_RUN)),
+      crashingParts: [{part: 'bad', crashTimes: Array<number>(5).fill(7_000)}],
+    }),
+    violatedGuarantee: 'what crashes upstreams is refused',
+  },
+  {
+    name: 'requests with a part under which four upstreams had crashed',
+    observations: buildObservations({
+      sentRequests: [buildSentRequest({kind: RequestKind.Read}, {})],
+      upstreamRuns: Array.from({length: 4}, () => buildUpstreamRun(BAD_RUN)),
+      crashingParts: [{part: 'bad', crashTimes: Array<number>(4).fill(7_000)}],
+    }),
+    violatedGuarantee: undefined,
+  },
 ];
 
 describe('soak checks', () => {
--- a/packages/stand_ins/src/lib/hosted/server.ts
+++ b/packages/stand_ins/src/lib/hosted/server.ts
@@ -65,6 +65,8 @@
   stepMs: Millis;
   /** Number of events in a stream. */
   eventCount: number;
+  /** Whether the events of a stream name the version of the server. */
+  namesVersion?: boolean;
 }
 
 /** Treats an executed request as a fault requires. */
@@ -94,6 +96,7 @@
   /** Number of requests received, whether or not they were executed. */
   arrivalCount = 0;
   private readonly server: Server;
+  private hasCrashed = false;
 
   constructor(readonly settings: HostedServerSettings) {
     this.server = createServer((incoming, outgoing) => {
@@ -177,6 +180,9 @@
     this.runs.push(run);
     outgoing.on('close', () => {
       run.cancelled = !outgoing.writableFinished;
+      if (run.cancelled && this.hasCrashed) {
+        run.fault = ServerFault.LostAnswer;
+      }
     });
     if (this.crashesUnder(run)) {
       setTimeout(() => this.crash(), this.settings.stepMs);
@@ -193,6 +199,7 @@
   }
 
   private crash(): void {
+    this.hasCrashed = true;
     this.stop();
     this.onCrash();
   }
@@ -236,7 +243,8 @@
   run: ServerRun,
   lastEvent: number,
 ): void {
-  const {eventCount, stepMs} = server.settings;
+  const {eventCount, stepMs, namesVersion, version} = server.settings;
+  const origin = namesVersion === true ? ` of ${version}` : '';
   let nextEvent = Number(run.headers['last-event-id'] ?? 0) + 1;
   const timer = setInterval(() => {
     if (outgoing.destroyed) {
@@ -253,7 +261,7 @@
       setTimeout(() => outgoing.socket?.resetAndDestroy(), stepMs);
       return;
     }
-    outgoing.write(`id: ${nextEvent}\ndata: token ${nextEvent}\n\n`);
+    outgoing.write(`id: ${nextEvent}\ndata: token ${nextEvent}${origin}\n\n`);
     nextEvent += 1;
     if (nextEvent > eventCount) {
       clearInterval(timer);
