Save what all instances have learned of verdicts after random delays

Found on reading: a verdict that an instance withdrew or cleared was written to the store only after 3 s by each instance, all at the same moment.

--- a/packages/gateway/src/lib/shared_verdicts.ts
+++ b/packages/gateway/src/lib/shared_verdicts.ts
@@ -27,10 +27,10 @@
 const REREAD_INTERVAL: Millis = 30_000;
 
 /**
- * Time for which an instance leaves it to the one that convicted to save the
- * verdict.
+ * Maximum time for which an instance leaves it to others to save what all of
+ * them have learned. Each waits for a different time, so that few write at once.
  */
-const SAVE_DELAY: Millis = 3_000;
+const MAX_SAVE_DELAY: Millis = 3_000;
 
 const VERDICTS_SCHEMA = z.array(
   z.object({
@@ -50,6 +50,7 @@
   private needsRead = true;
   private lastReadAt: Millis = -Infinity;
   private callInProgress = false;
+  private readonly saveDelay = Math.random() * MAX_SAVE_DELAY;
   /** Since when the verdicts differ from those in the store. */
   private unsavedSince: Millis | undefined;
   /** History of the store that was last read. */
@@ -112,7 +113,8 @@
     const isUnsaved = encode(this.verdicts.list()) !== this.sharedValue;
     const now = this.clock.now();
     this.unsavedSince = isUnsaved ? (this.unsavedSince ?? now) : undefined;
-    const isDue = isUrgent || now - (this.unsavedSince ?? now) >= SAVE_DELAY;
+    const isDue =
+      isUrgent || now - (this.unsavedSince ?? now) >= this.saveDelay;
     if (isUnsaved && isDue && !this.needsRead) {
       await this.write();
     }
