--- a/packages/soak/src/lib/checks.ts
+++ b/packages/soak/src/lib/checks.ts
@@ -317,9 +317,9 @@
         !faultyRunIds.has(request.id)
       );
     })
-    .map(({id, gateway}) => ({
+    .map(({id, kind, gateway, sentAt, result}) => ({
       guarantee: 'a planned stop cuts nothing',
-      detail: `interrupted while ${gateway} was stopping`,
+      detail: `${kind} interrupted while ${gateway} was stopping, ${result.endedAt - sentAt} ms after it was sent, status ${result.status}`,
       requestIds: [id],
     }));
 }
--- a/packages/soak/src/lib/faults.ts
+++ b/packages/soak/src/lib/faults.ts
@@ -34,7 +34,7 @@
 const MODEL_SERVICE = 'models';
 
 /** Time between two events of a stream. */
-const EVENT_INTERVAL: Millis = 15;
+const EVENT_INTERVAL: Millis = 40;
 
 /** Time between the exit of a process and its restart. */
 const RESTART_DELAY: Millis = 150;
