--- a/packages/gateway/src/lib/stream_tracker.ts
+++ b/packages/gateway/src/lib/stream_tracker.ts
@@ -13,7 +13,7 @@
 } from '@citrontrestle/decisions';
 
 /** Maximum time to wait for another instance that knows a stream. */
-const QUERY_TIMEOUT: Millis = 150;
+const QUERY_TIMEOUT: Millis = 300;
 
 /**
  * Maximum age of the list of upstreams from which the only version of a service
--- a/packages/soak/src/lib/checks.ts
+++ b/packages/soak/src/lib/checks.ts
@@ -2,7 +2,7 @@
  * Checks that the gateway's guarantees held in one run, from what callers and
  * upstreams observed. All times are milliseconds since the epoch.
  */
-import {sharedParts} from '@citrontrestle/stand_ins';
+import {completeEventIds, sharedParts} from '@citrontrestle/stand_ins';
 import type {Millis} from '@citrontrestle/decisions';
 import type {CallerResult, ServerRun} from '@citrontrestle/stand_ins';
 
@@ -465,10 +465,3 @@
       disruption.until + RECOVERY_TIME >= from,
   );
 }
-
-/** Returns the identifiers of the events that arrived completely, in order. */
-export function completeEventIds({body}: CallerResult): number[] {
-  return [
-    ...body.matchAll(/^id: (\d+)\ndata: token \d+(?: of \S+)?\n\n/gm),
-  ].map(match => Number(match[1]));
-}
--- a/packages/soak/src/lib/soak.ts
+++ b/packages/soak/src/lib/soak.ts
@@ -6,17 +6,13 @@
 import {seededRandom} from '@citrontrestle/runtime';
 import {
   call,
+  completeEventIds,
   HostedFleet,
   pause,
   tokenStreamHeaders,
   waitUntil,
 } from '@citrontrestle/stand_ins';
-import {
-  completeEventIds,
-  findViolations,
-  RequestKind,
-  STREAM_TOKENS,
-} from './checks.js';
+import {findViolations, RequestKind, STREAM_TOKENS} from './checks.js';
 import {pickItem, FaultInjector} from './faults.js';
 import {planRun} from './plan.js';
 import type {Violation, SentRequest} from './checks.js';
