--- a/packages/gateway/src/lib/admission.ts
+++ b/packages/gateway/src/lib/admission.ts
@@ -10,6 +10,7 @@
   Clock,
   Millis,
   PrepaidAccount,
+  PromptPart,
   Route,
   RouteTable,
 } from '@citrontrestle/decisions';
@@ -17,6 +18,12 @@
 /** Estimated size of a request's head, for the traffic on the network link. */
 export const ESTIMATED_HEAD_BYTES = 600;
 
+/** Maximum number of shared parts of a prompt that are told apart. */
+const MAX_SHARED_PARTS = 60;
+
+/** Maximum length of the identifier of a part that is kept as it is. */
+const MAX_PART_LENGTH = 64;
+
 /** A request whose body was read and that has a route. */
 export interface AdmittedRequest {
   callerRequest: CallerRequest;
@@ -92,13 +99,23 @@
     account,
     arrivedAt,
     fingerprint,
-    sharedParts: callerRequest.promptParts
-      .slice(0, -1)
-      .map(({id: part}) => part),
+    sharedParts: sharedPartsOf(callerRequest.promptParts),
   };
   return {ok: true, request};
 }
 
+/**
+ * Returns the identifiers of the parts of a prompt but the last, as many and as
+ * long as a message to the other instances may hold. A long one is replaced by
+ * its digest.
+ */
+export function sharedPartsOf(promptParts: readonly PromptPart[]): string[] {
+  return promptParts
+    .slice(0, -1)
+    .slice(0, MAX_SHARED_PARTS)
+    .map(({id}) => (id.length > MAX_PART_LENGTH ? shortDigest(id) : id));
+}
+
 /**
  * Returns the maximum number of tokens that a request may consume; 0 if its
  * account has no token budget or the request does not use a model.
