Send messages about streams only to instances that know them

Found on reading: an instance of an earlier version closes a link on a message of a kind that it does not know, so each stream that begins would have closed the links to it during an upgrade. A heartbeat without the revision of verdicts shows an earlier version.

--- a/packages/gateway/src/lib/peer_exchange.ts
+++ b/packages/gateway/src/lib/peer_exchange.ts
@@ -292,7 +292,7 @@
     from: string,
   ): void {
     const {routeTable, upstreamRegistry, peerNetwork} = this.dependencies;
-    this.dependencies.sharedVerdicts.learnRevision(verdicts);
+    this.dependencies.sharedVerdicts.learnRevision(verdicts ?? 0);
     if (version > routeTable.version()) {
       peerNetwork.send(from, {kind: PeerMessageKind.ConfigurationRequest});
     }
--- a/packages/gateway/src/lib/peer_message.ts
+++ b/packages/gateway/src/lib/peer_message.ts
@@ -75,8 +75,11 @@
     version: z.number(),
     /** Newest store revision contained in the sender's list of upstreams. */
     revision: z.number(),
-    /** Newest store revision of the verdicts on crashes that the sender has. */
-    verdicts: z.number().default(0),
+    /**
+     * Newest store revision of the verdicts on crashes that the sender has.
+     * Missing in messages of earlier versions of the gateway.
+     */
+    verdicts: z.number().optional(),
     leaving: z.boolean(),
     capacity: z.number(),
     /** Milliseconds since the store last answered the sender or its relay. */
--- a/packages/gateway/src/lib/peer_network.ts
+++ b/packages/gateway/src/lib/peer_network.ts
@@ -101,6 +101,8 @@
   private readonly membersSentAt = new Map<string, Millis>();
   /** Report of the last heartbeat of each peer, by its address. */
   private readonly fleetReports = new Map<string, FleetReport>();
+  /** Peers of an earlier version, which close links on messages about streams. */
+  private readonly earlierVersions = new Set<string>();
   private currentPartners: ExchangePartners = {
     relay: undefined,
     followers: [],
@@ -218,11 +220,16 @@
     }
   }
 
-  /** Sends a message to the relay that is followed, else to all mesh peers. */
+  /**
+   * Sends a message about a stream to the relay that is followed, else to all
+   * mesh peers.
+   */
   sendToHolders(message: PeerMessage): void {
     const {relay, meshPeers} = this.currentPartners;
     for (const address of relay === undefined ? meshPeers : [relay]) {
-      this.links.send(address, message);
+      if (!this.earlierVersions.has(address)) {
+        this.links.send(address, message);
+      }
     }
   }
 
@@ -296,6 +303,11 @@
     heartbeat.members.forEach(report =>
       this.topology.recordReport(report, now),
     );
+    if (heartbeat.verdicts === undefined) {
+      this.earlierVersions.add(address);
+    } else {
+      this.earlierVersions.delete(address);
+    }
     const {count, storeSilence} = heartbeat;
     this.fleetReports.set(address, {count, storeSilence, receivedAt: now});
     if (isNew) {
