Derive causes of crashes only when a trait has enough crashes

Cause: each report of a crash, and each answer that cleared something, went through all the evidence, though nothing could change. A crash of many upstreams at once costs every instance that many times: 14 upstreams with 20 lost requests each, and their clearing, took 708 ms.

--- a/packages/decisions/src/lib/crash_causes.ts
+++ b/packages/decisions/src/lib/crash_causes.ts
@@ -34,9 +34,12 @@
   const causes: string[][] = [];
   for (;;) {
     const {traits, crashes} = strongestSuspicion(unexplained, isConsidered);
+    if (crashes < minCrashes) {
+      return causes;
+    }
     const groups = groupsOf(traits, unexplained);
     const isCertain = crashes >= CRASHES_TO_CONVICT_ALL || groups.length === 1;
-    if (crashes < minCrashes || !isCertain) {
+    if (!isCertain) {
       return causes;
     }
     causes.push(...groups);
@@ -97,7 +100,7 @@
 }
 
 /** Returns the crashes in which a request with one of the traits was lost. */
-function crashesUnder(
+export function crashesUnder(
   traits: readonly string[],
   crashes: ReadonlyMap<string, Crash>,
 ): string[] {
--- a/packages/decisions/src/lib/crash_verdicts.ts
+++ b/packages/decisions/src/lib/crash_verdicts.ts
@@ -6,7 +6,7 @@
  * that are convicted are refused by all instances.
  */
 import {MINUTE} from './clock.js';
-import {findCauses, keyOf} from './crash_causes.js';
+import {crashesUnder, findCauses, keyOf} from './crash_causes.js';
 import type {Millis} from './clock.js';
 import type {Crash} from './crash_causes.js';
 
@@ -94,7 +94,7 @@
       crash.requests.set(key, new Set(traits));
       traits.forEach(trait => this.suspects.add(trait));
     }
-    return this.convict(now);
+    return this.hasManyCrashes(traits) && this.convict(now);
   }
 
   /**
@@ -111,6 +111,8 @@
     if (suspects.length === 0) {
       return false;
     }
+    const mayChangeVerdicts =
+      this.verdicts.size > 0 || this.hasManyCrashes(suspects);
     suspects.forEach(trait => this.suspects.delete(trait));
     for (const crash of this.crashes.values()) {
       for (const [request, lost] of crash.requests) {
@@ -127,7 +129,9 @@
         this.addVerdict({...verdict, traits: remaining});
       }
     }
-    this.convict(now);
+    if (mayChangeVerdicts) {
+      this.convict(now);
+    }
     return true;
   }
 
@@ -212,6 +216,13 @@
     }
   }
 
+  /** Whether one of the traits has enough crashes to be convicted. */
+  private hasManyCrashes(traits: readonly string[]): boolean {
+    return traits.some(
+      trait => crashesUnder([trait], this.crashes).length >= CRASHES_TO_CONVICT,
+    );
+  }
+
   /**
    * Convicts traits from all the evidence, and withdraws verdicts that no longer
    * follow from it, as reports come in any order. Returns whether there is a new
