Record in the store which versions began streams, so that a kill of all does not end them

Cause: what an instance knows of a stream's version was only in its own memory and that of its peers.

Change: one instance of a small fleet, and each relay of a large one, writes the versions of each service when they change and, while there are several, the beginnings of streams, in groups at least 0.1 s apart. An instance that is asked for a stream that nobody knows reads them. A record of an earlier era of the store proves nothing about versions.

--- a/packages/decisions/src/lib/stream_origins.ts
+++ b/packages/decisions/src/lib/stream_origins.ts
@@ -37,6 +37,17 @@
     return isKnown ? origin.version : undefined;
   }
 
+  /** Returns the streams that began at a time or later, and their versions. */
+  begunSince(time: Millis): Map<string, string> {
+    const begun = new Map<string, string>();
+    for (const [stream, {version, begunAt}] of this.origins) {
+      if (begunAt >= time) {
+        begun.set(stream, version);
+      }
+    }
+    return begun;
+  }
+
   private dropOld(now: Millis): void {
     for (const [stream, {begunAt}] of this.origins) {
       const isOld = now - begunAt > STREAM_LIFETIME;
--- a/packages/decisions/src/lib/upstream_registry.ts
+++ b/packages/decisions/src/lib/upstream_registry.ts
@@ -3,6 +3,7 @@
  * in the platform's store, read directly or passed on by peers, and from
  * responses of the upstreams. Updates are ordered by the position of the store.
  */
+import {ServiceVersions} from './service_versions.js';
 import {isNewer, UNKNOWN_POSITION} from './store_position.js';
 import type {Millis} from './clock.js';
 import type {StorePosition} from './store_position.js';
@@ -80,10 +81,7 @@
 export class UpstreamRegistry {
   private readonly entries = new Map<string, RegistryEntry>();
   private newestPosition = UNKNOWN_POSITION;
-  /** When each version was last listed, by service and version. */
-  private readonly versionTimes = new Map<string, Map<string, Millis>>();
-  /** When the first update was applied. */
-  private knownSince: Millis | undefined;
+  private readonly serviceVersions = new ServiceVersions();
 
   /** Newest position of the store that was applied. */
   position(): StorePosition {
@@ -110,7 +108,7 @@
     if (previous !== undefined && !isNewer(position, previous.position)) {
       return UpstreamUpdateOutcome.Stale;
     }
-    this.knownSince ??= now;
+    this.serviceVersions.markKnown(now);
     this.noteVersion(previous?.listing, now);
     this.noteVersion(listing, now);
     const retained =
@@ -226,26 +224,12 @@
     return listings;
   }
 
-  /**
-   * Returns the version that all upstreams of a service have had for the time
-   * `duration`; undefined if they had several or that is unknown.
-   */
-  onlyVersion(
-    service: string,
-    duration: Millis,
-    now: Millis,
-  ): string | undefined {
+  /** Returns the versions of all services as of now. */
+  versions(now: Millis): ServiceVersions {
     for (const {listing} of this.entries.values()) {
       this.noteVersion(listing, now);
     }
-    const times = this.versionTimes.get(service) ?? new Map<string, Millis>();
-    const versions = [...times]
-      .filter(([, listedAt]) => now - listedAt <= duration)
-      .map(([version]) => version);
-    const isKnownLongEnough = now - (this.knownSince ?? now) >= duration;
-    const [version] = versions;
-    const isOnly = versions.length === 1 && version !== '';
-    return isOnly && isKnownLongEnough ? version : undefined;
+    return this.serviceVersions;
   }
 
   /** Returns all upstreams in the list, leaving ones included. */
@@ -290,15 +274,14 @@
    * ago.
    */
   prune(now: Millis): void {
-    for (const [service, times] of this.versionTimes) {
-      const isOld = [...times.values()].every(t => now - t > TOMBSTONE_TTL);
-      const isListed = [...this.entries.values()].some(
-        entry => entry.listing?.service === service,
-      );
-      if (isOld && !isListed) {
-        this.versionTimes.delete(service);
-      }
-    }
+    const services = new Set(
+      this.listedUpstreams().map(listing => listing.service),
+    );
+    this.serviceVersions.prune(
+      service => services.has(service),
+      TOMBSTONE_TTL,
+      now,
+    );
     for (const [id, entry] of this.entries) {
       if (entry.expiresAt !== undefined && now >= entry.expiresAt) {
         entry.listing = undefined;
@@ -313,13 +296,9 @@
 
   /** Records that an upstream of a service has been listed until now. */
   private noteVersion(listing: UpstreamListing | undefined, now: Millis): void {
-    if (listing === undefined) {
-      return;
+    if (listing !== undefined) {
+      this.serviceVersions.note(listing.service, listing.version, now);
     }
-    const {service, version} = listing;
-    const times = this.versionTimes.get(service) ?? new Map<string, Millis>();
-    times.set(version, now);
-    this.versionTimes.set(service, times);
   }
 
   /** Whether an upstream may get new requests, of one service if given. */
--- a/packages/decisions/src/test/upstream_registry_test.ts
+++ b/packages/decisions/src/test/upstream_registry_test.ts
@@ -254,7 +254,8 @@
       updates.forEach(({at, listed}, index) =>
         applyUpdate('b', 10 + index, listed, at),
       );
-      expect(registry.onlyVersion(SERVICE, 10_000, now)).to.equal(only);
+      const versions = registry.versions(now);
+      expect(versions.only(SERVICE, 10_000, now)).to.equal(only);
     });
   }
 });
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -8,6 +8,7 @@
   RouteTable,
   SECOND,
   StreamOrigins,
+  streamLifetimes,
   UpstreamRegistry,
 } from '@citrontrestle/decisions';
 import {
@@ -34,6 +35,7 @@
 import {SharedVerdicts} from './shared_verdicts.js';
 import {StatementWatch} from './statement_watch.js';
 import {StateSync} from './state_sync.js';
+import {StreamRecords} from './stream_records.js';
 import {StreamTracker} from './stream_tracker.js';
 import {TokenExchange} from './token_exchange.js';
 import {UpstreamAgent} from './upstream_agent.js';
@@ -122,6 +124,8 @@
   private readonly limitWatch: LimitWatch;
   private readonly brittleWatch: BrittleWatch;
   private readonly statementWatch: StatementWatch;
+  private readonly streamOrigins = new StreamOrigins();
+  private readonly streamRecords: StreamRecords;
   private readonly streamTracker: StreamTracker;
   private readonly peerExchange: PeerExchange;
   private readonly tokenExchange: TokenExchange;
@@ -151,12 +155,14 @@
       {
         onConfigurationChanged: () => this.handleNewConfiguration(),
         onUpstreamLost: upstream => this.crashWatch.recordDown(upstream),
-        onUpstreamUpdates: (updates, positionBefore, afterOutage) =>
+        onUpstreamUpdates: (updates, positionBefore, afterOutage) => {
           this.peerExchange.forwardUpstreamUpdates(
             updates,
             positionBefore,
             afterOutage,
-          ),
+          );
+          void this.streamRecords.check();
+        },
         feedMode: () => this.peerExchange.feedMode(),
       },
     );
@@ -243,6 +249,7 @@
         },
       },
     );
+    this.streamRecords = this.createStreamRecords();
     this.streamTracker = this.createStreamTracker();
     this.tokenExchange = new TokenExchange(this.budgets, this.peerNetwork, log);
     this.peerExchange = new PeerExchange({
@@ -367,16 +374,39 @@
     });
   }
 
+  /** Connects the record of streams in the store to the other components. */
+  private createStreamRecords(): StreamRecords {
+    const {settings, store, log} = this.dependencies;
+    return new StreamRecords(
+      settings.zone,
+      this.streamOrigins,
+      this.upstreamRegistry,
+      store,
+      this.clock,
+      log,
+      {
+        isRecorder: () =>
+          this.stopStartedAt === undefined &&
+          this.peerNetwork.isRecorder(this.stateSync.storeSilence()),
+        streamLifetimes: () => streamLifetimes(this.routeTable.configuration()),
+        onStream: (stream, version) =>
+          this.streamTracker.learn(stream, version),
+      },
+    );
+  }
+
   /** Connects the tracker of streams to the other instances. */
   private createStreamTracker(): StreamTracker {
     const {peers} = this.dependencies.settings;
     const asker = peers.advertise ?? peers.listen;
     const {StreamBeginning, StreamQuery} = PeerMessageKind;
     return new StreamTracker(
-      new StreamOrigins(),
+      this.streamOrigins,
       this.upstreamRegistry,
       this.clock,
       {
+        record: (stream, version) => this.streamRecords.add(stream, version),
+        readRecords: () => this.streamRecords.refresh(),
         tellBeginning: (stream, version) =>
           this.peerNetwork.sendToHolders({
             kind: StreamBeginning,
@@ -395,6 +425,7 @@
     const {settings, log} = this.dependencies;
     this.stateSync.start();
     this.sharedVerdicts.start();
+    this.streamRecords.start();
     this.reachability.start();
     await Promise.all([
       this.frontServer.listen(settings.listen.callers),
--- a/packages/gateway/src/lib/page_codec.ts
+++ b/packages/gateway/src/lib/page_codec.ts
@@ -1,6 +1,7 @@
 /** Encoding of budget pages in the store, as JSON. */
 import * as z from 'zod';
-import type {DecodeResult, PageCodec} from './ports.js';
+import {decodeJson} from './json_codec.js';
+import type {PageCodec} from './ports.js';
 import type {PrepaidPage} from '@citrontrestle/decisions';
 
 /** Numbers of tokens, by the name of the account. */
@@ -34,7 +35,7 @@
 /** Encodes pages, and decodes them or returns why a value is invalid. */
 export const PAGE_CODEC: PageCodec = {
   encode: encodePage,
-  decode: decodePage,
+  decode: value => decodeJson(value, PAGE_SCHEMA),
 };
 
 function encodePage({holders, ...page}: PrepaidPage): Buffer {
@@ -45,14 +46,3 @@
   const encoded = {...page, holders: Object.fromEntries(rows) as unknown};
   return Buffer.from(JSON.stringify(encoded));
 }
-
-function decodePage(value: Buffer): DecodeResult<PrepaidPage> {
-  try {
-    const parsed = PAGE_SCHEMA.safeParse(JSON.parse(value.toString('utf8')));
-    return parsed.success
-      ? {ok: true, value: parsed.data}
-      : {ok: false, reason: z.prettifyError(parsed.error)};
-  } catch (error) {
-    return {ok: false, reason: String(error)};
-  }
-}
--- a/packages/gateway/src/lib/peer_exchange.ts
+++ b/packages/gateway/src/lib/peer_exchange.ts
@@ -148,7 +148,10 @@
       this.dependencies.peerNetwork.forwardBroadcast(from, message);
     },
     [PeerMessageKind.StreamBeginning]: (message, from) => {
-      this.dependencies.streamTracker.learn(message.stream, message.version);
+      this.dependencies.streamTracker.learnBeginning(
+        message.stream,
+        message.version,
+      );
       this.copyToOtherRelay(from, message);
     },
     [PeerMessageKind.StreamQuery]: (message, from) =>
--- a/packages/gateway/src/lib/peer_message.ts
+++ b/packages/gateway/src/lib/peer_message.ts
@@ -94,6 +94,11 @@
      * Missing in messages of earlier versions of the gateway.
      */
     verdicts: z.number().optional(),
+    /**
+     * Whether the sender can record streams in the store. Missing in messages
+     * of earlier versions of the gateway.
+     */
+    recordsStreams: z.boolean().optional(),
     leaving: z.boolean(),
     capacity: z.number(),
     /**
--- a/packages/gateway/src/lib/peer_network.ts
+++ b/packages/gateway/src/lib/peer_network.ts
@@ -2,7 +2,7 @@
  * Connects this gateway to the others: exchanges heartbeats with them, tracks
  * which of them run, and sends and broadcasts messages.
  */
-import {MEMBER_TIMEOUT, Topology} from '@citrontrestle/decisions';
+import {isRecorder, MEMBER_TIMEOUT, Topology} from '@citrontrestle/decisions';
 import {FleetLinks} from '@citrontrestle/fleet';
 import {splitAddress} from '@citrontrestle/runtime';
 import {PEER_MESSAGE_SCHEMA, PeerMessageKind} from './peer_message.js';
@@ -91,6 +91,8 @@
   count: number;
   /** Time since the store last answered the peer or its relay. */
   storeSilence: Millis;
+  /** Whether the peer can record streams in the store. */
+  recordsStreams: boolean;
   receivedAt: Millis;
 }
 
@@ -196,6 +198,22 @@
     return report && report.storeSilence + this.clock.now() - report.receivedAt;
   }
 
+  /**
+   * Returns whether this instance records streams in the store.
+   * @param storeSilence time since the store answered this instance.
+   */
+  isRecorder(storeSilence: Millis): boolean {
+    const available = new Set(this.availablePeers());
+    const peers = this.currentPartners.meshPeers.flatMap(address => {
+      const report = this.fleetReports.get(address);
+      return report?.recordsStreams === true && available.has(address)
+        ? [{address, storeSilence: report.storeSilence}]
+        : [];
+    });
+    const {address} = this.settings;
+    return isRecorder({address, storeSilence}, this.currentPartners, peers);
+  }
+
   /**
    * Returns the addresses of the peers that sent a heartbeat recently and are
    * not stopping.
@@ -331,8 +349,13 @@
       this.topology.recordReport(report, now),
     );
     this.versions.recordHeartbeat(address, heartbeat);
-    const {count, storeSilence} = heartbeat;
-    this.fleetReports.set(address, {count, storeSilence, receivedAt: now});
+    const {count, storeSilence, recordsStreams = false} = heartbeat;
+    this.fleetReports.set(address, {
+      count,
+      storeSilence,
+      recordsStreams,
+      receivedAt: now,
+    });
     if (isNew) {
       this.log.info('peer.heard', {peer: address, holder});
       this.updatePartners(now);
@@ -440,6 +463,7 @@
       instance,
       capacity,
       proxy,
+      recordsStreams: true,
       ...content,
       follows: address === relay,
       relays: meshPeers.includes(address),
--- a/packages/gateway/src/lib/shared_verdicts.ts
+++ b/packages/gateway/src/lib/shared_verdicts.ts
@@ -4,6 +4,7 @@
  * there. Heartbeats carry the newest revision, so that nobody polls the store.
  */
 import * as z from 'zod';
+import {decodeJson} from './json_codec.js';
 import {StoreOutcome} from './ports.js';
 import type {DecodeResult, Store, StoreItem} from './ports.js';
 import type {
@@ -209,12 +210,5 @@
   if (item === undefined) {
     return {ok: true, value: []};
   }
-  try {
-    const parsed = VERDICTS_SCHEMA.safeParse(JSON.parse(String(item.value)));
-    return parsed.success
-      ? {ok: true, value: parsed.data}
-      : {ok: false, reason: z.prettifyError(parsed.error)};
-  } catch (error) {
-    return {ok: false, reason: String(error)};
-  }
+  return decodeJson(item.value, VERDICTS_SCHEMA);
 }
--- a/packages/gateway/src/lib/stream_tracker.ts
+++ b/packages/gateway/src/lib/stream_tracker.ts
@@ -3,7 +3,8 @@
  * again. Callers come to any instance, mostly because the one that began their
  * stream has ended, so each beginning is told to other instances at once.
  */
-import {shortDigest} from '@citrontrestle/runtime';
+import {streamLifetime} from '@citrontrestle/decisions';
+import {shortDigest, waitAtMost} from '@citrontrestle/runtime';
 import type {AdmittedRequest} from './admission.js';
 import type {
   Clock,
@@ -21,8 +22,8 @@
  */
 const MAX_LIST_AGE: Millis = 2_000;
 
-/** Time by which a version is remembered longer than a stream can last. */
-const LIFETIME_MARGIN: Millis = 5_000;
+/** Maximum time to wait for the record of streams in the store. */
+const READ_TIMEOUT: Millis = 500;
 
 /** What a `StreamTracker` needs from other components. */
 export interface StreamTrackerContext {
@@ -30,6 +31,10 @@
   tellBeginning(stream: string, version: string): void;
   /** Asks other instances which version began a stream. */
   ask(stream: string): void;
+  /** Records in the store, if that is needed, which version began a stream. */
+  record(stream: string, version: string): void;
+  /** Reads in the store which versions there were; tells `learn` of streams. */
+  readRecords(): Promise<void>;
   /** Time since the list of upstreams was up to date. */
   listAge(): Millis;
 }
@@ -50,10 +55,17 @@
   recordBeginning(request: AdmittedRequest, version: string): void {
     const stream = streamKey(request, request.callerRequest.id);
     this.origins.record(stream, version, this.clock.now());
+    this.context.record(stream, version);
     this.context.tellBeginning(stream, version);
   }
 
-  /** Records what another instance told of a stream. */
+  /** Records what another instance told of a stream that began. */
+  learnBeginning(stream: string, version: string): void {
+    this.context.record(stream, version);
+    this.learn(stream, version);
+  }
+
+  /** Learns which version began a stream. */
   learn(stream: string, version: string): void {
     this.origins.record(stream, version, this.clock.now());
     this.waiters.get(stream)?.forEach(resolve => resolve(version));
@@ -75,12 +87,23 @@
       resumedRequestId === undefined
         ? undefined
         : streamKey(request, resumedRequestId);
-    const known = stream === undefined ? undefined : this.find(stream);
-    const version = known ?? this.onlyVersion(request);
-    if (version !== undefined || stream === undefined) {
-      return version;
+    const known = this.knownVersion(request, stream);
+    if (known !== undefined) {
+      return known;
     }
-    return this.askOthers(stream);
+    const told = stream === undefined ? undefined : this.askOthers(stream);
+    const read = waitAtMost(this.context.readRecords(), READ_TIMEOUT);
+    const recorded = read.then(() => this.knownVersion(request, stream));
+    return firstDefined([told ?? Promise.resolve(undefined), recorded]);
+  }
+
+  /** Returns the version at which a stream goes on as far as it is known. */
+  private knownVersion(
+    request: AdmittedRequest,
+    stream: string | undefined,
+  ): string | undefined {
+    const version = stream === undefined ? undefined : this.find(stream);
+    return version ?? this.onlyVersion(request);
   }
 
   /**
@@ -92,11 +115,11 @@
       return undefined;
     }
     const now = this.clock.now();
-    const lifetime = route.timeout + LIFETIME_MARGIN;
-    const versions = route.targets.map(({service}) =>
-      this.upstreamRegistry.onlyVersion(service, lifetime, now),
+    const versions = this.upstreamRegistry.versions(now);
+    const onlyVersions = route.targets.map(({service}) =>
+      versions.only(service, streamLifetime(route), now),
     );
-    return new Set(versions).size === 1 ? versions[0] : undefined;
+    return new Set(onlyVersions).size === 1 ? onlyVersions[0] : undefined;
   }
 
   private askOthers(stream: string): Promise<string | undefined> {
@@ -118,6 +141,24 @@
   }
 }
 
+/**
+ * Resolves with the first value that is not undefined; undefined when there is
+ * none.
+ */
+function firstDefined<T>(
+  promises: Promise<T | undefined>[],
+): Promise<T | undefined> {
+  return new Promise(resolve => {
+    const deliver = (value: T | undefined) => {
+      if (value !== undefined) {
+        resolve(value);
+      }
+    };
+    const all = promises.map(promise => promise.then(deliver));
+    void Promise.all(all).then(() => resolve(undefined));
+  });
+}
+
 /**
  * Returns the key of the stream that a request of the same account began. A
  * caller can't take up what another account began.
--- a/packages/stand_ins/src/index.ts
+++ b/packages/stand_ins/src/index.ts
@@ -14,5 +14,6 @@
 export * from './lib/hosted/caller.js';
 export * from './lib/hosted/fleet.js';
 export * from './lib/hosted/partition.js';
+export * from './lib/hosted/production_build.js';
 export * from './lib/hosted/store.js';
 export * from './lib/hosted/server.js';
--- a/packages/stand_ins/src/lib/hosted/fleet.ts
+++ b/packages/stand_ins/src/lib/hosted/fleet.ts
@@ -266,8 +266,11 @@
    * Starts a gateway process and returns without waiting until it is ready. It
    * gets the addresses of the first gateways of the fleet, at most three, as
    * its seeds.
+   * @param mainModulePath main module of another build of the gateway.
    */
-  async addGateway(): Promise<GatewayProcess> {
+  async addGateway(
+    mainModulePath = this.mainModulePath,
+  ): Promise<GatewayProcess> {
     const ports = await findFreePorts(4);
     const [callers, ready, listen, proxy] = ports.map(
       port => `127.0.0.1:${port}`,
@@ -298,7 +301,7 @@
       storeEndpoint,
       peerRelay,
       settingsPath,
-      this.mainModulePath,
+      mainModulePath,
       this.isPartitionable ? `127.0.1.${1 + this.gateways.length}` : undefined,
     );
     this.gateways.push(gateway);
