Do not list an upstream again from a history that is older than the known list

At 10.57 s the instances of three zones got a whole list of revision 400, without it, from peers. At 14.01 s their relays reached the store again and replayed its history: the upstream, unknown to them, was listed anew at 352, and its removal at 396 counted as a lapse of the outage, so it got requests for another 1.6 s, 4.9 s after it had been removed (4 s allowed).

Change: the registry remembers up to which position no change is missing; an older update of an upstream that is not known is stale. A list straight from the store still counts. The new test fails without it ('added', 'changed').

--- a/packages/decisions/src/lib/upstream_registry.ts
+++ b/packages/decisions/src/lib/upstream_registry.ts
@@ -59,7 +59,7 @@
  * Time for which an upstream that was removed from the list around an outage
  * of the store stays usable, so that it can register again.
  */
-const REREGISTRATION_GRACE: Millis = 1_600;
+export const REREGISTRATION_GRACE: Millis = 1_600;
 
 /** What is known of one upstream. */
 interface RegistryEntry {
@@ -81,6 +81,8 @@
 export class UpstreamRegistry {
   private readonly entries = new Map<string, RegistryEntry>();
   private newestPosition = UNKNOWN_POSITION;
+  /** Position up to which no change is missing. */
+  private completePosition = UNKNOWN_POSITION;
   private readonly serviceVersions = new ServiceVersions();
 
   /** Newest position of the store that was applied. */
@@ -88,6 +90,15 @@
     return this.newestPosition;
   }
 
+  /**
+   * Records that all changes up to the newest known position have been applied.
+   * An older update of an upstream that is not known then tells of one that had
+   * gone by that position.
+   */
+  markComplete(): void {
+    this.completePosition = this.newestPosition;
+  }
+
   /**
    * Applies an update from the store or from a peer.
    * @param afterOutage whether the store was unavailable shortly before. A
@@ -103,6 +114,9 @@
     const position = {era, revision};
     this.recordPosition(position);
     const previous = this.entries.get(update.id);
+    if (previous === undefined && isNewer(this.completePosition, position)) {
+      return UpstreamUpdateOutcome.Stale;
+    }
     const leavingProcess = previous?.leavingSinceStart;
     const listing = withLeaving(update.listing, leavingProcess);
     if (previous !== undefined && !isNewer(position, previous.position)) {
@@ -140,6 +154,10 @@
     listed: UpstreamUpdate[],
     position: StorePosition,
   ): UpstreamUpdate[] {
+    if (!isNewer(this.completePosition, position)) {
+      // The list itself is complete, and all that it holds exists.
+      this.completePosition = UNKNOWN_POSITION;
+    }
     const hasGoneBack =
       this.newestPosition !== UNKNOWN_POSITION &&
       position.era > this.newestPosition.era;
--- a/packages/decisions/src/test/upstream_registry_test.ts
+++ b/packages/decisions/src/test/upstream_registry_test.ts
@@ -96,6 +96,29 @@
     expect(usableIds(0)).to.deep.equal([]);
   });
 
+  it('does not list an upstream that had gone by a complete list', () => {
+    registry = new UpstreamRegistry();
+    applyList(['a'], {era: ERA, revision: 400});
+    registry.markComplete();
+    const replayed = [
+      applyUpdate('b', 352, listing('b')),
+      applyUpdate('b', 396, undefined, 0, true),
+    ];
+    const {Stale} = UpstreamUpdateOutcome;
+    expect(replayed).to.deep.equal([Stale, Stale]);
+    expect(usableIds(0)).to.deep.equal(['a']);
+  });
+
+  it('lists what a list of the store holds, whatever was taken as complete', () => {
+    registry.markComplete();
+    const position = {era: ERA, revision: 5};
+    const listed = [{id: 'b', era: ERA, revision: 3, listing: listing('b')}];
+    registry
+      .updatesFromList(listed, position)
+      .forEach(update => registry.applyUpdate(update, 0, false));
+    expect(usableIds(0)).to.include('b');
+  });
+
   it('keeps an upstream removed around an outage for a grace period', () => {
     applyUpdate('a', 6, undefined, 100, true);
     expect(usableIds(1_000)).to.deep.equal(['a']);
--- a/packages/gateway/src/lib/state_sync.ts
+++ b/packages/gateway/src/lib/state_sync.ts
@@ -190,6 +190,7 @@
         }
       }
     }
+    this.upstreamRegistry.markComplete();
     if (applied.length > 0) {
       this.handler.onUpstreamUpdates(applied, positionBefore, afterOutage);
     }
