Derive how often the store is asked from the bounds of the deployment

Cause: a follower whose relay lost the store waited up to 4 s between calls, whatever the bounds: with a grace period for lapsed entries it could learn of a removal too late after the store served it again. Both feeds of each process asked a store that was away, and a feed that was off woke up 20 times a second to look at its mode.

Change: the bounds (contact, drain, configuration, revocation) are settings, checked and with defaults; delays, watches and the reliance on a relay follow from them in one place (feed_timing.ts), with a table of cases. One feed finds out for both whether the store is back; a feed that is off is told of a change of its mode.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -11,6 +11,7 @@
 export * from './lib/clock.js';
 export * from './lib/configuration.js';
 export * from './lib/crash_verdicts.js';
+export * from './lib/feed_timing.js';
 export * from './lib/ledger.js';
 export * from './lib/ledger_batch.js';
 export * from './lib/ledger_release.js';
--- /dev/null
+++ b/packages/decisions/src/test/feed_timing_test.ts
@@ -0,0 +1,48 @@
+/**
+ * However long the bounds of a deployment are, each instance must know a change
+ * in time: as a follower of a relay, and when its relay does not reach the store.
+ */
+import {expect} from 'chai';
+import {feedTiming, longestFallback} from '../lib/feed_timing.js';
+import type {Millis} from '../lib/clock.js';
+
+/** Time until a call to a store that is there has its answer. */
+const CALL_TIME: Millis = 800;
+
+/** Interval at which an instance looks at what its relay reports. */
+const REPORT_INTERVAL: Millis = 300;
+
+describe('the times by which the store is followed', () => {
+  const cases: {contact: Millis; strictest: Millis}[] = [
+    {contact: 3_400, strictest: 2_000},
+    {contact: 4_000, strictest: 3_000},
+    {contact: 5_000, strictest: 4_000},
+    {contact: 9_000, strictest: 9_000},
+    {contact: 60_000, strictest: 60_000},
+  ];
+  for (const {contact, strictest} of cases) {
+    const timing = feedTiming({
+      contact,
+      drain: strictest,
+      configuration: strictest + 1_000,
+      revocation: strictest + 2_000,
+    });
+
+    it(`keep a contact time of ${contact} ms after an outage`, () => {
+      expect(longestFallback(timing)).to.be.at.most(contact);
+    });
+
+    it(`keep a bound of ${strictest} ms if the relay loses the store`, () => {
+      const {maxRelayStoreSilence} = timing;
+      const known = maxRelayStoreSilence + REPORT_INTERVAL + CALL_TIME;
+      expect(known).to.be.at.most(strictest + REPORT_INTERVAL);
+      expect(timing.relayWatch + CALL_TIME).to.be.at.most(strictest);
+    });
+  }
+
+  it('do not flood the store, however short the bounds are', () => {
+    const short = {contact: 1, drain: 1, configuration: 1, revocation: 1};
+    const times = Object.values(feedTiming(short));
+    expect(Math.min(...times)).to.be.at.least(200);
+  });
+});
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -1,6 +1,7 @@
 /** One gateway process: creates its components and connects them. */
 import {
   CrashVerdicts,
+  feedTiming,
   LinkLoad,
   Placement,
   Reachability,
@@ -48,6 +49,7 @@
   BufferedRequest,
 } from './front_server.js';
 import type {Dialect, EraListener, Store} from './ports.js';
+import {propagationBounds} from './settings.js';
 import type {GatewaySettings} from './settings.js';
 import type {InstanceContext} from './instance_context.js';
 import type {Clock, Millis} from '@citrontrestle/decisions';
@@ -145,6 +147,7 @@
     const holder = `${instance}.${randomId(4)}`;
     store.setEraListener(this.createEraListener());
     this.metrics = new GatewayMetrics(store, () => this.budgets.totals());
+    const timing = feedTiming(propagationBounds(settings));
     this.stateSync = new StateSync(
       this.routeTable,
       this.upstreamRegistry,
@@ -152,6 +155,7 @@
       store,
       clock,
       log,
+      timing,
       {
         onConfigurationChanged: () => this.handleNewConfiguration(),
         onUpstreamLost: upstream => this.crashWatch.recordDown(upstream),
@@ -185,6 +189,7 @@
         onMessage: (from, message) =>
           this.peerExchange.handleMessage(from, message),
         onPartnerRemoved: address => this.peerExchange.forgetPartner(address),
+        onReportsChanged: () => this.stateSync.updateMode(),
       },
     );
     const machineClock = new SystemMachineClock();
@@ -268,6 +273,7 @@
       sharedVerdicts: this.sharedVerdicts,
       streamTracker: this.streamTracker,
       peerNetwork: this.peerNetwork,
+      feedTiming: timing,
     });
     this.reachability = new ReachabilityWatch(
       new Reachability(),
--- a/packages/gateway/src/lib/peer_exchange.ts
+++ b/packages/gateway/src/lib/peer_exchange.ts
@@ -19,6 +19,7 @@
 import type {TokenExchange} from './token_exchange.js';
 import type {
   Clock,
+  FeedTiming,
   Millis,
   Placement,
   RouteTable,
@@ -57,6 +58,7 @@
   sharedVerdicts: SharedVerdicts;
   streamTracker: StreamTracker;
   peerNetwork: PeerNetwork;
+  feedTiming: FeedTiming;
 }
 
 /** Minimum interval at which load is sent to the partners. */
@@ -71,12 +73,6 @@
 /** Number of times an unchanged load is resent, as messages may be lost. */
 const LOAD_REPEATS = 1;
 
-/**
- * Time since the store answered the relay from which on this instance no longer
- * relies on the relay's view of the store.
- */
-const MAX_RELAYED_STORE_SILENCE: Millis = 1_500;
-
 /** Maximum size of a decompressed configuration from a peer, in bytes. */
 const MAX_CONFIGURATION_BYTES = 16 * 1024 * 1024;
 
@@ -175,7 +171,7 @@
    * its relay while the relay's view of the store is recent.
    */
   feedMode(): FeedMode {
-    const {peerNetwork} = this.dependencies;
+    const {peerNetwork, feedTiming} = this.dependencies;
     const {relay, followers} = peerNetwork.partners();
     if (followers.length > 0) {
       return FeedMode.Relay;
@@ -184,7 +180,7 @@
     if (relay === undefined || storeSilence === undefined) {
       return FeedMode.Standalone;
     }
-    if (storeSilence < MAX_RELAYED_STORE_SILENCE) {
+    if (storeSilence < feedTiming.maxRelayStoreSilence) {
       return FeedMode.Off;
     }
     const isRelayResponsive = peerNetwork.responsiveRelay() !== undefined;
--- a/packages/gateway/src/lib/peer_network.ts
+++ b/packages/gateway/src/lib/peer_network.ts
@@ -43,6 +43,8 @@
   onMessage(from: string, message: PeerMessage): void;
   /** Called when the peer at an address is no longer a partner. */
   onPartnerRemoved(address: string): void;
+  /** Called when the partners, or what they report, may have changed. */
+  onReportsChanged(): void;
 }
 
 /** Settings of the links between instances. */
@@ -304,6 +306,7 @@
       this.topology.markSelfLeaving();
     }
     this.updatePartners(now);
+    this.handler.onReportsChanged();
     const partners = new Set(partnerAddresses(this.currentPartners));
     for (const address of partners) {
       const isSilent =
@@ -360,6 +363,7 @@
       this.log.info('peer.heard', {peer: address, holder});
       this.updatePartners(now);
     }
+    this.handler.onReportsChanged();
     if (asks) {
       this.membersSentAt.delete(address);
       this.sendHeartbeat(
--- a/packages/gateway/src/lib/settings.ts
+++ b/packages/gateway/src/lib/settings.ts
@@ -1,11 +1,19 @@
 /** Settings of a gateway, read from a YAML file. */
 import * as z from 'zod';
+import type {PropagationBounds} from '@citrontrestle/decisions';
 
 /** An address of the form `ip:port`. */
 const ADDRESS = z.string().regex(/^[0-9.]+:\d+$/, 'must be ip:port');
 const NON_EMPTY_STRING = z.string().min(1);
 const POSITIVE_NUMBER = z.number().positive();
 
+/** Shortest and longest accepted bound, in milliseconds. */
+const MIN_BOUND = 100;
+const MAX_BOUND = 3_600_000;
+
+/** A bound in milliseconds. */
+const BOUND = z.number().min(MIN_BOUND).max(MAX_BOUND);
+
 /** Schema of the settings. Unknown fields are ignored. */
 export const GATEWAY_SETTINGS_SCHEMA = z.object({
   /** Name of the instance. It stays the same when the process restarts. */
@@ -64,6 +72,22 @@
     /** Length of the sliding window in seconds. */
     windowSeconds: POSITIVE_NUMBER,
   }),
+  /** Times by which a change must be known to all instances. */
+  bounds: z
+    .object({
+      /**
+       * Milliseconds from which on an instance that reaches the store without
+       * interruption must know all changes.
+       */
+      contactMs: BOUND.default(3_000),
+      /** Milliseconds after which a leaving upstream gets no more requests. */
+      drainMs: BOUND.default(2_000),
+      /** Milliseconds after which a configuration is in force everywhere. */
+      configurationMs: BOUND.default(2_000),
+      /** Milliseconds after which a withdrawn API key is refused everywhere. */
+      revocationMs: BOUND.default(5_000),
+    })
+    .prefault({}),
   /** Address at which metrics are served; if unset, none are served. */
   metrics: ADDRESS.optional(),
   /** Least severe level that is logged. */
@@ -72,3 +96,15 @@
 
 /** Validated settings of a gateway, with defaults filled in. */
 export type GatewaySettings = z.output<typeof GATEWAY_SETTINGS_SCHEMA>;
+
+/** Returns the times by which a change must be known to all instances. */
+export function propagationBounds({
+  bounds,
+}: GatewaySettings): PropagationBounds {
+  return {
+    contact: bounds.contactMs,
+    drain: bounds.drainMs,
+    configuration: bounds.configurationMs,
+    revocation: bounds.revocationMs,
+  };
+}
--- a/packages/gateway/src/lib/state_sync.ts
+++ b/packages/gateway/src/lib/state_sync.ts
@@ -7,6 +7,7 @@
 import type {Dialect, Store, StoreEvent, StoreItem} from './ports.js';
 import type {
   Clock,
+  FeedTiming,
   Millis,
   RouteTable,
   StorePosition,
@@ -52,6 +53,8 @@
 export class StateSync {
   private readonly configurationFeed: StoreFeed;
   private readonly upstreamFeed: StoreFeed;
+  /** How the store was followed when that was last looked at. */
+  private lastMode: FeedMode | undefined;
   /** The configuration in force, encoded as in the store. */
   private storedConfiguration: Buffer | undefined;
 
@@ -62,32 +65,38 @@
     store: Store,
     private readonly clock: Clock,
     private readonly log: Log,
+    timing: FeedTiming,
     private readonly handler: StateSyncHandler,
   ) {
     const {layout} = dialect;
-    this.configurationFeed = new StoreFeed(
-      layout.configurationPrefix,
+    this.upstreamFeed = new StoreFeed(
+      layout.upstreamPrefix,
       store,
       clock,
       log,
       {
-        onList: items =>
-          items.forEach(item => this.handleConfigurationEvent(item)),
-        onChange: event => this.handleConfigurationEvent(event),
+        onList: (items, position) => this.applyUpstreamList(items, position),
+        onChange: (event, era) =>
+          this.applyUpdates([this.decodeUpdate(event, era)], 'store', false),
+        onRegained: () => this.configurationFeed.wake(),
       },
+      timing,
       () => this.handler.feedMode(),
     );
-    this.upstreamFeed = new StoreFeed(
-      layout.upstreamPrefix,
+    this.configurationFeed = new StoreFeed(
+      layout.configurationPrefix,
       store,
       clock,
       log,
       {
-        onList: (items, position) => this.applyUpstreamList(items, position),
-        onChange: (event, era) =>
-          this.applyUpdates([this.decodeUpdate(event, era)], 'store', false),
+        onList: items =>
+          items.forEach(item => this.handleConfigurationEvent(item)),
+        onChange: event => this.handleConfigurationEvent(event),
+        onRegained: () => undefined,
       },
+      timing,
       () => this.handler.feedMode(),
+      this.upstreamFeed,
     );
   }
 
@@ -97,6 +106,16 @@
     this.upstreamFeed.start();
   }
 
+  /** Lets the feeds act at once if the store is now to be followed otherwise. */
+  updateMode(): void {
+    const mode = this.handler.feedMode();
+    if (mode !== this.lastMode) {
+      this.lastMode = mode;
+      this.configurationFeed.wake();
+      this.upstreamFeed.wake();
+    }
+  }
+
   /**
    * Returns the configuration in force, encoded as in the store; undefined if
    * there is none yet.
--- a/packages/gateway/src/lib/store_feed.ts
+++ b/packages/gateway/src/lib/store_feed.ts
@@ -2,7 +2,12 @@
 import {sleep} from '@citrontrestle/runtime';
 import {StoreOutcome} from './ports.js';
 import type {Store, StoreEvent, StoreItem} from './ports.js';
-import type {Clock, Millis, StorePosition} from '@citrontrestle/decisions';
+import type {
+  Clock,
+  FeedTiming,
+  Millis,
+  StorePosition,
+} from '@citrontrestle/decisions';
 import type {Log} from '@citrontrestle/runtime';
 
 /** Callbacks of a `StoreFeed`. */
@@ -11,6 +16,8 @@
   onList(items: StoreItem[], position: StorePosition): void;
   /** Called for each change after the last list, in the era of that list. */
   onChange(event: StoreEvent, era: number): void;
+  /** Called when the store answers again after failed calls. */
+  onRegained(): void;
 }
 
 /** How a feed follows the store. */
@@ -26,32 +33,21 @@
 }
 
 /**
- * Maximum time that one watch waits for changes. An unresponsive store is
- * detected only after this time.
+ * Maximum time that a watch waits for changes if nobody relies on this instance.
  */
-const MAX_WATCH_WAITS: Readonly<Record<FeedMode, Millis>> = {
-  [FeedMode.Standalone]: 2_200,
-  [FeedMode.Relay]: 600,
-  [FeedMode.Fallback]: 2_200,
-  [FeedMode.Off]: 0,
-};
+const OWN_WATCH_WAIT: Millis = 2_200;
 
 /** Delay after changes, so that changes soon after them are read together. */
 const BATCH_DELAY: Millis = 60;
 
-/** Interval at which a feed that is off checks whether its mode has changed. */
-const OFF_POLL_INTERVAL: Millis = 50;
+/** Delays after failed calls of an instance that follows no relay. */
+const OWN_RETRY_DELAYS = {initial: 100, max: 800};
 
-/** Delays after failed calls; `initial` doubles with each one, up to `max`. */
-const RETRY_DELAYS: Readonly<Record<FeedMode, {initial: Millis; max: Millis}>> =
-  {
-    [FeedMode.Standalone]: {initial: 100, max: 800},
-    [FeedMode.Relay]: {initial: 100, max: 800},
-    // Longer, because the relay also notices that the store is back and then
-    // passes updates on.
-    [FeedMode.Fallback]: {initial: 1_000, max: 4_000},
-    [FeedMode.Off]: {initial: 0, max: 0},
-  };
+/**
+ * Longest time for which a feed leaves it to another one to find out whether the
+ * store is back.
+ */
+const MAX_PROBED_WAIT: Millis = 4_000;
 
 /** Maximum number of times that a delay is doubled. */
 const MAX_DOUBLINGS = 10;
@@ -70,6 +66,8 @@
   private restoredAt: Millis = -Infinity;
   /** Era of the last list; undefined before the first one. */
   private era: number | undefined;
+  /** Ends the current wait; undefined while there is none. */
+  private endWait: (() => void) | undefined;
 
   constructor(
     private readonly prefix: string,
@@ -77,7 +75,13 @@
     private readonly clock: Clock,
     private readonly log: Log,
     private readonly handler: StoreFeedHandler,
+    private readonly timing: FeedTiming,
     private readonly currentMode: () => FeedMode,
+    /**
+     * Feed that finds out whether the store is back for this one too, so that
+     * an outage costs half of the calls.
+     */
+    private readonly probe?: StoreFeed,
   ) {
     this.answeredAt = clock.now();
   }
@@ -100,10 +104,23 @@
     return this.clock.now() - this.restoredAt;
   }
 
+  /**
+   * Ends a wait, as the mode may have changed or the store may be back: the feed
+   * looks at once what it has to do.
+   */
+  wake(): void {
+    this.endWait?.();
+  }
+
+  /** Whether the last call failed. */
+  isFailing(): boolean {
+    return this.failures > 0;
+  }
+
   private async run(): Promise<void> {
     for (;;) {
       if (this.currentMode() === FeedMode.Off) {
-        await sleep(OFF_POLL_INTERVAL);
+        await this.wait();
         continue;
       }
       const position = await this.list();
@@ -142,7 +159,7 @@
         return;
       }
       // After a failure, only check whether the store is back.
-      const maxWait = this.failures > 0 ? 0 : MAX_WATCH_WAITS[mode];
+      const maxWait = this.isFailing() ? 0 : this.maxWatchWait(mode);
       const result = await this.store.watch(
         this.prefix,
         afterRevision,
@@ -181,8 +198,12 @@
       this.log.info('store.regained', {prefix: this.prefix, silence});
       this.restoredAt = this.clock.now();
     }
+    const wasFailing = this.isFailing();
     this.failures = 0;
     this.answeredAt = this.clock.now();
+    if (wasFailing) {
+      this.handler.onRegained();
+    }
   }
 
   /** Records a failed call and waits before the next one. */
@@ -191,8 +212,42 @@
     if (this.failures === 1) {
       this.log.warn('store.lost', {prefix: this.prefix, reason});
     }
-    const {initial, max} = RETRY_DELAYS[this.currentMode()];
-    const delay = initial * 2 ** Math.min(MAX_DOUBLINGS, this.failures - 1);
-    await sleep(Math.min(max, delay));
+    await this.wait(this.retryDelay());
+    if (this.currentMode() === FeedMode.Fallback && this.probe?.isFailing()) {
+      await this.wait(MAX_PROBED_WAIT);
+    }
+  }
+
+  private maxWatchWait(mode: FeedMode): Millis {
+    return mode === FeedMode.Relay ? this.timing.relayWatch : OWN_WATCH_WAIT;
+  }
+
+  /**
+   * Returns the delay after the last failed call. It is longer for a follower,
+   * because its relay also notices that the store is back.
+   */
+  private retryDelay(): Millis {
+    const {minFallbackDelay, maxFallbackDelay} = this.timing;
+    const isFallback = this.currentMode() === FeedMode.Fallback;
+    const {initial, max} = isFallback
+      ? {initial: minFallbackDelay, max: maxFallbackDelay}
+      : OWN_RETRY_DELAYS;
+    const doublings = Math.min(MAX_DOUBLINGS, this.failures - 1);
+    return Math.min(max, initial * 2 ** doublings);
+  }
+
+  /** Waits until `wake` is called, for a time at most if one is given. */
+  private wait(duration?: Millis): Promise<void> {
+    return new Promise(resolve => {
+      const timer =
+        duration === undefined
+          ? undefined
+          : setTimeout(() => this.endWait?.(), duration);
+      this.endWait = () => {
+        clearTimeout(timer);
+        this.endWait = undefined;
+        resolve();
+      };
+    });
   }
 }
