--- a/packages/gateway/src/lib/settings.ts
+++ b/packages/gateway/src/lib/settings.ts
@@ -1,18 +1,27 @@
 /** Settings of a gateway, read from a YAML file. */
 import * as z from 'zod';
-import type {PropagationBounds} from '@citrontrestle/decisions';
+import type {Millis, PropagationBounds} from '@citrontrestle/decisions';
 
 /** An address of the form `ip:port`. */
 const ADDRESS = z.string().regex(/^[0-9.]+:\d+$/, 'must be ip:port');
 const NON_EMPTY_STRING = z.string().min(1);
 const POSITIVE_NUMBER = z.number().positive();
 
-/** Shortest and longest accepted bound, in milliseconds. */
-const MIN_BOUND = 100;
-const MAX_BOUND = 3_600_000;
+/** Shortest accepted bound. */
+const MIN_BOUND: Millis = 100;
 
-/** A bound in milliseconds. */
-const BOUND = z.number().min(MIN_BOUND).max(MAX_BOUND);
+/** Longest accepted bound. */
+const MAX_BOUND: Millis = 3_600_000;
+
+/** Returns the schema of a bound in milliseconds, which may be left empty. */
+function boundSchema(fallback: Millis) {
+  return z
+    .number()
+    .min(MIN_BOUND)
+    .max(MAX_BOUND)
+    .nullish()
+    .transform(bound => bound ?? fallback);
+}
 
 /** Schema of the settings. Unknown fields are ignored. */
 export const GATEWAY_SETTINGS_SCHEMA = z.object({
@@ -79,13 +88,13 @@
        * Milliseconds from which on an instance that reaches the store without
        * interruption must know all changes.
        */
-      contactMs: BOUND.default(3_000),
+      contactMs: boundSchema(3_000),
       /** Milliseconds after which a leaving upstream gets no more requests. */
-      drainMs: BOUND.default(2_000),
+      drainMs: boundSchema(2_000),
       /** Milliseconds after which a configuration is in force everywhere. */
-      configurationMs: BOUND.default(2_000),
+      configurationMs: boundSchema(2_000),
       /** Milliseconds after which a withdrawn API key is refused everywhere. */
-      revocationMs: BOUND.default(5_000),
+      revocationMs: boundSchema(5_000),
     })
     .prefault({}),
   /** Address at which metrics are served; if unset, none are served. */
