Frame an answer without a length as the upstream did, also without a byte; repeat it if allowed

An end of a connection before any byte proves nothing.

Change: such an answer is repeated at another upstream where the route allows it; otherwise it is sent without a length, as it came. Answers that never have a body (HEAD, 204, 304) are not taken for such ones.

--- a/packages/gateway/src/lib/forwarding.ts
+++ b/packages/gateway/src/lib/forwarding.ts
@@ -437,7 +437,14 @@
     if (isServerError && this.tryRepeatAfterError(status)) {
       return;
     }
-    if (this.responseRelay.finish() === RelayCompletion.Ambiguous) {
+    const completion = this.responseRelay.finish();
+    if (completion === RelayCompletion.Unproven) {
+      if (!isServerError && this.tryRepeatUnproven()) {
+        return;
+      }
+      this.responseRelay.sendUnproven();
+    }
+    if (completion === RelayCompletion.Ambiguous) {
       this.handleFailure(
         CallFailure.ResponseLost,
         'end of the event stream is ambiguous',
@@ -459,10 +466,22 @@
    * allowed; otherwise returns false.
    */
   private tryRepeatAfterError(status: number): boolean {
+    return this.tryRepeat(`status ${status}`, PlacementOutcome.ErrorResponse);
+  }
+
+  /**
+   * Repeats the request after a response of which no byte came and that has no
+   * length, if that is allowed; otherwise returns false.
+   */
+  private tryRepeatUnproven(): boolean {
+    return this.tryRepeat('no byte, no length', PlacementOutcome.Failed);
+  }
+
+  private tryRepeat(reason: string, outcome: PlacementOutcome): boolean {
     if (!this.mayRepeat(1) || !this.tryTakeRepeat()) {
       return false;
     }
-    this.abandonAttempt(`status ${status}`, PlacementOutcome.ErrorResponse);
+    this.abandonAttempt(reason, outcome);
     this.startAttempt();
     return true;
   }
--- a/packages/gateway/src/lib/response_relay.ts
+++ b/packages/gateway/src/lib/response_relay.ts
@@ -23,6 +23,11 @@
   Sent = 'sent',
   /** The stream may have been cut off; the response was not ended. */
   Ambiguous = 'doubtful',
+  /**
+   * The connection ended before any byte of a body without a length, which
+   * proves nothing. Nothing was sent; see `sendUnproven`.
+   */
+  Unproven = 'unproven',
 }
 
 /**
@@ -109,6 +114,11 @@
 
   /** Completes the response, unless the end of the upstream's is ambiguous. */
   finish(): RelayCompletion {
+    const isCloseDelimited = this.receivedHead?.isCloseDelimited === true;
+    const hasBytes = this.isPassingThrough || this.deliveredEvents > 0;
+    if (isCloseDelimited && !hasBytes && !this.response.hasBegun()) {
+      return RelayCompletion.Unproven;
+    }
     if (this.isStreaming()) {
       return this.finishStream();
     }
@@ -126,6 +136,15 @@
     return RelayCompletion.Sent;
   }
 
+  /**
+   * Sends a response without a byte as the upstream did: without a length, so
+   * that it looks no more complete than it is.
+   */
+  sendUnproven(): void {
+    this.beginResponse();
+    this.response.end();
+  }
+
   private finishStream(): RelayCompletion {
     const hasPartialEvent = this.eventReader.pendingBytes().length > 0;
     // If the caller's response has a length or chunks, ending it marks it as
--- a/packages/gateway/src/lib/upstream_call.ts
+++ b/packages/gateway/src/lib/upstream_call.ts
@@ -219,7 +219,10 @@
     );
     response.on('close', () => this.fail(CallFailure.ResponseLost, 'cut'));
     const {headers, rawHeaders} = response;
+    const isBodiless =
+      this.upstreamRequest.method === 'HEAD' || BODILESS_STATUSES.has(status);
     const isCloseDelimited =
+      !isBodiless &&
       headers['content-length'] === undefined &&
       headers['transfer-encoding'] === undefined;
     this.listener.onHead({status, rawHeaders, head, isCloseDelimited});
@@ -276,6 +279,9 @@
 /** Lowest HTTP status above those that mean success. */
 const MIN_REDIRECT_STATUS = 300;
 
+/** Statuses of responses that never have a body. */
+const BODILESS_STATUSES = new Set([204, 304]);
+
 /** Methods that need no `Content-Length` header for an empty body. */
 const METHODS_WITHOUT_BODY = new Set(['GET', 'HEAD', 'DELETE', 'OPTIONS']);
 
--- a/packages/stand_ins/src/lib/hosted/server.ts
+++ b/packages/stand_ins/src/lib/hosted/server.ts
@@ -23,6 +23,8 @@
   ExtraAnswer = 'extra-answer',
   /** Closes the connection in the middle of an answer without a length. */
   TruncatedWithoutLength = 'unframed',
+  /** Closes the connection after the head of an answer without a length. */
+  EmptyWithoutLength = 'unframed-empty',
   /** Answers with 500. */
   Failure = 'failure',
   /** Sends bytes that are not an HTTP response. */
@@ -411,6 +413,9 @@
   [ServerFault.TruncatedWithoutLength]: (server, outgoing, run) => {
     writeRaw(outgoing, `${formatHead(server, run)}do`, true);
   },
+  [ServerFault.EmptyWithoutLength]: (server, outgoing, run) => {
+    writeRaw(outgoing, formatHead(server, run), true);
+  },
   [ServerFault.Failure]: (server, outgoing, run) => {
     outgoing.writeHead(500, server.answerHeaders(run));
     outgoing.end('failed');
