Let a feed that is off look at its mode once a second without being told

Cause, found in reading: a feed that sees the mode 'off' in the moment between a change of the mode and the call that tells of it would wait for the next change. Change: a bounded wait.

--- a/packages/gateway/src/lib/store_feed.ts
+++ b/packages/gateway/src/lib/store_feed.ts
@@ -49,6 +49,9 @@
  */
 const MAX_PROBED_WAIT: Millis = 4_000;
 
+/** Time after which a feed that is off looks at its mode without being told. */
+const MAX_OFF_WAIT: Millis = 1_000;
+
 /** Maximum number of times that a delay is doubled. */
 const MAX_DOUBLINGS = 10;
 
@@ -120,7 +123,7 @@
   private async run(): Promise<void> {
     for (;;) {
       if (this.currentMode() === FeedMode.Off) {
-        await this.wait();
+        await this.wait(MAX_OFF_WAIT);
         continue;
       }
       const position = await this.list();
@@ -193,15 +196,13 @@
 
   /** Records an answer, and the end of an outage if calls had failed. */
   private recordAnswer(): void {
-    if (this.failures > 0) {
-      const silence = Math.round(this.timeSinceAnswer());
-      this.log.info('store.regained', {prefix: this.prefix, silence});
-      this.restoredAt = this.clock.now();
-    }
     const wasFailing = this.isFailing();
+    const silence = Math.round(this.timeSinceAnswer());
     this.failures = 0;
     this.answeredAt = this.clock.now();
     if (wasFailing) {
+      this.log.info('store.regained', {prefix: this.prefix, silence});
+      this.restoredAt = this.answeredAt;
       this.handler.onRegained();
     }
   }
@@ -236,13 +237,10 @@
     return Math.min(max, initial * 2 ** doublings);
   }
 
-  /** Waits until `wake` is called, for a time at most if one is given. */
-  private wait(duration?: Millis): Promise<void> {
+  /** Waits until `wake` is called, for a time at most. */
+  private wait(duration: Millis): Promise<void> {
     return new Promise(resolve => {
-      const timer =
-        duration === undefined
-          ? undefined
-          : setTimeout(() => this.endWait?.(), duration);
+      const timer = setTimeout(() => this.endWait?.(), duration);
       this.endWait = () => {
         clearTimeout(timer);
         this.endWait = undefined;
