--- a/packages/gateway/src/lib/response_relay.ts
+++ b/packages/gateway/src/lib/response_relay.ts
@@ -115,8 +115,8 @@
   /** Completes the response, unless the end of the upstream's is ambiguous. */
   finish(): RelayCompletion {
     const isCloseDelimited = this.receivedHead?.isCloseDelimited === true;
-    const hasBytes = this.isPassingThrough || this.deliveredEvents > 0;
-    if (isCloseDelimited && !hasBytes && !this.response.hasBegun()) {
+    const hasPartialEvent = this.eventReader.pendingBytes().length > 0;
+    if (isCloseDelimited && !hasPartialEvent && !this.response.hasBegun()) {
       return RelayCompletion.Unproven;
     }
     if (this.isStreaming()) {
