Learn the record of versions again if the list of upstreams came during the read; work once a check

Found in reading the change. The check, twice a second and with each change of the list, asked for the lifetimes of all routes three times, also at instances that do not record: it asks once, and only a recorder.

--- a/packages/gateway/src/lib/stream_records.ts
+++ b/packages/gateway/src/lib/stream_records.ts
@@ -52,12 +52,17 @@
 /** The same after a read that failed or came before the list of upstreams. */
 const MIN_REREAD_INTERVAL: Millis = 200;
 
+/** Longest lifetime of resumable streams, by service. */
+type StreamLifetimes = ReadonlyMap<string, Millis>;
+
+const NO_LIFETIMES: StreamLifetimes = new Map();
+
 /** What `StreamRecords` need from other components. */
 export interface StreamRecordsContext {
   /** Whether this instance records. */
   isRecorder(): boolean;
   /** Returns the longest lifetime of resumable streams, by service. */
-  streamLifetimes(): ReadonlyMap<string, Millis>;
+  streamLifetimes(): StreamLifetimes;
   /** Called for each stream that is read from the store. */
   onStream(stream: string, version: string): void;
 }
@@ -134,9 +139,9 @@
   }
 
   private async checkOnce(): Promise<void> {
-    const isConfigured = this.context.streamLifetimes().size > 0;
-    const isAble = isConfigured && this.isListKnown();
-    if (!isAble || !this.context.isRecorder()) {
+    const isAble = this.isListKnown() && this.context.isRecorder();
+    const lifetimes = isAble ? this.context.streamLifetimes() : NO_LIFETIMES;
+    if (lifetimes.size === 0) {
       this.isPositioned = false;
       this.isRecordingStreams = false;
       return;
@@ -147,8 +152,8 @@
     if (!this.isPositioned && !(await this.read())) {
       return;
     }
-    this.updateRecording();
-    await this.writeVersions();
+    this.updateRecording(lifetimes);
+    await this.writeVersions(lifetimes);
   }
 
   /** Whether the list of upstreams is known. */
@@ -157,10 +162,10 @@
   }
 
   /** Begins or ends to write streams. */
-  private updateRecording(): void {
+  private updateRecording(lifetimes: StreamLifetimes): void {
     const now = this.clock.now();
     const versions = this.upstreamRegistry.versions(now);
-    const mixedLifetimes = [...this.context.streamLifetimes()]
+    const mixedLifetimes = [...lifetimes]
       .filter(([service, lifetime]) => versions.isMixed(service, lifetime, now))
       .map(([, lifetime]) => lifetime);
     const isMixed = mixedLifetimes.length > 0;
@@ -178,15 +183,14 @@
   }
 
   /** Writes the versions of all services if they differ from the stored ones. */
-  private async writeVersions(): Promise<void> {
+  private async writeVersions(lifetimes: StreamLifetimes): Promise<void> {
     const now = this.clock.now();
-    const {era} = this;
+    const versions = this.upstreamRegistry.versions(now);
     const value = encodeVersionRecord(
-      this.upstreamRegistry
-        .versions(now)
-        .toRecord(this.context.streamLifetimes(), era, now),
+      versions.toRecord(lifetimes, this.era, now),
     );
-    if (value.toString() === this.storedVersions) {
+    const text = value.toString();
+    if (text === this.storedVersions) {
       return;
     }
     const result = await this.store.write(
@@ -195,10 +199,10 @@
       value,
     );
     if (result.outcome === StoreOutcome.Done) {
-      this.storedVersions = value.toString();
-      this.learnedVersions = this.storedVersions;
+      this.storedVersions = text;
+      this.learnedVersions = text;
       this.versionsRevision = result.revision;
-      this.log.info('streams.versions-recorded', {value: this.storedVersions});
+      this.log.info('streams.versions-recorded', {value: text});
     } else {
       // Another instance may have written, or this write may still come about.
       this.isPositioned = false;
@@ -280,6 +284,10 @@
         ownSegments.push(...this.ownSegment(item));
       }
     }
+    if (!wasListKnown) {
+      // The versions do not count as complete yet and have to be learned again.
+      this.learnedVersions = '';
+    }
     this.segments.position(ownSegments, now);
     this.isPositioned = wasListKnown;
     const took = Math.round(now - startedAt);
@@ -301,8 +309,7 @@
       this.upstreamRegistry
         .versions(now)
         .learn(decoded.value, {era, startedAt}, now);
-      // Learned again if the list of upstreams was not known yet.
-      this.learnedVersions = this.isListKnown() ? this.storedVersions : '';
+      this.learnedVersions = this.storedVersions;
     }
   }
 
