Take requests during a planned stop only if they can end within its grace period

Callers saw orders and streams cut without an answer at the end of a planned stop: an instance that was told to stop waited for a moment without a request, which never came while callers kept their connections, and took new ones until 7.7 s of 8. A second SIGTERM ended the process at once.

Cause: the stop asked whether anything runs, not whether what is read now can still end. Now a request is taken in the first 2.6 s (a third of a short grace period), later only if its own deadline lies within the grace period; others are refused at once as not run, and their connection is closed. What still runs at the end gets its final answer, 502 if it may have run. Requests of peers through the proxy follow the same rule; a second signal waits for the same stop.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -23,6 +23,7 @@
 export * from './lib/partition_table.js';
 export * from './lib/peer_table.js';
 export * from './lib/placement.js';
+export * from './lib/planned_stop.js';
 export * from './lib/page_entries.js';
 export * from './lib/predecessors.js';
 export * from './lib/prepaid_page.js';
--- a/packages/gateway/src/lib/admission.ts
+++ b/packages/gateway/src/lib/admission.ts
@@ -116,6 +116,15 @@
     .map(({id}) => (id.length > MAX_PART_LENGTH ? shortDigest(id) : id));
 }
 
+/** Returns when a request has its final response at the latest. */
+export function deadlineOf({
+  callerRequest,
+  route,
+  arrivedAt,
+}: AdmittedRequest): Millis {
+  return arrivedAt + Math.min(callerRequest.timeout ?? Infinity, route.timeout);
+}
+
 /**
  * Returns the maximum number of tokens that a request may consume; 0 if its
  * account has no token budget or the request does not use a model.
--- a/packages/gateway/src/lib/forwarding.ts
+++ b/packages/gateway/src/lib/forwarding.ts
@@ -14,7 +14,7 @@
   silenceTimeout,
   urgencyOf,
 } from '@citrontrestle/decisions';
-import {ESTIMATED_HEAD_BYTES} from './admission.js';
+import {deadlineOf, ESTIMATED_HEAD_BYTES} from './admission.js';
 import {SURVIVED_EVENTS} from './crash_watch.js';
 import {
   ResponseRelay,
@@ -132,9 +132,8 @@
     resumedVersion?: string,
   ) {
     this.streamVersion = resumedVersion;
-    const {callerRequest, route, arrivedAt} = request;
-    const timeout = Math.min(callerRequest.timeout ?? Infinity, route.timeout);
-    this.deadline = arrivedAt + timeout;
+    const {callerRequest, route} = request;
+    this.deadline = deadlineOf(request);
     this.serviceName = pickService(route, context.random()) ?? '';
     this.candidates = new Candidates(context, this.serviceName);
     this.placementRequest = {
@@ -157,7 +156,10 @@
       MAX_TIMER_DELAY,
       Math.max(0, this.deadline - now),
     );
-    this.deadlineTimer = setTimeout(() => this.handleDeadline(), remaining);
+    this.deadlineTimer = setTimeout(
+      () => this.endWith(RefusalReason.TimedOut),
+      remaining,
+    );
     this.startAttempt();
   }
 
@@ -169,6 +171,11 @@
     }
   }
 
+  /** Ends the running attempt, as this instance stops; responds at once. */
+  stop(): void {
+    this.endWith(RefusalReason.Stopping);
+  }
+
   /** Returns the upstream of the running attempt; undefined if there is none. */
   currentUpstream(): string | undefined {
     return this.placed?.upstream.id;
@@ -607,10 +614,11 @@
     }
   }
 
-  private handleDeadline(): void {
+  /** Ends the request, unless it has ended, for a reason of this instance. */
+  private endWith(reason: RefusalReason): void {
     if (!this.isFinished) {
       this.endAttempt(this.outcomeOfUnfinishedAttempt());
-      this.giveUp(RefusalReason.TimedOut);
+      this.giveUp(reason);
     }
   }
 
--- a/packages/gateway/src/lib/front_server.ts
+++ b/packages/gateway/src/lib/front_server.ts
@@ -28,6 +28,8 @@
 export interface RequestHandle {
   /** Cancels the request because its caller disconnected. */
   cancel(): void;
+  /** Gives the caller its final response, because the instance stops. */
+  stop(): void;
 }
 
 /**
@@ -43,6 +45,7 @@
 export class FrontServer {
   private readonly server: Server;
   private activeCount = 0;
+  private readonly handles = new Set<RequestHandle>();
 
   constructor(
     private readonly dialect: Dialect,
@@ -75,6 +78,11 @@
     this.server.closeIdleConnections();
   }
 
+  /** Gives all requests that are being served their final responses. */
+  endRequests(): void {
+    this.handles.forEach(handle => handle.stop());
+  }
+
   /** Returns the number of requests that are being read or served. */
   activeRequests(): number {
     return this.activeCount;
@@ -91,6 +99,9 @@
     serverResponse.on('close', () => {
       this.activeCount -= 1;
       state.isClosed = true;
+      if (state.handle !== undefined) {
+        this.handles.delete(state.handle);
+      }
       if (!serverResponse.writableFinished) {
         state.handle?.cancel();
       }
@@ -103,6 +114,7 @@
       return;
     }
     state.handle = this.handler.serve({incoming, body}, response);
+    this.handles.add(state.handle);
   }
 
   /**
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -14,11 +14,9 @@
   Witnesses,
 } from '@citrontrestle/decisions';
 import {
-  sleep,
   randomId,
   MonotonicClock,
   SystemMachineClock,
-  waitAtMost,
 } from '@citrontrestle/runtime';
 import {BrittleWatch} from './brittle_watch.js';
 import {PrepaidBudgets} from './prepaid_budgets.js';
@@ -35,6 +33,7 @@
 import {RequestRecorder} from './request_recorder.js';
 import {RequestService} from './request_service.js';
 import {SharedVerdicts} from './shared_verdicts.js';
+import {Shutdown} from './shutdown.js';
 import {StatementWatch} from './statement_watch.js';
 import {StateSync} from './state_sync.js';
 import {StreamRecords} from './stream_records.js';
@@ -56,24 +55,6 @@
 import type {Clock, Millis} from '@citrontrestle/decisions';
 import type {Log} from '@citrontrestle/runtime';
 
-/**
- * Time before SIGKILL at which a planned stop no longer waits for requests.
- * Half of it may be used to return the shares of prepaid tokens.
- */
-const STOP_MARGIN: Millis = 300;
-
-/**
- * Time until the load balancer sends no more connections, after the readiness
- * check has begun to fail.
- */
-const BALANCER_DRAIN_TIME: Millis = 2_600;
-
-/** Time for the last messages to peers to be sent before the process exits. */
-const PEER_FLUSH_TIME: Millis = 20;
-
-/** Interval at which a planned stop checks whether requests are running. */
-const IDLE_CHECK_INTERVAL: Millis = 50;
-
 /** Interval at which data about upstreams that are gone is deleted. */
 const PRUNE_INTERVAL: Millis = 1_000;
 
@@ -135,14 +116,14 @@
   private readonly requestService: RequestService;
   private readonly frontServer: FrontServer;
   private readonly readyServer: ReadyServer;
-  /** When a planned stop began; undefined before. */
-  private stopStartedAt: Millis | undefined;
+  private readonly shutdown: Shutdown;
 
   constructor(private readonly dependencies: GatewayDependencies) {
     const {settings, store, dialect, log} = dependencies;
     const {clock} = this;
     const {instance, zone, peers, repeats} = settings;
     this.linkLoad = new LinkLoad(settings.machine.linkMbps);
+    this.shutdown = this.createShutdown();
     // Identity of this process, under which it holds prepaid tokens and
     // connects to peers; a restarted instance gets another one.
     const holder = `${instance}.${randomId(4)}`;
@@ -319,6 +300,7 @@
       statementWatch: this.statementWatch,
       streamTracker: this.streamTracker,
       linkLoad: this.linkLoad,
+      admits: deadline => this.shutdown.admits(deadline),
       instanceCount: () => this.instanceCount(),
       random: Math.random,
     };
@@ -384,6 +366,21 @@
     });
   }
 
+  /** Connects the planned stop to the other components. */
+  private createShutdown(): Shutdown {
+    const {settings, log} = this.dependencies;
+    return new Shutdown({
+      clock: this.clock,
+      log,
+      graceSeconds: settings.stop.graceSeconds,
+      activeRequests: () => this.activeRequests(),
+      announce: () => this.peerNetwork.sendHeartbeats(),
+      closeConnections: () => this.frontServer.close(),
+      endRequests: () => this.frontServer.endRequests(),
+      returnShares: () => this.budgets.returnShares(),
+    });
+  }
+
   /** Connects the record of streams in the store to the other components. */
   private createStreamRecords(): StreamRecords {
     const {settings, store, log} = this.dependencies;
@@ -396,7 +393,7 @@
       log,
       {
         isRecorder: () =>
-          this.stopStartedAt === undefined &&
+          !this.shutdown.hasBegun() &&
           this.peerNetwork.isRecorder(this.stateSync.storeSilence()),
         streamLifetimes: () => streamLifetimes(this.routeTable.configuration()),
         onStream: (stream, version) =>
@@ -458,50 +455,10 @@
   /**
    * Performs a planned stop: finishes running requests and returns unspent
    * prepaid tokens, within the grace period of the settings. Resolves when the
-   * process may exit; a second call resolves at once.
-   */
-  async drain(): Promise<void> {
-    if (this.stopStartedAt !== undefined) {
-      return;
-    }
-    const stopStartedAt = this.clock.now();
-    this.stopStartedAt = stopStartedAt;
-    const active = this.activeRequests();
-    this.dependencies.log.info('gateway.stopping', {active});
-    this.peerNetwork.sendHeartbeats();
-    const gracePeriod = this.dependencies.settings.stop.graceSeconds * SECOND;
-    const maxStopTime = gracePeriod - STOP_MARGIN;
-    await this.waitUntilIdle(
-      stopStartedAt + BALANCER_DRAIN_TIME,
-      stopStartedAt + maxStopTime,
-    );
-    // Requests may arrive on keep-alive connections until these are closed.
-    this.frontServer.close();
-    await this.waitUntilIdle(this.clock.now(), stopStartedAt + maxStopTime);
-    const remainingTime =
-      maxStopTime + STOP_MARGIN / 2 - (this.clock.now() - stopStartedAt);
-    await waitAtMost(this.budgets.returnShares(), Math.max(0, remainingTime));
-    await sleep(PEER_FLUSH_TIME);
-    this.dependencies.log.info('gateway.stopped', {
-      active: this.activeRequests(),
-    });
-  }
-
-  /**
-   * Waits until no request is running at a time after `earliest`, but no longer
-   * than until `deadline`.
+   * process may exit.
    */
-  private waitUntilIdle(earliest: Millis, deadline: Millis): Promise<void> {
-    return new Promise(resolve => {
-      const timer = setInterval(() => {
-        const now = this.clock.now();
-        const isIdle = now > earliest && this.activeRequests() === 0;
-        if (isIdle || now > deadline) {
-          clearInterval(timer);
-          resolve();
-        }
-      }, IDLE_CHECK_INTERVAL);
-    });
+  drain(): Promise<void> {
+    return this.shutdown.run();
   }
 
   /** Returns the number of requests of callers and peers that are running. */
@@ -522,8 +479,7 @@
    * connect to other instances: while this one stops or its link is busy.
    */
   isClosing(): boolean {
-    const isStopping = this.stopStartedAt !== undefined;
-    return isStopping || this.linkLoad.isBusy(this.clock.now());
+    return this.shutdown.hasBegun() || this.linkLoad.isBusy(this.clock.now());
   }
 
   /** Returns the maximum size of a request body in bytes. */
@@ -545,7 +501,7 @@
       era,
       revision,
       verdicts: this.sharedVerdicts.knownRevision(),
-      leaving: this.stopStartedAt !== undefined,
+      leaving: this.shutdown.hasBegun(),
       partitioned: this.reachability.isPartitioned(),
       storeSilence: this.storeSilence(),
     };
--- a/packages/gateway/src/lib/instance_context.ts
+++ b/packages/gateway/src/lib/instance_context.ts
@@ -10,6 +10,7 @@
 import type {
   Clock,
   LinkLoad,
+  Millis,
   Placement,
   RepeatAllowance,
   UpstreamRegistry,
@@ -37,6 +38,11 @@
   streamTracker: StreamTracker;
   /** Traffic on the machine's network link. */
   linkLoad: LinkLoad;
+  /**
+   * Whether a request may be taken that has its final response by `deadline`;
+   * false near the end of a planned stop.
+   */
+  admits(deadline: Millis): boolean;
   /** Returns the number of instances that may be running, at least 1. */
   instanceCount(): number;
   /** Returns a uniformly distributed random number in [0, 1). */
--- a/packages/gateway/src/lib/proxy_server.ts
+++ b/packages/gateway/src/lib/proxy_server.ts
@@ -54,6 +54,7 @@
   | 'limitWatch'
   | 'brittleWatch'
   | 'reachability'
+  | 'admits'
 > {
   fleetKey: string;
   agent: UpstreamAgent;
@@ -127,11 +128,17 @@
   }
 
   /** Returns the upstream for a request, or why it can't be forwarded. */
-  private findTarget({upstreamId}: ProxyOrder): UpstreamListing | ProxyFailure {
+  private findTarget({
+    upstreamId,
+    remainingTime,
+  }: ProxyOrder): UpstreamListing | ProxyFailure {
     const {clock, linkLoad, reachability, upstreamRegistry, statementWatch} =
       this.context;
     const {ProxyFailed, NotSent} = CallFailure;
     const now = clock.now();
+    if (!this.context.admits(now + remainingTime)) {
+      return {failure: ProxyFailed, reason: 'the peer stops'};
+    }
     if (reachability.isPartitioned()) {
       return {failure: ProxyFailed, reason: 'the peer is partitioned as well'};
     }
--- a/packages/gateway/src/lib/request_service.ts
+++ b/packages/gateway/src/lib/request_service.ts
@@ -3,7 +3,12 @@
  * them.
  */
 import {isResumableStream} from '@citrontrestle/decisions';
-import {admit, ESTIMATED_HEAD_BYTES, tokensToReserve} from './admission.js';
+import {
+  admit,
+  deadlineOf,
+  ESTIMATED_HEAD_BYTES,
+  tokensToReserve,
+} from './admission.js';
 import {ReservationOutcome} from './prepaid_budgets.js';
 import {Forwarding} from './forwarding.js';
 import {ANSWERED} from './forwarding_result.js';
@@ -19,7 +24,8 @@
 
 /** What happens to a request while it is served. */
 interface ServingState {
-  isDisconnected: boolean;
+  /** Whether its caller has disconnected or has got its final response. */
+  hasEnded: boolean;
   forwarding: Forwarding | undefined;
 }
 
@@ -42,7 +48,7 @@
     if (!outcome.ok) {
       response.refuse(outcome.reason);
       this.recorder.recordRefusal(outcome.reason, outcome.id);
-      return {cancel: () => undefined};
+      return {cancel: () => undefined, stop: () => undefined};
     }
     return this.serveAdmitted(outcome.request, response);
   }
@@ -56,10 +62,12 @@
     response: CallerResponse,
   ): RequestHandle {
     const {clock, linkLoad, crashWatch} = this.context;
-    const state: ServingState = {isDisconnected: false, forwarding: undefined};
+    const state: ServingState = {hasEnded: false, forwarding: undefined};
     const now = clock.now();
     linkLoad.recordBytes(admitted.body.length + ESTIMATED_HEAD_BYTES, 0, now);
-    if (linkLoad.isSaturated(now)) {
+    if (!this.context.admits(deadlineOf(admitted))) {
+      this.refuse(admitted, response, RefusalReason.Stopping);
+    } else if (linkLoad.isSaturated(now)) {
       this.refuse(admitted, response, RefusalReason.MachineBusy);
     } else if (
       crashWatch.isBlocked(admitted) &&
@@ -73,12 +81,27 @@
     }
     return {
       cancel: () => {
-        state.isDisconnected = true;
+        state.hasEnded = true;
         state.forwarding?.cancel();
       },
+      stop: () => this.stop(admitted, response, state),
     };
   }
 
+  /** Gives a request its final response, because the instance stops. */
+  private stop(
+    admitted: AdmittedRequest,
+    response: CallerResponse,
+    state: ServingState,
+  ): void {
+    const isWaiting = state.forwarding === undefined && !response.hasBegun();
+    if (isWaiting && !state.hasEnded) {
+      this.refuse(admitted, response, RefusalReason.Stopping);
+    }
+    state.hasEnded = true;
+    state.forwarding?.stop();
+  }
+
   /**
    * Forwards a request that takes a stream up to the version that began it;
    * refuses it if that version is unknown.
@@ -90,7 +113,7 @@
   ): Promise<void> {
     const {streamTracker} = this.context;
     const version = await streamTracker.versionToResume(admitted);
-    if (state.isDisconnected) {
+    if (state.hasEnded) {
       return;
     }
     if (version === undefined) {
@@ -144,12 +167,12 @@
       const {BudgetExhausted, BudgetUnavailable} = RefusalReason;
       const reason =
         reservationOutcome === Exhausted ? BudgetExhausted : BudgetUnavailable;
-      if (!state.isDisconnected) {
+      if (!state.hasEnded) {
         this.refuse(admitted, response, reason);
       }
       return;
     }
-    if (state.isDisconnected) {
+    if (state.hasEnded) {
       this.budgets.settle(accountName, tokens, 0);
       return;
     }
