Take a service to have one version only after reading the list of upstreams anew

Cause: 'all upstreams have one version' was concluded from a list that was up to 2 s old by a clock that does not count while the machine is suspended, and before anybody was asked. Now the instance learns all changes of the list after the caller came, and reads the record; what began before is in it. The calls are shared by all that wait; without the store the stream is refused.

The stand-in's store no longer answers a waiting watch once it is silent.

--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -422,7 +422,7 @@
           }),
         ask: stream =>
           this.peerNetwork.sendToHolders({kind: StreamQuery, stream, asker}),
-        listAge: () => this.storeSilence(),
+        confirmUpstreams: () => this.stateSync.confirmUpstreams(),
       },
     );
   }
--- a/packages/gateway/src/lib/state_sync.ts
+++ b/packages/gateway/src/lib/state_sync.ts
@@ -4,6 +4,7 @@
  */
 import {UpstreamUpdateOutcome} from '@citrontrestle/decisions';
 import {FeedMode, StoreFeed} from './store_feed.js';
+import {FreshResult} from './fresh_result.js';
 import type {Dialect, Store, StoreEvent, StoreItem} from './ports.js';
 import type {
   Clock,
@@ -53,6 +54,9 @@
 export class StateSync {
   private readonly configurationFeed: StoreFeed;
   private readonly upstreamFeed: StoreFeed;
+  private readonly upstreamConfirmation = new FreshResult(() =>
+    this.upstreamFeed.catchUp(),
+  );
   /** How the store was followed when that was last looked at. */
   private lastMode: FeedMode | undefined;
   /** The configuration in force, encoded as in the store. */
@@ -144,6 +148,14 @@
     }
   }
 
+  /**
+   * Learns all changes of the list of upstreams until now. Resolves to whether
+   * that was possible.
+   */
+  confirmUpstreams(): Promise<boolean> {
+    return this.upstreamConfirmation.get();
+  }
+
   /** Time since the store last answered; the longer time of the two feeds. */
   storeSilence(): Millis {
     return Math.max(
--- a/packages/gateway/src/lib/store_feed.ts
+++ b/packages/gateway/src/lib/store_feed.ts
@@ -20,6 +20,11 @@
   onRegained(): void;
 }
 
+/** All items with the prefix, as of a position of the store. */
+interface StoreList extends StorePosition {
+  entries: StoreItem[];
+}
+
 /** How a feed follows the store. */
 export enum FeedMode {
   /** The instance follows the store itself; nobody passes updates on to it. */
@@ -69,6 +74,8 @@
   private restoredAt: Millis = -Infinity;
   /** Era of the last list; undefined before the first one. */
   private era: number | undefined;
+  /** Position up to which all changes are known; undefined if it is unknown. */
+  private knownPosition: StorePosition | undefined;
   /** Ends the current wait; undefined while there is none. */
   private endWait: (() => void) | undefined;
 
@@ -120,9 +127,28 @@
     return this.failures > 0;
   }
 
+  /**
+   * Learns at once all changes until now, also while the feed is off. Resolves
+   * to whether that was possible.
+   */
+  async catchUp(): Promise<boolean> {
+    const position = this.knownPosition;
+    if (position === undefined) {
+      return (await this.readList()) !== undefined;
+    }
+    const {era, revision} = position;
+    const result = await this.store.watch(this.prefix, revision, 0);
+    if (result.outcome !== StoreOutcome.Done || result.era !== era) {
+      return (await this.readList()) !== undefined;
+    }
+    result.entries.forEach(event => this.handler.onChange(event, era));
+    return true;
+  }
+
   private async run(): Promise<void> {
     for (;;) {
       if (this.currentMode() === FeedMode.Off) {
+        this.knownPosition = undefined;
         await this.wait(MAX_OFF_WAIT);
         continue;
       }
@@ -141,13 +167,26 @@
       return undefined;
     }
     this.recordAnswer();
-    const {entries, era, revision} = result;
-    if (this.era !== undefined && era > this.era) {
+    if (this.era !== undefined && result.era > this.era) {
       this.restoredAt = this.clock.now();
     }
-    this.era = era;
-    this.handler.onList(entries, {era, revision});
-    return {era, revision};
+    this.era = result.era;
+    this.knownPosition = this.deliverList(result);
+    return this.knownPosition;
+  }
+
+  /** Reads the list beside the feed; returns its position, if it was read. */
+  private async readList(): Promise<StorePosition | undefined> {
+    const result = await this.store.range(this.prefix);
+    return result.outcome === StoreOutcome.Done
+      ? this.deliverList(result)
+      : undefined;
+  }
+
+  private deliverList({entries, era, revision}: StoreList): StorePosition {
+    const position = {era, revision};
+    this.handler.onList(entries, position);
+    return position;
   }
 
   /**
@@ -188,6 +227,7 @@
         this.handler.onChange(event, era);
       }
       afterRevision = Math.max(afterRevision, result.revision);
+      this.knownPosition = {era, revision: afterRevision};
       if (result.entries.length > 0) {
         await sleep(BATCH_DELAY);
       }
--- a/packages/gateway/src/lib/stream_records.ts
+++ b/packages/gateway/src/lib/stream_records.ts
@@ -88,6 +88,8 @@
   /** When keys may be read again on behalf of callers. */
   private nextReadAt: Millis = -Infinity;
   private readInProgress: Promise<boolean> | undefined;
+  /** Whether the last read succeeded. */
+  private hasRead = false;
 
   constructor(
     zone: string,
@@ -116,13 +118,12 @@
 
   /**
    * Reads what other instances recorded, unless that was done just now. Resolves
-   * when it is known or can't be read.
+   * to whether it is known.
    */
-  async refresh(): Promise<void> {
+  async refresh(): Promise<boolean> {
     const isDue = this.clock.now() >= this.nextReadAt;
-    if (this.readInProgress !== undefined || isDue) {
-      await this.read();
-    }
+    const isNeeded = this.readInProgress !== undefined || isDue;
+    return isNeeded ? this.read() : this.hasRead;
   }
 
   /**
@@ -264,6 +265,7 @@
     const result = await this.store.range(KEY_PREFIX);
     const now = this.clock.now();
     this.nextReadAt = now + MIN_REREAD_INTERVAL;
+    this.hasRead = result.outcome === StoreOutcome.Done;
     if (result.outcome !== StoreOutcome.Done) {
       this.log.warn('streams.unread', {reason: result.reason});
       return false;
--- a/packages/gateway/src/lib/stream_tracker.ts
+++ b/packages/gateway/src/lib/stream_tracker.ts
@@ -16,13 +16,7 @@
 /** Maximum time to wait for another instance that knows a stream. */
 const QUERY_TIMEOUT: Millis = 300;
 
-/**
- * Maximum age of the list of upstreams from which the only version of a service
- * is concluded.
- */
-const MAX_LIST_AGE: Millis = 2_000;
-
-/** Maximum time to wait for the record of streams in the store. */
+/** Maximum time to wait for what the store has of streams and upstreams. */
 const READ_TIMEOUT: Millis = 500;
 
 /** What a `StreamTracker` needs from other components. */
@@ -33,10 +27,16 @@
   ask(stream: string): void;
   /** Records in the store, if that is needed, which version began a stream. */
   record(stream: string, version: string): void;
-  /** Reads in the store which versions there were; tells `learn` of streams. */
-  readRecords(): Promise<void>;
-  /** Time since the list of upstreams was up to date. */
-  listAge(): Millis;
+  /**
+   * Reads in the store which versions there were; tells `learn` of streams.
+   * Resolves to whether that was possible.
+   */
+  readRecords(): Promise<boolean>;
+  /**
+   * Learns all changes of the list of upstreams until now; resolves to whether
+   * that was possible.
+   */
+  confirmUpstreams(): Promise<boolean>;
 }
 
 /** Knows at which version streams began, or finds it out. */
@@ -87,23 +87,34 @@
       resumedRequestId === undefined
         ? undefined
         : streamKey(request, resumedRequestId);
-    const known = this.knownVersion(request, stream);
+    const known = this.findIfNamed(stream);
     if (known !== undefined) {
       return known;
     }
     const told = stream === undefined ? undefined : this.askOthers(stream);
-    const read = waitAtMost(this.context.readRecords(), READ_TIMEOUT);
-    const recorded = read.then(() => this.knownVersion(request, stream));
+    const read = this.readStore();
+    const recorded = waitAtMost(read, READ_TIMEOUT).then(
+      isConfirmed =>
+        this.findIfNamed(stream) ??
+        (isConfirmed === true ? this.onlyVersion(request) : undefined),
+    );
     return firstDefined([told ?? Promise.resolve(undefined), recorded]);
   }
 
-  /** Returns the version at which a stream goes on as far as it is known. */
-  private knownVersion(
-    request: AdmittedRequest,
-    stream: string | undefined,
-  ): string | undefined {
-    const version = stream === undefined ? undefined : this.find(stream);
-    return version ?? this.onlyVersion(request);
+  private findIfNamed(stream: string | undefined): string | undefined {
+    return stream === undefined ? undefined : this.find(stream);
+  }
+
+  /**
+   * Reads what the store has of streams and upstreams; resolves to whether the
+   * list of upstreams is that of a time after this call. A stream that a caller
+   * takes up began before, so its upstream has been in such a list: this
+   * instance may have been cut off or suspended without knowing it.
+   */
+  private async readStore(): Promise<boolean> {
+    const isConfirmed = await this.context.confirmUpstreams();
+    const areRead = await this.context.readRecords();
+    return isConfirmed && areRead;
   }
 
   /**
@@ -111,9 +122,6 @@
    * before, if it is the same for as long as a stream can last.
    */
   private onlyVersion({route}: AdmittedRequest): string | undefined {
-    if (this.context.listAge() > MAX_LIST_AGE) {
-      return undefined;
-    }
     const now = this.clock.now();
     const versions = this.upstreamRegistry.versions(now);
     const onlyVersions = route.targets.map(({service}) =>
--- a/packages/runtime/src/lib/timing.ts
+++ b/packages/runtime/src/lib/timing.ts
@@ -7,14 +7,15 @@
 }
 
 /** Waits until `work` settles, for `timeout` milliseconds at most. */
-export async function waitAtMost(
-  work: Promise<void>,
+export async function waitAtMost<T>(
+  work: Promise<T>,
   timeout: Millis,
-): Promise<void> {
+): Promise<T | undefined> {
   let timer: NodeJS.Timeout | undefined;
-  const timedOut = new Promise<void>(resolve => {
-    timer = setTimeout(resolve, timeout);
+  const timedOut = new Promise<undefined>(resolve => {
+    timer = setTimeout(() => resolve(undefined), timeout);
   });
-  await Promise.race([work, timedOut]);
+  const result = await Promise.race([work, timedOut]);
   clearTimeout(timer);
+  return result;
 }
--- a/packages/stand_ins/src/lib/hosted/fleet.ts
+++ b/packages/stand_ins/src/lib/hosted/fleet.ts
@@ -234,6 +234,12 @@
     this.store.put(CONFIGURATION_KEY, createConfiguration(version, overrides));
   }
 
+  /** Writes the operator's configuration again, unchanged. */
+  reconfigure(): void {
+    const configuration = this.store.readValue(CONFIGURATION_KEY);
+    this.store.put(CONFIGURATION_KEY, configuration);
+  }
+
   /** Returns the servers that are listed in the store. */
   listedServers(): HostedServer[] {
     const keys = new Set(this.store.listKeys(SERVER_KEY_PREFIX));
--- a/packages/stand_ins/src/lib/hosted/store.ts
+++ b/packages/stand_ins/src/lib/hosted/store.ts
@@ -122,6 +122,13 @@
     }
     const result = await this.store.handleCall(url, body);
     if (!(isWrite && this.mode === StoreMode.LostWriteAnswers)) {
+      this.answer(outgoing, result);
+    }
+  }
+
+  /** Answers a call, unless the endpoint has fallen silent since it came. */
+  private answer(outgoing: ServerResponse, result: CallResult): void {
+    if (this.mode !== StoreMode.Silent) {
       sendResult(outgoing, result);
     }
   }
