--- a/packages/stand_ins/src/lib/hosted/server.ts
+++ b/packages/stand_ins/src/lib/hosted/server.ts
@@ -37,6 +37,8 @@
   RepeatedRefusal = 'repeated-refusal',
   /** As `RepeatedRefusal`; the refusal names no request. */
   UnnamedRefusal = 'unnamed-refusal',
+  /** Closes the connection in the middle of the head, see `headCut`. */
+  CutHead = 'cut-head',
   /** Gives the answer in `errorAnswer`. */
   ErrorAnswer = 'error-answer',
 }
@@ -48,6 +50,16 @@
   body: string;
 }
 
+/** How much of the head of an answer a server writes before it closes. */
+export interface HeadCut {
+  /** Number of bytes of the final head. */
+  bytes: number;
+  /** Interim head that it writes before; empty for none. */
+  interim: string;
+  /** Whether it resets the connection in place of closing it. */
+  resets: boolean;
+}
+
 /** One request that a server executed. */
 export interface ServerRun {
   id: string;
@@ -126,6 +138,8 @@
   limitsRoom = false;
   /** Number of times that it fell over. */
   fallCount = 0;
+  /** Where it stops with the fault `CutHead`. */
+  headCut: HeadCut = {bytes: 0, interim: '', resets: false};
   /** What it answers with the fault `ErrorAnswer`, besides the usual headers. */
   errorAnswer: ErrorAnswer = {status: 500, headers: {}, body: 'failed'};
   /** Called when the server has crashed. */
@@ -446,6 +460,14 @@
   [ServerFault.UnnamedRefusal]: (server, outgoing, run) => {
     repeatRefusal(server, outgoing, run, '');
   },
+  [ServerFault.CutHead]: (server, outgoing, run) => {
+    const {bytes, interim, resets} = server.headCut;
+    const written = formatHead(server, run, 4).slice(0, bytes);
+    writeRaw(outgoing, `${interim}${written}`, !resets);
+    if (resets) {
+      setTimeout(() => outgoing.socket?.resetAndDestroy(), 1);
+    }
+  },
   [ServerFault.ErrorAnswer]: (server, outgoing, run) => {
     const {status, headers, body} = server.errorAnswer;
     outgoing.writeHead(status, {...server.answerHeaders(run), ...headers});
