--- a/packages/gateway/src/lib/request_recorder.ts
+++ b/packages/gateway/src/lib/request_recorder.ts
@@ -4,7 +4,7 @@
 import type {PrepaidBudgets} from './prepaid_budgets.js';
 import type {ForwardingResult} from './forwarding_result.js';
 import type {GatewayMetrics} from './gateway_metrics.js';
-import type {RefusalReason} from './refusal.js';
+import {RefusalReason} from './refusal.js';
 import type {Clock, Millis, RouteTable} from '@citrontrestle/decisions';
 import type {Log} from '@citrontrestle/runtime';
 
@@ -76,14 +76,34 @@
       available:
         account && Math.round(this.budgets.availableTokens(account.name)),
       untaken: account && this.budgets.untakenTokens(account.name),
-      takeable: account && this.budgets.takeableTokens(account.name),
+      takeable: this.takeableIfLacking(admitted, result),
       version: this.routeTable.version(),
       wholeMs,
       firstMs,
     });
   }
+
+  /**
+   * Returns how many untaken tokens this instance may take, for a request that
+   * was refused for lack of tokens; undefined for others, which do not need it.
+   */
+  private takeableIfLacking(
+    {account}: AdmittedRequest,
+    {outcome}: ForwardingResult,
+  ): number | undefined {
+    const lacksTokens = TOKEN_REFUSALS.has(outcome);
+    return account !== undefined && lacksTokens
+      ? this.budgets.takeableTokens(account.name)
+      : undefined;
+  }
 }
 
+/** Outcomes of requests that are refused for lack of tokens. */
+const TOKEN_REFUSALS = new Set<string>([
+  RefusalReason.BudgetExhausted,
+  RefusalReason.BudgetUnavailable,
+]);
+
 /** Returns the time from the arrival to `time` in whole milliseconds. */
 function timeSinceArrival(
   time: Millis | undefined,
