Let an entry finish its planned stop when the signal comes twice

A second SIGTERM ended an entry of the own interface at once, as its listener was removed with the first: running streams were cut. The same class as the stop of the gateway. The new case of process_test.ts failed before.

--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -46,10 +46,14 @@
   }
 }
 
+/**
+ * Resolves at the first signal. The listeners stay, since a later signal would
+ * otherwise end the process while requests are running.
+ */
 function waitForStopSignal(): Promise<void> {
   return new Promise(resolve => {
-    process.once('SIGTERM', () => resolve());
-    process.once('SIGINT', () => resolve());
+    process.on('SIGTERM', () => resolve());
+    process.on('SIGINT', () => resolve());
   });
 }
 
--- a/packages/load/src/test/process_test.ts
+++ b/packages/load/src/test/process_test.ts
@@ -11,6 +11,9 @@
 /** Output tokens of streams during which an entry is killed or stopped. */
 const STREAM_TOKENS = 60;
 
+/** Time after which a second signal follows, in milliseconds. */
+const SECOND_SIGNAL_DELAY = 300;
+
 function expectCompleteAnswer(
   key: string,
   result: RequestResult,
@@ -153,6 +156,15 @@
     expect(exitCode).to.equal(0);
   });
 
+  it('finishes running requests on a planned stop when the signal comes twice', async () => {
+    const stream = fleet.sendChat(0, 'k9', STREAM_TOKENS);
+    await waitUntilRunning('k9');
+    const whenExited = fleet.drain(0);
+    setTimeout(() => entry(0).child.kill('SIGTERM'), SECOND_SIGNAL_DELAY);
+    expectCompleteAnswer('k9', await stream);
+    expect(await whenExited).to.deep.equal([0]);
+  });
+
   it('starts with the configuration of a peer during an outage', async () => {
     fleet.standIns.platform.setFaults({down: true});
     const added = await fleet.startEntry();
