--- a/packages/gateway/src/lib/fresh_result.ts
+++ b/packages/gateway/src/lib/fresh_result.ts
@@ -15,12 +15,12 @@
     if (this.running === undefined) {
       return this.run();
     }
-    this.next ??= this.running
-      .catch(() => undefined)
-      .then(() => {
-        this.next = undefined;
-        return this.run();
-      });
+    // Whoever asked for the running one gets its error.
+    const runNext = () => {
+      this.next = undefined;
+      return this.run();
+    };
+    this.next ??= this.running.then(runNext, runNext);
     return this.next;
   }
 
