--- a/packages/gateway/src/lib/stream_tracker.ts
+++ b/packages/gateway/src/lib/stream_tracker.ts
@@ -92,13 +92,15 @@
       return known;
     }
     const told = stream === undefined ? undefined : this.askOthers(stream);
-    const read = this.readStore();
-    const recorded = waitAtMost(read, READ_TIMEOUT).then(
+    const areRead = this.context.readRecords();
+    const recorded = waitAtMost(areRead, READ_TIMEOUT).then(() =>
+      this.findIfNamed(stream),
+    );
+    const only = waitAtMost(this.isConfirmed(areRead), READ_TIMEOUT).then(
       isConfirmed =>
-        this.findIfNamed(stream) ??
-        (isConfirmed === true ? this.onlyVersion(request) : undefined),
+        isConfirmed === true ? this.onlyVersion(request) : undefined,
     );
-    return firstDefined([told ?? Promise.resolve(undefined), recorded]);
+    return firstDefined([told ?? Promise.resolve(undefined), recorded, only]);
   }
 
   private findIfNamed(stream: string | undefined): string | undefined {
@@ -106,15 +108,14 @@
   }
 
   /**
-   * Reads what the store has of streams and upstreams; resolves to whether the
-   * list of upstreams is that of a time after this call. A stream that a caller
-   * takes up began before, so its upstream has been in such a list: this
-   * instance may have been cut off or suspended without knowing it.
+   * Resolves to whether the list of upstreams is that of a time after this call,
+   * and the records are read. A stream that a caller takes up began before, so
+   * its upstream has been in such a list: this instance may have been cut off or
+   * suspended without knowing it.
    */
-  private async readStore(): Promise<boolean> {
-    const isConfirmed = await this.context.confirmUpstreams();
-    const areRead = await this.context.readRecords();
-    return isConfirmed && areRead;
+  private async isConfirmed(areRead: Promise<boolean>): Promise<boolean> {
+    const isListKnown = await this.context.confirmUpstreams();
+    return isListKnown && (await areRead);
   }
 
   /**
