Ask for all tokens that waiting requests lack, not for each as if it were alone

Callers of an instance that follows a relay got 503 (budget-unavailable) in a burst while the relay held plenty: 12 streams at once, 4 refused after 120 ms with 725,326 tokens untaken. Now what earlier requests wait for is deducted from what is available.

--- a/packages/decisions/src/lib/prepaid_shares.ts
+++ b/packages/decisions/src/lib/prepaid_shares.ts
@@ -178,6 +178,11 @@
     this.shareOf(account).adjustAwaitedTokens(tokens);
   }
 
+  /** Returns the tokens that waiting requests need. */
+  awaitedTokens(account: string): number {
+    return this.shareOf(account).awaitedTokens();
+  }
+
   /**
    * Gives a peer up to `tokens` tokens that no waiting request of this instance
    * needs; returns how many.
--- a/packages/gateway/src/lib/prepaid_budgets.ts
+++ b/packages/gateway/src/lib/prepaid_budgets.ts
@@ -225,11 +225,14 @@
     if (shares.reserve(account, tokens)) {
       return Promise.resolve(ReservationOutcome.Reserved);
     }
+    const missingTokens = missingFor(
+      tokens,
+      shares.availableTokens(account),
+      shares.awaitedTokens(account),
+    );
     shares.adjustAwaitedTokens(account, tokens);
     return new Promise(resolve => {
       const waitingSince = this.clock.now();
-      const missingTokens =
-        tokens - Math.max(0, shares.availableTokens(account));
       const prefetch = Math.max(
         0,
         shares.imbalance(account, FOLLOWER_SHARE_HORIZON),
@@ -486,13 +489,18 @@
   private serveWaitingRequests(): void {
     const requests = this.waitingRequests;
     this.waitingRequests = [];
+    // Tokens that requests before the current one wait for, by account.
+    const awaitedBefore = new Map<string, number>();
     for (const request of requests) {
-      const outcome = this.tryReserve(request);
+      const {account, tokens} = request;
+      const awaited = awaitedBefore.get(account) ?? 0;
+      const outcome = this.tryReserve(request, awaited);
       if (outcome === undefined) {
         this.waitingRequests.push(request);
+        awaitedBefore.set(account, awaited + tokens);
       } else {
-        const {shares} = this.pageOf(request.account);
-        shares.adjustAwaitedTokens(request.account, -request.tokens);
+        const {shares} = this.pageOf(account);
+        shares.adjustAwaitedTokens(account, -tokens);
         request.resolve(outcome);
       }
     }
@@ -505,8 +513,12 @@
   /**
    * Reserves tokens for a waiting request or asks the peers for them. Returns
    * undefined while the request must wait further.
+   * @param awaitedBefore tokens that earlier requests of the account wait for.
    */
-  private tryReserve(request: WaitingRequest): ReservationOutcome | undefined {
+  private tryReserve(
+    request: WaitingRequest,
+    awaitedBefore: number,
+  ): ReservationOutcome | undefined {
     const {account, tokens} = request;
     const page = this.pageOf(account);
     if (page.shares.reserve(account, tokens)) {
@@ -520,7 +532,6 @@
       return undefined;
     }
     const unclaimed = page.shares.unclaimedTokens(account, this.currentView());
-    const missingTokens = tokens - page.shares.availableTokens(account);
     const isHeld = page.shares.heldTokens(account) + unclaimed >= tokens;
     const isCurrent = page.isCurrentAt(request.waitingSince, MAX_PAGE_AGE);
     const storeHasTooFew = isCurrent && !isHeld;
@@ -531,7 +542,11 @@
       (storeHasTooFew || page.isFailing() || isStoreSlow)
     ) {
       request.peersAsked = true;
-      this.context.requestFromPeers(account, missingTokens);
+      const available = page.shares.availableTokens(account);
+      this.context.requestFromPeers(
+        account,
+        missingFor(tokens, available, awaitedBefore),
+      );
       this.context.callAfter(PEER_WAIT + TIMER_TOLERANCE, () =>
         this.serveWaitingRequests(),
       );
@@ -554,3 +569,16 @@
     return this.pages[partitionIndex(account, PAGE_COUNT)] as BudgetPage;
   }
 }
+
+/**
+ * Returns the tokens that a request lacks.
+ * @param awaitedBefore tokens that earlier requests wait for; they get what is
+ *     available first.
+ */
+function missingFor(
+  tokens: number,
+  available: number,
+  awaitedBefore: number,
+): number {
+  return tokens - Math.max(0, available - awaitedBefore);
+}
