End a stand-in's stream at once that is taken up after its last event

The streams had ended before the kill, and the stand-in wrote one event more to callers that took them up. The expected events are the same as before.

--- a/packages/stand_ins/src/lib/hosted/server.ts
+++ b/packages/stand_ins/src/lib/hosted/server.ts
@@ -364,7 +364,10 @@
       setTimeout(() => outgoing.socket?.resetAndDestroy(), stepMs);
       return;
     }
-    outgoing.write(`id: ${nextEvent}\ndata: token ${nextEvent}${origin}\n\n`);
+    // A stream that is taken up after its last event has nothing more.
+    if (nextEvent <= eventCount) {
+      outgoing.write(`id: ${nextEvent}\ndata: token ${nextEvent}${origin}\n\n`);
+    }
     nextEvent += 1;
     if (nextEvent > eventCount) {
       clearInterval(timer);
