--- a/review/lib/client.mjs
+++ b/review/lib/client.mjs
@@ -1,5 +1,5 @@
 /** Stand-in for a client: one request on a new channel, by its HTTP framing. */
-import {request} from 'node:http';
+import {Agent, request} from 'node:http';
 
 /** How the channel ended, as the client sees it. */
 export const End = {
@@ -49,3 +49,52 @@
   });
   return {result, done};
 }
+
+/** A channel that a client keeps open for many requests, one at a time. */
+export class KeptChannel {
+  agent = new Agent({keepAlive: true, maxSockets: 1});
+
+  constructor(machine, record) {
+    Object.assign(this, {machine, record});
+  }
+
+  /** Sends a request; resolves when its answer or the channel has ended. */
+  async send({path, headers, body}) {
+    const [host, port] = this.machine.addresses.front.split(':');
+    const id = headers['X-Request-Id'];
+    this.record(
+      `send ${id} POST ${path} to ${this.machine.name}, kept channel`,
+    );
+    const result = {id, status: 0, body: '', isClosed: false};
+    await new Promise(resolve => {
+      const outgoing = request({
+        host,
+        port,
+        method: 'POST',
+        path,
+        headers,
+        agent: this.agent,
+      });
+      const fail = reason => {
+        result.isClosed = true;
+        result.reason = reason;
+        resolve();
+      };
+      outgoing.on('error', error => fail(error.code ?? error.message));
+      outgoing.on('response', incoming => {
+        result.status = incoming.statusCode;
+        incoming.on('data', bytes => (result.body += bytes.toString('latin1')));
+        incoming.on('error', error => fail(error.code ?? error.message));
+        incoming.on('end', resolve);
+        incoming.on('close', () =>
+          incoming.complete ? resolve() : fail('closed'),
+        );
+      });
+      outgoing.end(body);
+    });
+    this.record(
+      `answer ${id} status ${result.status} ${result.isClosed ? `channel closed (${result.reason})` : 'complete'} ${result.body.length} bytes`,
+    );
+    return result;
+  }
+}
--- a/review/lib/machine.mjs
+++ b/review/lib/machine.mjs
@@ -4,6 +4,7 @@
 import {createServer} from 'node:net';
 import {join} from 'node:path';
 import {fileURLToPath} from 'node:url';
+import {Proxy} from './proxy.mjs';
 
 /** Root of the repository, in which the deploy file runs the program. */
 export const ROOT = fileURLToPath(new URL('../..', import.meta.url));
@@ -156,7 +157,7 @@
   }
 
   /** Lays out a machine; `start` runs its process. */
-  async add(zone, storeAddress, bounds = {}) {
+  async add(zone, storeAddress, {bounds = {}, hasPeerProxy = false} = {}) {
     const number = this.all.length + 1;
     const ip = `${NETWORK}.${number}`;
     const name = `front-${zone}-${number}`;
@@ -166,11 +167,13 @@
       ready: `${ip}:${ready}`,
       control: `${ip}:${control}`,
     };
-    const seeds = this.all
-      .slice(0, 3)
-      .map(({addresses}) => addresses.control)
-      .concat(addresses.control)
-      .slice(0, 3);
+    const peerProxy = hasPeerProxy ? new Proxy(addresses.control) : undefined;
+    await peerProxy?.listen(ip);
+    const peerAddress = peerProxy?.address ?? addresses.control;
+    const seeds = [
+      ...this.all.map(machine => machine.peerAddress),
+      peerAddress,
+    ].slice(0, 3);
     const fields = {
       nodeName: name,
       zone,
@@ -188,7 +191,12 @@
     );
     mkdirSync(this.folder, {recursive: true});
     const settingsPath = join(this.folder, `${name}.yaml`);
-    writeFileSync(settingsPath, fillTemplate(template, fields));
+    const settings = fillTemplate(template, fields);
+    writeFileSync(
+      settingsPath,
+      // Peers reach the machine through the proxy, if there is one.
+      settings.replace(/^peers:\n/m, `peers:\n  advertise: '${peerAddress}'\n`),
+    );
     const machine = new Machine(
       name,
       zone,
@@ -197,6 +205,7 @@
       settingsPath,
       this.record,
     );
+    Object.assign(machine, {peerProxy, peerAddress});
     this.all.push(machine);
     return machine;
   }
@@ -206,5 +215,6 @@
     const running = this.all.filter(machine => machine.isRunning);
     running.forEach(machine => machine.child.kill('SIGKILL'));
     await Promise.all(running.map(machine => machine.ended));
+    this.all.forEach(({peerProxy}) => peerProxy?.stop());
   }
 }
