--- a/review/lib/client.mjs
+++ b/review/lib/client.mjs
@@ -11,7 +11,13 @@
 
 /** Sends a request to a machine; resolves when the answer has ended. */
 export function send(machine, {method = 'POST', path, headers, body}, record) {
-  const result = {status: 0, headers: {}, body: '', end: End.Broken};
+  const result = {
+    id: headers['X-Request-Id'],
+    status: 0,
+    headers: {},
+    body: '',
+    end: End.Broken,
+  };
   const [host, port] = machine.addresses.front.split(':');
   const id = headers['X-Request-Id'];
   record(`send ${id} ${method} ${path} to ${machine.name}`);
--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -5,6 +5,12 @@
  */
 import {createServer} from 'node:http';
 
+/** Size of a page of a range, in characters of the values. */
+const PAGE_BYTES = 1_000_000;
+
+/** Time for which the store keeps its history. */
+const HISTORY_MS = 20_000;
+
 /** How the store treats the calls at one address. */
 export const StoreMode = {
   Serving: 'serving',
@@ -17,6 +23,7 @@
   revision = 100;
   items = new Map();
   history = [];
+  discardedRevision = 0;
   waiting = new Set();
   endpoints = [];
 
@@ -66,6 +73,17 @@
     this.apply([{key, value: Buffer.from(text).toString('base64')}], []);
   }
 
+  /** Writes bytes to several keys in one transaction, as another writer. */
+  putBytes(values) {
+    for (const [key, bytes] of values) {
+      this.record(`store ${key} = ${bytes.length} bytes of another writer`);
+    }
+    this.apply(
+      values.map(([key, bytes]) => ({key, value: bytes.toString('base64')})),
+      [],
+    );
+  }
+
   /** Removes a key as the platform does when a server has left. */
   remove(key) {
     this.record(`store ${key} removed`);
@@ -85,11 +103,11 @@
       const createRevision = this.items.get(key)?.createRevision ?? revision;
       const item = {key, value, revision, createRevision, lease};
       this.items.set(key, item);
-      this.history.push(item);
+      this.history.push({...item, at: Date.now()});
     }
     for (const key of removals) {
       this.items.delete(key);
-      this.history.push({key, revision, removed: true});
+      this.history.push({key, revision, removed: true, at: Date.now()});
     }
     [...this.waiting].forEach(wake => wake());
     return revision;
@@ -104,15 +122,8 @@
           ? {status: 404, value: {currentRev: this.revision}}
           : {status: 200, value: {...item, currentRev: this.revision}};
       }
-      case '/kv-range': {
-        const prefix = query.get('prefix');
-        const after = query.get('after') ?? '';
-        const items = [...this.items.values()]
-          .filter(({key}) => key.startsWith(prefix) && key > after)
-          .sort((first, second) => (first.key < second.key ? -1 : 1));
-        const value = {items, truncated: false, currentRev: this.revision};
-        return {status: 200, value};
-      }
+      case '/kv-range':
+        return {status: 200, value: this.page(query)};
       case '/kv-watch':
         return this.watch(query);
       case '/kv-txn':
@@ -122,11 +133,35 @@
     }
   }
 
+  /** Returns a page of a range: at most 500 items, or one above 1 MB. */
+  page(query) {
+    const prefix = query.get('prefix');
+    const after = query.get('after') ?? '';
+    const rest = [...this.items.values()]
+      .filter(({key}) => key.startsWith(prefix) && key > after)
+      .sort((first, second) => (first.key < second.key ? -1 : 1));
+    const items = [];
+    let size = 0;
+    for (const item of rest) {
+      size += item.value.length;
+      if (items.length > 0 && (size > PAGE_BYTES || items.length === 500)) {
+        break;
+      }
+      items.push(item);
+    }
+    const truncated = items.length < rest.length;
+    return {items, truncated, currentRev: this.revision};
+  }
+
   async watch(query) {
     const prefix = query.get('prefix');
     const after = Number(query.get('after'));
     const deadline = Date.now() + Number(query.get('waitMs'));
     for (;;) {
+      this.discardHistory();
+      if (after < this.discardedRevision) {
+        return {status: 410, value: {}};
+      }
       const events = this.history.filter(
         ({key, revision}) => key.startsWith(prefix) && revision > after,
       );
@@ -146,6 +181,14 @@
     }
   }
 
+  /** Discards what is older than the history that the store keeps. */
+  discardHistory() {
+    const oldest = Date.now() - HISTORY_MS;
+    while (this.history.length > 0 && this.history[0].at < oldest) {
+      this.discardedRevision = this.history.shift().revision;
+    }
+  }
+
   write({expected = [], setKeys = [], remove = []}) {
     const keys = [...setKeys.map(({key}) => key), ...remove];
     if (keys.some(key => /^(op|servers)\//.test(key))) {
