--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -144,7 +144,9 @@
     const ids = new Set(
       servers.flatMap(({runs}) => runs.map(({requestId}) => requestId)),
     );
-    const lost = after.filter(({id, isClosed}) => isClosed && ids.has(id));
+    const lost = after.filter(
+      ({id, status, isClosed}) => isClosed && status === 0 && ids.has(id),
+    );
     return lost.length > MAX_CLOSED_CHANNELS
       ? [
           `LOST: ${lost.length} kept channels closed without an answer to requests that a sound server ran`,
