--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -19,6 +19,17 @@
 const EVENT_INTERVAL_MS = 60;
 const STREAMS = 6;
 
+/** Zones of the seven machines; one of them is killed. */
+const ZONES = [
+  'buda-nord',
+  'buda-sud',
+  'pest-kozep',
+  'pest-kelet',
+  'buda-nord',
+  'buda-sud',
+  'pest-kozep',
+];
+
 /** When the process is killed, after the streams were sent. */
 const KILL_AFTER_MS = 700;
 
@@ -64,7 +75,7 @@
     await server.listen();
     servers.push(server);
     store.put(server.key(), server.entry());
-    for (const zone of ['buda-nord', 'buda-sud']) {
+    for (const zone of ZONES) {
       const {address} = await store.open();
       (await machines.add(zone, address)).start();
     }
