--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -10,10 +10,10 @@
   HAS_TROUBLE,
   runCase,
   STREAM_HEADERS,
-} from '../lib/case.mjs';
-import {KeptChannel} from '../lib/client.mjs';
-import {pause, waitUntil} from '../lib/machine.mjs';
-import {Server} from '../lib/server.mjs';
+} from './play.mjs';
+import {KeptChannel} from './client.mjs';
+import {pause, waitUntil} from './machine.mjs';
+import {Server} from './server.mjs';
 
 const EVENTS = 10;
 
--- a/review/lib/machine.mjs
+++ b/review/1/machine.mjs
@@ -4,7 +4,6 @@
 import {createServer} from 'node:net';
 import {join} from 'node:path';
 import {fileURLToPath} from 'node:url';
-import {Proxy} from './proxy.mjs';
 
 /** Root of the repository, in which the deploy file runs the program. */
 export const ROOT = fileURLToPath(new URL('../..', import.meta.url));
@@ -157,7 +156,7 @@
   }
 
   /** Lays out a machine; `start` runs its process. */
-  async add(zone, storeAddress, {bounds = {}, hasPeerProxy = false} = {}) {
+  async add(zone, storeAddress) {
     const number = this.all.length + 1;
     const ip = `${NETWORK}.${number}`;
     const name = `front-${zone}-${number}`;
@@ -167,12 +166,9 @@
       ready: `${ip}:${ready}`,
       control: `${ip}:${control}`,
     };
-    const peerProxy = hasPeerProxy ? new Proxy(addresses.control) : undefined;
-    await peerProxy?.listen(ip);
-    const peerAddress = peerProxy?.address ?? addresses.control;
     const seeds = [
-      ...this.all.map(machine => machine.peerAddress),
-      peerAddress,
+      ...this.all.map(machine => machine.addresses.control),
+      addresses.control,
     ].slice(0, 3);
     const fields = {
       nodeName: name,
@@ -183,7 +179,7 @@
       seeds,
       platform: {address: storeAddress},
       limits: LIMITS,
-      bounds: {...BOUNDS, ...bounds},
+      bounds: BOUNDS,
     };
     const template = readFileSync(
       join(ROOT, deploySetting('template')),
@@ -191,12 +187,7 @@
     );
     mkdirSync(this.folder, {recursive: true});
     const settingsPath = join(this.folder, `${name}.yaml`);
-    const settings = fillTemplate(template, fields);
-    writeFileSync(
-      settingsPath,
-      // Peers reach the machine through the proxy, if there is one.
-      settings.replace(/^peers:\n/m, `peers:\n  advertise: '${peerAddress}'\n`),
-    );
+    writeFileSync(settingsPath, fillTemplate(template, fields));
     const machine = new Machine(
       name,
       zone,
@@ -205,7 +196,6 @@
       settingsPath,
       this.record,
     );
-    Object.assign(machine, {peerProxy, peerAddress});
     this.all.push(machine);
     return machine;
   }
@@ -215,6 +205,5 @@
     const running = this.all.filter(machine => machine.isRunning);
     running.forEach(machine => machine.child.kill('SIGKILL'));
     await Promise.all(running.map(machine => machine.ended));
-    this.all.forEach(({peerProxy}) => peerProxy?.stop());
   }
 }
--- a/review/1/odd_entry.mjs
+++ b/review/1/odd_entry.mjs
@@ -10,10 +10,10 @@
   HAS_TROUBLE,
   runCase,
   STREAM_HEADERS,
-} from '../lib/case.mjs';
-import {KeptChannel, send} from '../lib/client.mjs';
-import {pause, waitUntil} from '../lib/machine.mjs';
-import {Server} from '../lib/server.mjs';
+} from './play.mjs';
+import {KeptChannel, send} from './client.mjs';
+import {pause, waitUntil} from './machine.mjs';
+import {Server} from './server.mjs';
 
 const CHANNELS = 6;
 const ORDER_WORK_MS = 20;
