Relay an answer as it came; resume a stream only after an event whose place is certain

Cause: each event whose identifier was not above the last one counted as a repetition, also in a first attempt and on routes that can't be resumed, so the sound events behind it were taken out. Change: nothing is dropped from an answer that is not resumed. EventNumbering follows the identifiers; a stream goes on at another upstream only after an event whose place is certain, and must then go on with the very next one (repetitions before it are dropped). This works since dropping is now bound to what it is for, and an identifier that does not fit its place is no longer used as the place to go on from.

--- a/packages/gateway/src/lib/event_reader.ts
+++ b/packages/gateway/src/lib/event_reader.ts
@@ -6,6 +6,8 @@
   bytes: Buffer;
   /** Identifier of the event; undefined if it has none. */
   id: string | undefined;
+  /** Whether it has only comments, and so carries nothing. */
+  isComment: boolean;
 }
 
 /** Maximum size of an incomplete event in bytes. */
@@ -31,7 +33,7 @@
         break;
       }
       const event = this.pending.subarray(start, end);
-      events.push({bytes: event, id: findEventId(event)});
+      events.push(parseEvent(event));
       start = end;
     }
     this.pending = this.pending.subarray(start);
@@ -70,7 +72,11 @@
 
 const ID_LINE = /^id: ?(.*?)\r?$/m;
 
-/** Returns the identifier of an event; undefined if it has none. */
-function findEventId(event: Buffer): string | undefined {
-  return ID_LINE.exec(event.toString('latin1'))?.[1];
+/** A line with something else than a comment. */
+const FIELD_LINE = /^[^:\r\n]/m;
+
+function parseEvent(bytes: Buffer): StreamEvent {
+  const text = bytes.toString('latin1');
+  const isComment = !FIELD_LINE.test(text);
+  return {bytes, id: ID_LINE.exec(text)?.[1], isComment};
 }
--- a/packages/gateway/src/lib/forwarding.ts
+++ b/packages/gateway/src/lib/forwarding.ts
@@ -144,6 +144,7 @@
       response,
       context.dialect,
       route.kind === RouteKind.Streaming,
+      isResumableStream(route),
       callerRequest.lastEventId,
     );
   }
@@ -205,7 +206,7 @@
     }
     this.placed = placed;
     this.path = path;
-    this.responseRelay.reset();
+    this.responseRelay.beginAttempt();
     this.hasFirstToken = false;
     this.earlierEvents = this.responseRelay.deliveredEvents;
     this.result.attempts += 1;
@@ -232,7 +233,7 @@
           accountName: account?.name,
           remainingTime: this.deadline - now,
           urgency: this.urgency(placed),
-          lastEventId: this.responseRelay.lastEventId,
+          lastEventId: this.responseRelay.lastEventId(),
         }),
         body: request.body,
         requestId: callerRequest.id,
@@ -395,13 +396,10 @@
     this.response.onDrain(() => call?.setFlowing(true));
   }
 
-  /** Fails the attempt because an event exceeds the size limit. */
-  failOversizedEvent(): void {
+  /** Fails the attempt because of what the upstream has sent. */
+  failInvalidResponse(reason: string): void {
     this.call?.cancel();
-    this.handleFailure(
-      CallFailure.InvalidResponse,
-      'event exceeds the size limit',
-    );
+    this.handleFailure(CallFailure.InvalidResponse, reason);
   }
 
   /**
@@ -693,5 +691,8 @@
 > = {
   [RelayOutcome.Accepted]: () => undefined,
   [RelayOutcome.Backpressure]: forwarding => forwarding.pauseUntilDrained(),
-  [RelayOutcome.EventTooLarge]: forwarding => forwarding.failOversizedEvent(),
+  [RelayOutcome.EventTooLarge]: forwarding =>
+    forwarding.failInvalidResponse('event exceeds the size limit'),
+  [RelayOutcome.OutOfSequence]: forwarding =>
+    forwarding.failInvalidResponse('the stream is not resumed where it ended'),
 };
--- a/packages/gateway/src/lib/response_relay.ts
+++ b/packages/gateway/src/lib/response_relay.ts
@@ -4,7 +4,9 @@
  * `response` is the response to the caller; that of an upstream is called the
  * upstream's response. Not to be confused with a relay among the gateways.
  */
+import {EventNumbering, EventSuccession} from './event_numbering.js';
 import {EventReader} from './event_reader.js';
+import type {StreamEvent} from './event_reader.js';
 import type {CallerResponse} from './caller_response.js';
 import type {Dialect} from './ports.js';
 import type {ReceivedHead} from './upstream_call.js';
@@ -16,6 +18,8 @@
   Backpressure = 'caller-busy',
   /** An incomplete event is larger than any event may be. */
   EventTooLarge = 'overflow',
+  /** A resumed stream does not go on after the last event of the caller. */
+  OutOfSequence = 'out-of-sequence',
 }
 
 /** Result of completing the response to the caller. */
@@ -53,20 +57,34 @@
   private mediaType: string | undefined;
   /** Whether the response has a length or chunks that mark its end. */
   private isFramed = true;
+  private readonly numbering: EventNumbering;
+  /**
+   * Whether the current attempt resumes the stream and may first repeat events
+   * that the caller has.
+   */
+  private isCatchingUp = false;
+  /** Whether the current attempt has repeated events that the caller has. */
+  private hasRepeatedEvents = false;
 
   constructor(
     private readonly response: CallerResponse,
     private readonly dialect: Dialect,
     /** Whether successful responses are event streams. */
     private readonly isStreamingRoute: boolean,
-    /** Identifier of the last event that the caller has; undefined if none. */
-    public lastEventId: string | undefined,
-  ) {}
+    /** Whether an upstream may be asked to resume a stream. */
+    private readonly isResumable: boolean,
+    /** Identifier of the last event that the caller had; undefined if none. */
+    private readonly callerLastEventId: string | undefined,
+  ) {
+    this.numbering = new EventNumbering(callerLastEventId);
+  }
 
-  /** Discards what a previous attempt received and has not been relayed. */
-  reset(): void {
+  /** Begins an attempt: discards what a previous one received in vain. */
+  beginAttempt(): void {
     this.receivedHead = undefined;
     this.eventReader = new EventReader();
+    this.isCatchingUp = this.isResumable && this.lastEventId() !== undefined;
+    this.hasRepeatedEvents = false;
     this.bufferedChunks = [];
     this.bufferedBytes = 0;
   }
@@ -105,7 +123,17 @@
 
   /** Whether another upstream can continue after the last delivered event. */
   canResume(): boolean {
-    return this.deliveredEvents === 0 || this.lastEventId !== undefined;
+    return this.deliveredEvents === 0 || this.lastEventId() !== undefined;
+  }
+
+  /**
+   * Returns the identifier of the event after which an upstream is to begin;
+   * undefined for the whole stream or if it is not certain.
+   */
+  lastEventId(): string | undefined {
+    return this.deliveredEvents === 0
+      ? this.callerLastEventId
+      : this.numbering.position()?.toString();
   }
 
   /** Relays or buffers a chunk of the body of the upstream's response. */
@@ -177,12 +205,18 @@
   private relayEvents(chunk: Buffer): RelayOutcome {
     let outcome = RelayOutcome.Accepted;
     for (const event of this.eventReader.push(chunk)) {
-      if (this.isAlreadyDelivered(event.id)) {
-        continue;
+      if (this.isCatchingUp && !event.isComment) {
+        const succession = this.numbering.succession(event);
+        if (succession === EventSuccession.Repeated) {
+          this.hasRepeatedEvents = true;
+          continue;
+        }
+        if (!this.mayDeliver(succession)) {
+          return RelayOutcome.OutOfSequence;
+        }
+        this.isCatchingUp = false;
       }
-      outcome = this.write(event.bytes);
-      this.deliveredEvents += 1;
-      this.lastEventId = event.id ?? this.lastEventId;
+      outcome = this.deliver(event);
     }
     return this.eventReader.isEventTooLarge()
       ? RelayOutcome.EventTooLarge
@@ -190,12 +224,24 @@
   }
 
   /**
-   * Whether the caller has already received an event, from a previous attempt or
-   * before it reconnected. Identifiers of events are increasing numbers.
+   * Whether the first event of a resumed stream that the caller does not have may
+   * be delivered. An upstream that begins anywhere else than after the caller's
+   * last event is trusted only if it follows the caller's own identifier, as the
+   * steps of the stream are not known then.
    */
-  private isAlreadyDelivered(id: string | undefined): boolean {
-    const lastId = Number(this.lastEventId ?? NaN);
-    return id !== undefined && Number(id) <= lastId;
+  private mayDeliver(succession: EventSuccession): boolean {
+    const isCallersResume =
+      this.deliveredEvents === 0 && !this.hasRepeatedEvents;
+    return succession === EventSuccession.Next || isCallersResume;
+  }
+
+  private deliver(event: StreamEvent): RelayOutcome {
+    const outcome = this.write(event.bytes);
+    if (!event.isComment) {
+      this.deliveredEvents += 1;
+    }
+    this.numbering.record(event);
+    return outcome;
   }
 
   /** Sends the head to the caller if that has not been done. */
--- a/packages/gateway/src/test/response_framing_test.ts
+++ b/packages/gateway/src/test/response_framing_test.ts
@@ -51,7 +51,13 @@
   ): Promise<string> {
     server = createServer((_incoming, outgoing) => {
       const response = new CallerResponse(outgoing, DIALECT, () => false);
-      const relay = new ResponseRelay(response, DIALECT, false, undefined);
+      const relay = new ResponseRelay(
+        response,
+        DIALECT,
+        false,
+        false,
+        undefined,
+      );
       relay.setHead(head);
       if (bytes > 0) {
         relay.push(Buffer.alloc(bytes, 'x'));
--- a/packages/stand_ins/src/lib/hosted/server.ts
+++ b/packages/stand_ins/src/lib/hosted/server.ts
@@ -142,6 +142,8 @@
   headCut: HeadCut = {bytes: 0, interim: '', resets: false};
   /** What it answers with the fault `ErrorAnswer`, besides the usual headers. */
   errorAnswer: ErrorAnswer = {status: 500, headers: {}, body: 'failed'};
+  /** Wrong identifiers of events in Latin-1, by the number of the event. */
+  spoiledIds: ReadonlyMap<number, string> = new Map();
   /** Called when the server has crashed. */
   onCrash: () => void = () => undefined;
   /** Requests that it executed. */
@@ -366,7 +368,9 @@
     }
     // A stream that is taken up after its last event has nothing more.
     if (nextEvent <= eventCount) {
-      outgoing.write(`id: ${nextEvent}\ndata: token ${nextEvent}${origin}\n\n`);
+      const id = server.spoiledIds.get(nextEvent) ?? nextEvent;
+      const event = `id: ${id}\ndata: token ${nextEvent}${origin}\n\n`;
+      outgoing.write(event, 'latin1');
     }
     nextEvent += 1;
     if (nextEvent > eventCount) {
