Let no end of a gateway look like the end of an answer without a length

Cause: an answer without a length was passed on in that form as it arrived, so the end of the process and the end of the answer were the same sign; so also between two gateways. Change: a plain body without a length is held, up to 256 KiB, and sent at once, still without a length; a stream goes out in chunks, ended by an ordinary end after a whole event, broken off by anything else. A request through a peer says that it understands chunks, and the peer marks an answer that had no length; other builds get the old form. This works since what the caller has before the end can no longer pass for the whole.

--- a/packages/gateway/src/lib/proxy_protocol.ts
+++ b/packages/gateway/src/lib/proxy_protocol.ts
@@ -31,6 +31,9 @@
 const REQUEST_HEADER = 'citrontrestle-request';
 const REMAINING_HEADER = 'citrontrestle-remaining-ms';
 const PROOF_HEADER = 'citrontrestle-proof';
+/** Set by instances that understand `CLOSE_DELIMITED_HEADER`. */
+const FRAMING_HEADER = 'citrontrestle-framing';
+const CLOSE_DELIMITED_HEADER = 'citrontrestle-close-delimited';
 const FAILURE_HEADER = 'citrontrestle-failure';
 const REASON_HEADER = 'citrontrestle-reason';
 
@@ -40,6 +43,7 @@
   REQUEST_HEADER,
   REMAINING_HEADER,
   PROOF_HEADER,
+  FRAMING_HEADER,
   // The call to the upstream sets it.
   'content-length',
 ]);
@@ -62,9 +66,37 @@
     [REQUEST_HEADER]: order.requestId,
     [REMAINING_HEADER]: String(Math.floor(order.remainingTime)),
     [PROOF_HEADER]: computeProof(order, target, fleetKey),
+    [FRAMING_HEADER]: 'chunks',
   };
 }
 
+/**
+ * Whether the sender of a request wants an upstream's response without a length
+ * in chunks, so that an end of this process does not look like its end. Earlier
+ * versions of the gateway do not.
+ */
+export function wantsChunks(headers: IncomingHttpHeaders): boolean {
+  return headers[FRAMING_HEADER] === 'chunks';
+}
+
+/** Returns the header of a response whose upstream gave it no length. */
+export function closeDelimitedHeaders(): OutgoingHttpHeaders {
+  return {[CLOSE_DELIMITED_HEADER]: '1'};
+}
+
+/** Whether a peer states that the upstream gave its response no length. */
+export function isMarkedCloseDelimited(headers: IncomingHttpHeaders): boolean {
+  return headers[CLOSE_DELIMITED_HEADER] !== undefined;
+}
+
+/** Returns the headers of a peer's response without those of the peer. */
+export function withoutPeerHeaders(rawHeaders: readonly string[]): string[] {
+  return rawHeaders.filter((_, index) => {
+    const name = rawHeaders[index - (index % 2)];
+    return name?.toLowerCase() !== CLOSE_DELIMITED_HEADER;
+  });
+}
+
 /**
  * Parses what to do with a request; undefined if the sender does not prove that
  * it holds the fleet key.
--- a/packages/gateway/src/lib/proxy_server.ts
+++ b/packages/gateway/src/lib/proxy_server.ts
@@ -11,9 +11,11 @@
 import {CallerResponse} from './caller_response.js';
 import {exceptionFields} from './exception_guard.js';
 import {
+  closeDelimitedHeaders,
   failureHeaders,
   headersForUpstream,
   parseOrder,
+  wantsChunks,
 } from './proxy_protocol.js';
 import {UpstreamCall} from './upstream_call.js';
 import {recordStatements} from './upstream_statements.js';
@@ -22,7 +24,12 @@
 import type {UpstreamAgent} from './upstream_agent.js';
 import type {ReceivedHead, UpstreamCallListener} from './upstream_call.js';
 import type {Millis, UpstreamListing} from '@citrontrestle/decisions';
-import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {
+  IncomingHttpHeaders,
+  IncomingMessage,
+  Server,
+  ServerResponse,
+} from 'node:http';
 
 /** Maximum number of requests that are forwarded for peers at a time. */
 const MAX_ACTIVE_REQUESTS = 256;
@@ -186,7 +193,8 @@
       });
     };
     const listener: UpstreamCallListener = {
-      onHead: received => this.sendHead(response, received, target),
+      onHead: received =>
+        this.sendHead(response, received, target, incoming.headers),
       onStatement: head =>
         recordStatements(this.context, target, head, startedAt),
       onData: chunk => {
@@ -237,20 +245,27 @@
     outgoing.on('close', () => cancel('cancelled'));
   }
 
-  /** Sends the head of the upstream's response as it was received. */
+  /**
+   * Sends the head of the upstream's response as it was received. If that has no
+   * length, the peer is told so and gets the body in chunks.
+   */
   private sendHead(
     response: CallerResponse,
     {status, rawHeaders, head, isCloseDelimited}: ReceivedHead,
     {id}: UpstreamListing,
+    requestHeaders: IncomingHttpHeaders,
   ): void {
     const {placement, clock, dialect} = this.context;
     if (head.load !== undefined) {
       placement.recordReportedLoad(id, head.load, clock.now());
     }
-    if (isCloseDelimited) {
+    const headers = dialect.forwardedResponseHeaders(rawHeaders);
+    if (isCloseDelimited && wantsChunks(requestHeaders)) {
+      Object.assign(headers, closeDelimitedHeaders());
+    } else if (isCloseDelimited) {
       response.delimitByClose();
     }
-    response.writeHead(status, dialect.forwardedResponseHeaders(rawHeaders));
+    response.writeHead(status, headers);
     response.flushHead();
   }
 }
--- a/packages/gateway/src/lib/response_relay.ts
+++ b/packages/gateway/src/lib/response_relay.ts
@@ -40,7 +40,14 @@
  */
 const MAX_BUFFERED_BYTES = 256 * 1024;
 
-/** Builds the response to one caller from one attempt or several in turn. */
+/**
+ * Builds the response to one caller from one attempt or several in turn.
+ *
+ * An upstream's response may have no length and end with its connection. If it
+ * were passed on in that form as it arrives, an end of this process would look
+ * like its end. So its events are sent in chunks, and any other body is buffered
+ * and sent at once, without a length: whether it is whole can't be proved.
+ */
 export class ResponseRelay {
   /** Number of stream events written to the caller, over all attempts. */
   deliveredEvents = 0;
@@ -48,15 +55,12 @@
   private eventReader = new EventReader();
   private bufferedChunks: Buffer[] = [];
   private bufferedBytes = 0;
-  /**
-   * Whether the body is relayed as it arrives, because it is too large to be
-   * buffered or has no known length.
-   */
+  /** Whether the body is relayed as it arrives, as it is too large to be buffered. */
   private isPassingThrough = false;
   /** Media type of the response to the caller; undefined before it has begun. */
   private mediaType: string | undefined;
-  /** Whether the response has a length or chunks that mark its end. */
-  private isFramed = true;
+  /** Whether an earlier attempt has begun the response. */
+  private hasBegunBefore = false;
   private readonly numbering: EventNumbering;
   /**
    * Whether the current attempt resumes the stream and may first repeat events
@@ -85,6 +89,7 @@
     this.eventReader = new EventReader();
     this.isCatchingUp = this.isResumable && this.lastEventId() !== undefined;
     this.hasRepeatedEvents = false;
+    this.hasBegunBefore = this.response.hasBegun();
     this.bufferedChunks = [];
     this.bufferedBytes = 0;
   }
@@ -146,8 +151,7 @@
     }
     this.bufferedChunks.push(chunk);
     this.bufferedBytes += chunk.length;
-    const isCloseDelimited = this.receivedHead?.isCloseDelimited === true;
-    if (this.bufferedBytes <= MAX_BUFFERED_BYTES && !isCloseDelimited) {
+    if (this.bufferedBytes <= MAX_BUFFERED_BYTES) {
       return RelayOutcome.Accepted;
     }
     this.isPassingThrough = true;
@@ -157,8 +161,9 @@
   /** Completes the response, unless the end of the upstream's is ambiguous. */
   finish(): RelayCompletion {
     const isCloseDelimited = this.receivedHead?.isCloseDelimited === true;
-    const hasPartialEvent = this.eventReader.pendingBytes().length > 0;
-    if (isCloseDelimited && !hasPartialEvent && !this.response.hasBegun()) {
+    const isEmpty =
+      this.bufferedBytes === 0 && this.eventReader.pendingBytes().length === 0;
+    if (isCloseDelimited && isEmpty && !this.response.hasBegun()) {
       return RelayCompletion.Unproven;
     }
     if (this.isStreaming()) {
@@ -173,6 +178,9 @@
         this.receivedHead.rawHeaders,
       );
       const body = Buffer.concat(this.bufferedChunks);
+      if (isCloseDelimited) {
+        this.response.delimitByClose();
+      }
       this.response.send(this.receivedHead.status, headers, body);
     }
     return RelayCompletion.Sent;
@@ -183,17 +191,17 @@
    * that it looks no more complete than it is.
    */
   sendUnproven(): void {
+    this.response.delimitByClose();
     this.beginResponse();
     this.response.end();
   }
 
   private finishStream(): RelayCompletion {
     const hasPartialEvent = this.eventReader.pendingBytes().length > 0;
-    // If the caller's response has a length or chunks, ending it marks it as
-    // complete, which a close-delimited upstream response can't guarantee.
-    const hasBegun = this.response.hasBegun();
+    // The stream has broken off before, so the end of a connection alone is no
+    // evidence that the rest of it is whole.
     const isAmbiguous =
-      this.receivedHead?.isCloseDelimited === true && hasBegun && this.isFramed;
+      this.receivedHead?.isCloseDelimited === true && this.hasBegunBefore;
     if (hasPartialEvent || isAmbiguous) {
       return RelayCompletion.Ambiguous;
     }
@@ -251,8 +259,7 @@
       return;
     }
     this.mediaType = receivedHead.mediaType;
-    if (receivedHead.isCloseDelimited) {
-      this.isFramed = false;
+    if (receivedHead.isCloseDelimited && !this.isStreaming()) {
       this.response.delimitByClose();
     }
     const headers = this.dialect.forwardedResponseHeaders(
--- a/packages/gateway/src/lib/upstream_call.ts
+++ b/packages/gateway/src/lib/upstream_call.ts
@@ -5,7 +5,11 @@
 import {request} from 'node:http';
 import {splitAddress} from '@citrontrestle/runtime';
 import {CallFailure} from './call_failure.js';
-import {parseFailure} from './proxy_protocol.js';
+import {
+  isMarkedCloseDelimited,
+  parseFailure,
+  withoutPeerHeaders,
+} from './proxy_protocol.js';
 import type {UpstreamResponseHead, Dialect} from './ports.js';
 import type {Agent, IncomingMessage, OutgoingHttpHeaders} from 'node:http';
 import type {Millis} from '@citrontrestle/decisions';
@@ -233,13 +237,18 @@
       this.fail(CallFailure.ResponseLost, error.message),
     );
     response.on('close', () => this.fail(CallFailure.ResponseLost, 'cut'));
-    const {headers, rawHeaders} = response;
+    const {headers} = response;
+    const rawHeaders = isProxied
+      ? withoutPeerHeaders(response.rawHeaders)
+      : response.rawHeaders;
+    const isMarked = isProxied && isMarkedCloseDelimited(headers);
     const isBodiless =
       this.upstreamRequest.method === 'HEAD' || BODILESS_STATUSES.has(status);
     const isCloseDelimited =
-      !isBodiless &&
-      headers['content-length'] === undefined &&
-      headers['transfer-encoding'] === undefined;
+      isMarked ||
+      (!isBodiless &&
+        headers['content-length'] === undefined &&
+        headers['transfer-encoding'] === undefined);
     const mediaType = parseMediaType(headers['content-type']);
     this.listener.onHead({
       status,
--- a/packages/stand_ins/src/lib/hosted/server.ts
+++ b/packages/stand_ins/src/lib/hosted/server.ts
@@ -21,6 +21,8 @@
   WrongRequestId = 'foreign-answer',
   /** Sends a second answer, which was not requested, after the first. */
   ExtraAnswer = 'extra-answer',
+  /** Gives whole answers without a length, piece by piece. */
+  WithoutLength = 'unframed-whole',
   /** Closes the connection in the middle of an answer without a length. */
   TruncatedWithoutLength = 'unframed',
   /** Closes the connection after the head of an answer without a length. */
@@ -491,6 +493,25 @@
     outgoing.writeHead(status, {...server.answerHeaders(run), ...headers});
     outgoing.end(body);
   },
+  [ServerFault.WithoutLength]: (server, outgoing, run) => {
+    outgoing.useChunkedEncodingByDefault = false;
+    outgoing.shouldKeepAlive = false;
+    if (run.headers['x-token-usage'] !== undefined) {
+      sendNormalAnswer(server, outgoing, run);
+      return;
+    }
+    const pieces = server.settings.eventCount;
+    outgoing.writeHead(200, server.answerHeaders(run));
+    let written = 0;
+    const timer = setInterval(() => {
+      outgoing.write(`piece ${written}\n`);
+      written += 1;
+      if (written === pieces) {
+        clearInterval(timer);
+        outgoing.end();
+      }
+    }, server.settings.stepMs);
+  },
   [ServerFault.TruncatedWithoutLength]: (server, outgoing, run) => {
     writeRaw(outgoing, `${formatHead(server, run)}do`, true);
   },
