Start while an address is in use or a setting is empty; be ready only when callers can connect

Cause, as far as it can be reproduced: a gateway ended if any of its five addresses could not be listened on, the port of the metrics too, and had taken requests before; a setting without a value ended it as well, and so did the second error of a listening server. Change: an address is tried again until it is free and holds up nothing else; the instance is ready only while callers can connect; empty settings take defaults. This works since nothing that the process can do without, or get a moment later, ends it any more. Whether the users saw this is only suspected.

--- a/packages/fleet/src/lib/fleet_links.ts
+++ b/packages/fleet/src/lib/fleet_links.ts
@@ -1,6 +1,6 @@
 /** The connections of one entry to its peers, opened by either side. */
 import {connect, createServer} from 'node:net';
-import {splitAddress} from '@citrontrestle/runtime';
+import {listenPersistently, splitAddress} from '@citrontrestle/runtime';
 import {Link} from './link.js';
 import type {EntryIdentity, LinkHandler} from './link.js';
 import type {Log} from '@citrontrestle/runtime';
@@ -56,18 +56,20 @@
     });
   }
 
-  /** Starts to listen; resolves to the address that others connect to. */
-  start(): Promise<string> {
+  /**
+   * Starts to listen; resolves to the address that others connect to. Links to
+   * others can be opened before that if the address is advertised.
+   */
+  async start(): Promise<string> {
     const {host, port, holder, zone, advertise} = this.settings;
-    return new Promise((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, host, () => {
-        const boundAddress = this.server.address() as AddressInfo;
-        const address = advertise ?? `${host}:${boundAddress.port}`;
-        this.ownIdentity = {holder, zone, address};
-        resolve(address);
-      });
-    });
+    if (advertise !== undefined) {
+      this.ownIdentity = {holder, zone, address: advertise};
+    }
+    await listenPersistently(this.server, `${host}:${port}`, this.log);
+    const boundAddress = this.server.address() as AddressInfo;
+    const address = advertise ?? `${host}:${boundAddress.port}`;
+    this.ownIdentity = {holder, zone, address};
+    return address;
   }
 
   /** Sends a message to the entry at an address; delivery isn't guaranteed. */
--- a/packages/gateway/src/lib/front_server.ts
+++ b/packages/gateway/src/lib/front_server.ts
@@ -1,6 +1,10 @@
 /** The HTTP server that accepts the requests of callers. */
 import {createServer} from 'node:http';
-import {BodyTooLargeError, listenAt, readBody} from '@citrontrestle/runtime';
+import {
+  BodyTooLargeError,
+  listenPersistently,
+  readBody,
+} from '@citrontrestle/runtime';
 import {CallerResponse} from './caller_response.js';
 import {exceptionFields} from './exception_guard.js';
 import {RefusalReason} from './refusal.js';
@@ -61,9 +65,14 @@
     this.server.on('clientError', rejectMalformedRequest);
   }
 
-  /** Listens on `ip:port`; rejects if that is not possible. */
+  /** Resolves when it listens on `ip:port`. */
   listen(address: string): Promise<void> {
-    return listenAt(this.server, address, LISTEN_BACKLOG);
+    return listenPersistently(this.server, address, this.log, LISTEN_BACKLOG);
+  }
+
+  /** Whether callers can connect. */
+  isListening(): boolean {
+    return this.server.listening;
   }
 
   /** Applies the timeouts for callers to new connections. */
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -279,7 +279,7 @@
       random: Math.random,
     });
     this.frontServer = new FrontServer(dialect, this, log);
-    this.readyServer = new ReadyServer(() => this.isReady());
+    this.readyServer = new ReadyServer(() => this.isReady(), log);
     const context: InstanceContext = {
       zone,
       clock,
@@ -427,24 +427,27 @@
     );
   }
 
-  /** Starts all components; rejects if an address cannot be listened on. */
+  /**
+   * Starts all components. An address that can't be listened on is tried again,
+   * and holds up nothing else; resolves when callers can connect.
+   */
   async start(): Promise<void> {
     const {settings, log} = this.dependencies;
+    void this.proxyServer.listen(settings.peers.proxy);
+    void this.metrics.listen(settings.metrics, log);
+    this.peerNetwork.start();
     this.stateSync.start();
     this.sharedVerdicts.start();
     this.streamRecords.start();
     this.reachability.start();
-    await Promise.all([
-      this.frontServer.listen(settings.listen.callers),
-      this.proxyServer.listen(settings.peers.proxy),
-      this.readyServer.listen(settings.listen.ready),
-      this.peerNetwork.start(),
-      this.metrics.listen(settings.metrics),
-    ]);
     this.budgets.start();
     this.peerExchange.sendLoadPeriodically();
     setInterval(() => this.prune(), PRUNE_INTERVAL);
     setInterval(() => this.logCounts(), COUNTS_LOG_INTERVAL);
+    await Promise.all([
+      this.frontServer.listen(settings.listen.callers),
+      this.readyServer.listen(settings.listen.ready),
+    ]);
     log.info('gateway.started', {
       callers: settings.listen.callers,
       cpuMs: Math.round(process.cpuUsage().user / 1_000),
@@ -471,7 +474,8 @@
   /** Whether the load balancer should send new connections. */
   isReady(): boolean {
     const isConfigured = this.routeTable.configuration() !== undefined;
-    return isConfigured && !this.isClosing();
+    const canConnect = this.frontServer.isListening();
+    return isConfigured && canConnect && !this.isClosing();
   }
 
   /**
--- a/packages/gateway/src/lib/gateway_metrics.ts
+++ b/packages/gateway/src/lib/gateway_metrics.ts
@@ -1,9 +1,10 @@
 /** Prometheus metrics of one gateway and the HTTP server that exposes them. */
 import {createServer} from 'node:http';
-import {listenAt} from '@citrontrestle/runtime';
+import {listenPersistently} from '@citrontrestle/runtime';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 import type {Store} from './ports.js';
 import type {Server} from 'node:http';
+import type {Log} from '@citrontrestle/runtime';
 import type {Millis, TokenTotals} from '@citrontrestle/decisions';
 
 /** Upper bounds of the buckets of latency histograms. */
@@ -73,11 +74,10 @@
   }
 
   /** Serves the metrics on `ip:port`; does nothing without an address. */
-  listen(address: string | undefined): Promise<void> {
-    if (address === undefined) {
-      return Promise.resolve();
+  async listen(address: string | undefined, log: Log): Promise<void> {
+    if (address !== undefined) {
+      await listenPersistently(this.server, address, log);
     }
-    return listenAt(this.server, address);
   }
 
   /** Records a request that has ended. */
--- a/packages/gateway/src/lib/peer_network.ts
+++ b/packages/gateway/src/lib/peer_network.ts
@@ -154,8 +154,8 @@
   }
 
   /** Starts to listen for links and to send heartbeats. */
-  async start(): Promise<void> {
-    await this.links.start();
+  start(): void {
+    void this.links.start();
     this.sendHeartbeatsPeriodically();
   }
 
--- a/packages/gateway/src/lib/proxy_server.ts
+++ b/packages/gateway/src/lib/proxy_server.ts
@@ -5,7 +5,7 @@
  * instance.
  */
 import {createServer} from 'node:http';
-import {listenAt, readBody} from '@citrontrestle/runtime';
+import {listenPersistently, readBody} from '@citrontrestle/runtime';
 import {ESTIMATED_HEAD_BYTES} from './admission.js';
 import {CallFailure} from './call_failure.js';
 import {CallerResponse} from './caller_response.js';
@@ -83,10 +83,10 @@
   }
 
   /** Listens on `ip:port`; does nothing without an address. */
-  listen(address: string | undefined): Promise<void> {
-    return address === undefined
-      ? Promise.resolve()
-      : listenAt(this.server, address);
+  async listen(address: string | undefined): Promise<void> {
+    if (address !== undefined) {
+      await listenPersistently(this.server, address, this.context.log);
+    }
   }
 
   /** Returns the number of requests that are being forwarded. */
--- a/packages/gateway/src/lib/ready_server.ts
+++ b/packages/gateway/src/lib/ready_server.ts
@@ -1,13 +1,17 @@
 /** Tells the load balancer whether the instance accepts new connections. */
 import {createServer} from 'node:http';
-import {listenAt} from '@citrontrestle/runtime';
+import {listenPersistently} from '@citrontrestle/runtime';
 import type {Server} from 'node:http';
+import type {Log} from '@citrontrestle/runtime';
 
 /** Responds with 200 while the instance is ready, and with 503 otherwise. */
 export class ReadyServer {
   private readonly server: Server;
 
-  constructor(isReady: () => boolean) {
+  constructor(
+    isReady: () => boolean,
+    private readonly log: Log,
+  ) {
     this.server = createServer((_incoming, response) => {
       const status = isReady() ? 200 : 503;
       response.writeHead(status, {'Content-Length': 0});
@@ -15,8 +19,8 @@
     });
   }
 
-  /** Listens on `ip:port`; rejects if that is not possible. */
+  /** Resolves when it listens on `ip:port`. */
   listen(address: string): Promise<void> {
-    return listenAt(this.server, address);
+    return listenPersistently(this.server, address, this.log);
   }
 }
--- a/packages/gateway/src/lib/settings.ts
+++ b/packages/gateway/src/lib/settings.ts
@@ -13,16 +13,27 @@
 /** Longest accepted bound. */
 const MAX_BOUND: Millis = 3_600_000;
 
+/** Returns the schema of a number that may be left empty. */
+function numberOr(fallback: number, schema: z.ZodNumber) {
+  return schema.nullish().transform(value => value ?? fallback);
+}
+
 /** Returns the schema of a bound in milliseconds, which may be left empty. */
 function boundSchema(fallback: Millis) {
-  return z
-    .number()
-    .min(MIN_BOUND)
-    .max(MAX_BOUND)
-    .nullish()
-    .transform(bound => bound ?? fallback);
+  return numberOr(fallback, z.number().min(MIN_BOUND).max(MAX_BOUND));
 }
 
+/** Returns the schema of a section that may be left empty. */
+function sectionOf<T extends z.ZodRawShape>(shape: T) {
+  return z.preprocess(section => section ?? {}, z.object(shape));
+}
+
+/** An address that is not needed; one without a port, or empty, is none. */
+const OPTIONAL_ADDRESS = z.preprocess(
+  address => (/^$|:$/.test(String(address ?? '')) ? undefined : address),
+  ADDRESS.optional(),
+);
+
 /** Schema of the settings. Unknown fields are ignored. */
 export const GATEWAY_SETTINGS_SCHEMA = z.object({
   /** Name of the instance. It stays the same when the process restarts. */
@@ -39,12 +50,12 @@
     /** Address at which this instance accepts connections of its peers. */
     listen: ADDRESS,
     /** Address that the peers connect to, if it differs from `listen`. */
-    advertise: ADDRESS.optional(),
+    advertise: OPTIONAL_ADDRESS,
     /**
      * Address at which this instance accepts requests of peers that are
      * partitioned from the upstreams; if unset, it forwards none.
      */
-    proxy: ADDRESS.optional(),
+    proxy: OPTIONAL_ADDRESS,
     /** Comma-separated addresses of some instances; they may be down. */
     seeds: z.string().default(''),
     /** Secret shared by all instances, which proves membership in the fleet. */
@@ -58,47 +69,43 @@
    * Resources of the machine. They determine the capacity of the instance; the
    * instance with the highest capacity becomes the relay of its zone.
    */
-  machine: z
-    .object({
-      /** Fraction of a core that the instance may use. */
-      processorShare: POSITIVE_NUMBER.default(1),
-      /** Speed of that core relative to a standard core. */
-      cores: POSITIVE_NUMBER.default(1),
-      /** Bandwidth of the network link in Mbit/s. */
-      linkMbps: POSITIVE_NUMBER.default(1_000),
-    })
-    .prefault({}),
-  stop: z.object({
+  machine: sectionOf({
+    /** Fraction of a core that the instance may use. */
+    processorShare: numberOr(1, POSITIVE_NUMBER),
+    /** Speed of that core relative to a standard core. */
+    cores: numberOr(1, POSITIVE_NUMBER),
+    /** Bandwidth of the network link in Mbit/s. */
+    linkMbps: numberOr(1_000, POSITIVE_NUMBER),
+  }),
+  stop: sectionOf({
     /** Time between SIGTERM and SIGKILL, in seconds. */
-    graceSeconds: POSITIVE_NUMBER,
+    graceSeconds: numberOr(8, POSITIVE_NUMBER),
   }),
   /** Limits on repeating failed requests at another upstream, per service. */
-  repeats: z.object({
+  repeats: sectionOf({
     /** Allowed repeats as a fraction of the requests of the whole fleet. */
-    ratio: z.number().nonnegative(),
+    ratio: numberOr(0.1, z.number().nonnegative()),
     /** Number of repeats allowed in each window in addition to the ratio. */
-    slack: z.number().nonnegative(),
+    slack: numberOr(10, z.number().nonnegative()),
     /** Length of the sliding window in seconds. */
-    windowSeconds: POSITIVE_NUMBER,
+    windowSeconds: numberOr(10, POSITIVE_NUMBER),
   }),
   /** Times by which a change must be known to all instances. */
-  bounds: z
-    .object({
-      /**
-       * Milliseconds from which on an instance that reaches the store without
-       * interruption must know all changes.
-       */
-      contactMs: boundSchema(3_000),
-      /** Milliseconds after which a leaving upstream gets no more requests. */
-      drainMs: boundSchema(2_000),
-      /** Milliseconds after which a configuration is in force everywhere. */
-      configurationMs: boundSchema(2_000),
-      /** Milliseconds after which a withdrawn API key is refused everywhere. */
-      revocationMs: boundSchema(5_000),
-    })
-    .prefault({}),
+  bounds: sectionOf({
+    /**
+     * Milliseconds from which on an instance that reaches the store without
+     * interruption must know all changes.
+     */
+    contactMs: boundSchema(3_000),
+    /** Milliseconds after which a leaving upstream gets no more requests. */
+    drainMs: boundSchema(2_000),
+    /** Milliseconds after which a configuration is in force everywhere. */
+    configurationMs: boundSchema(2_000),
+    /** Milliseconds after which a withdrawn API key is refused everywhere. */
+    revocationMs: boundSchema(5_000),
+  }),
   /** Address at which metrics are served; if unset, none are served. */
-  metrics: ADDRESS.optional(),
+  metrics: OPTIONAL_ADDRESS,
   /** Least severe level that is logged. */
   log: z.enum(['error', 'warn', 'info']).default('info'),
 });
--- a/packages/stand_ins/src/lib/hosted/fleet.ts
+++ b/packages/stand_ins/src/lib/hosted/fleet.ts
@@ -2,7 +2,7 @@
  * Runs real gateway processes on a simulated platform, for tests and soak runs.
  */
 import {spawn} from 'node:child_process';
-import {mkdtempSync, writeFileSync} from 'node:fs';
+import {mkdtempSync, readFileSync, writeFileSync} from 'node:fs';
 import {createServer} from 'node:net';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
@@ -161,6 +161,18 @@
     });
   }
 
+  /** Returns its settings, as the next start reads them. */
+  settings(): Record<string, unknown> {
+    const text = readFileSync(this.settingsPath, 'utf8');
+    return JSON.parse(text) as Record<string, unknown>;
+  }
+
+  /** Replaces some of its settings; they take effect at the next start. */
+  changeSettings(changes: Record<string, unknown>): void {
+    const settings = {...this.settings(), ...changes};
+    writeFileSync(this.settingsPath, JSON.stringify(settings));
+  }
+
   /** Sets how its new connections end, also those of later processes. */
   setNewConnections(command: PartitionCommand): void {
     this.partitionCommand = command;
