Bound what is kept of bytes from outside for the whole process

What callers would see (a report of other operators): an upstream that sends bytes without end makes its gateway run out of memory, and the requests of others end with it. Cause: what is kept was bounded for each request, not for the process; tiny chunks were kept and written one by one; the bytes of an event were joined anew with each read; interim responses had no bound; a large body took all of the link. Change: bytes kept of requests and of responses are each bounded by a share of the machine's memory, from the settings; the chunks of one read are passed on together, and a body of tiny chunks without end fails; at most 16 interim responses; large bodies wait while the link is crowded; little of a refused body is read. The stand-in of a caller took a reset response without a length for complete, as Node ends it; the error, which comes first, decides now.

--- a/packages/decisions/src/lib/link_load.ts
+++ b/packages/decisions/src/lib/link_load.ts
@@ -14,6 +14,9 @@
 /** Utilisation above which callers are asked to connect to other instances. */
 const BUSY_UTILISATION = 0.5;
 
+/** Utilisation above which large bodies wait, so that other requests have room. */
+const CROWDED_UTILISATION = 0.4;
+
 /**
  * Utilisation below which a busy machine stops being busy, after
  * `BUSY_HOLD_TIME`.
@@ -65,6 +68,11 @@
     bucket.sent += sent;
   }
 
+  /** Whether large bodies are to leave room on the link for other requests. */
+  isCrowded(now: Millis): boolean {
+    return this.utilisation(now) > CROWDED_UTILISATION;
+  }
+
   /** Returns the used fraction of the link in its busier direction. */
   utilisation(now: Millis): number {
     this.buckets = this.buckets.filter(
--- a/packages/gateway/src/lib/event_reader.ts
+++ b/packages/gateway/src/lib/event_reader.ts
@@ -16,38 +16,61 @@
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 
+/** Bytes of a line end and of a blank line that may lie in two chunks. */
+const MAX_SPLIT_END_BYTES = 3;
+
 /** Reads the events of one stream; the last one may be incomplete. */
 export class EventReader {
-  /** Bytes received after the last complete event. */
-  private pending: Buffer = Buffer.alloc(0);
+  /** Chunks received after the last complete event. */
+  private pending: Buffer[] = [];
+  private pendingSize = 0;
+  /** The last of these bytes, in which the end of the event may have begun. */
+  private tail: Buffer = Buffer.alloc(0);
 
   /** Adds bytes of the stream and returns the events that they complete. */
   push(chunk: Buffer): StreamEvent[] {
-    this.pending =
-      this.pending.length === 0 ? chunk : Buffer.concat([this.pending, chunk]);
+    const seam = chunk.subarray(0, MAX_SPLIT_END_BYTES);
+    const joint = Buffer.concat([this.tail, seam]);
+    if (findEventEnd(joint, 0) < 0 && findEventEnd(chunk, 0) < 0) {
+      // The bytes are not joined with those before until the event is complete.
+      this.keep(chunk, chunk.length < MAX_SPLIT_END_BYTES ? joint : chunk);
+      return [];
+    }
+    const bytes = Buffer.concat([...this.pending, chunk]);
     const events: StreamEvent[] = [];
     let start = 0;
     for (;;) {
-      const end = findEventEnd(this.pending, start);
+      const end = findEventEnd(bytes, start);
       if (end < 0) {
         break;
       }
-      const event = this.pending.subarray(start, end);
-      events.push(parseEvent(event));
+      events.push(parseEvent(bytes.subarray(start, end)));
       start = end;
     }
-    this.pending = this.pending.subarray(start);
+    const rest = bytes.subarray(start);
+    this.pending = [];
+    this.pendingSize = 0;
+    this.keep(rest, rest);
     return events;
   }
 
-  /** Returns the bytes of the incomplete event; empty if there is none. */
-  pendingBytes(): Buffer {
-    return this.pending;
+  /** Returns the number of bytes of the incomplete event; 0 if there is none. */
+  pendingBytes(): number {
+    return this.pendingSize;
   }
 
   /** Whether the incomplete event exceeds the maximum size. */
   isEventTooLarge(): boolean {
-    return this.pending.length > MAX_PARTIAL_EVENT_BYTES;
+    return this.pendingSize > MAX_PARTIAL_EVENT_BYTES;
+  }
+
+  /** @param last bytes that end with the last ones of the chunk. */
+  private keep(chunk: Buffer, last: Buffer): void {
+    if (chunk.length > 0) {
+      this.pending.push(chunk);
+      this.pendingSize += chunk.length;
+    }
+    this.tail = last.subarray(-MAX_SPLIT_END_BYTES);
   }
 }
 
--- a/packages/gateway/src/lib/forwarding.ts
+++ b/packages/gateway/src/lib/forwarding.ts
@@ -65,6 +65,9 @@
 /** Maximum time for which a request waits for room at brittle upstreams. */
 const MAX_ROOM_WAIT: Millis = 100;
 
+/** Interval at which a paused large body looks for room on the link. */
+const BULK_CHECK_INTERVAL: Millis = 50;
+
 /** Interval at which a request that waits for room looks for some. */
 const ROOM_CHECK_INTERVAL: Millis = 10;
 
@@ -115,6 +118,8 @@
   private deadlineTimer: NodeJS.Timeout | undefined;
   private silenceTimer: NodeJS.Timeout | undefined;
   private roomTimer: NodeJS.Timeout | undefined;
+  /** Ends the pause of a large body. */
+  private bulkTimer: NodeJS.Timeout | undefined;
   /** When it first waited for room at brittle upstreams. */
   private waitsForRoomSince: Millis | undefined;
   private attemptStartedAt: Millis = 0;
@@ -147,6 +152,7 @@
       route.kind === RouteKind.Streaming,
       isResumableStream(route),
       callerRequest.lastEventId,
+      context.heldResponses,
     );
   }
 
@@ -422,11 +428,29 @@
     RELAY_HANDLERS[outcome](this);
   }
 
-  /** Stops reading from the upstream until the caller has room for more data. */
-  pauseUntilDrained(): void {
+  /** Reads on, unless a large body is to leave room on the link for others. */
+  readOnIfRoom(): void {
     const {call} = this;
+    const {linkLoad, clock} = this.context;
+    const hasRoom = () => !linkLoad.isCrowded(clock.now());
+    if (!this.responseRelay.relaysBulk() || hasRoom()) {
+      call?.setFlowing(true);
+      return;
+    }
     call?.setFlowing(false);
-    this.response.onDrain(() => call?.setFlowing(true));
+    clearInterval(this.bulkTimer);
+    this.bulkTimer = setInterval(() => {
+      if (hasRoom()) {
+        clearInterval(this.bulkTimer);
+        call?.setFlowing(true);
+      }
+    }, BULK_CHECK_INTERVAL);
+  }
+
+  /** Stops reading from the upstream until the caller has room for more data. */
+  pauseUntilDrained(): void {
+    this.call?.setFlowing(false);
+    this.response.onDrain(() => this.readOnIfRoom());
   }
 
   /** Fails the attempt because of what the upstream has sent. */
@@ -710,6 +734,8 @@
       return;
     }
     this.isFinished = true;
+    this.responseRelay.discard();
+    clearInterval(this.bulkTimer);
     clearTimeout(this.deadlineTimer);
     clearTimeout(this.silenceTimer);
     clearTimeout(this.roomTimer);
@@ -722,10 +748,10 @@
 const RELAY_HANDLERS: Readonly<
   Record<RelayOutcome, (forwarding: Forwarding) => void>
 > = {
-  [RelayOutcome.Accepted]: () => undefined,
+  [RelayOutcome.Accepted]: forwarding => forwarding.readOnIfRoom(),
   [RelayOutcome.Backpressure]: forwarding => forwarding.pauseUntilDrained(),
   [RelayOutcome.EventTooLarge]: forwarding =>
-    forwarding.failInvalidResponse('event exceeds the size limit'),
+    forwarding.failInvalidResponse('event exceeds the size limit or the room'),
   [RelayOutcome.OutOfSequence]: forwarding =>
     forwarding.failInvalidResponse('the stream is not resumed where it ended'),
 };
--- a/packages/gateway/src/lib/front_server.ts
+++ b/packages/gateway/src/lib/front_server.ts
@@ -3,13 +3,16 @@
 import {
   BodyTooLargeError,
   listenPersistently,
+  NoRoomError,
   readBody,
 } from '@citrontrestle/runtime';
 import {CallerResponse} from './caller_response.js';
 import {exceptionFields} from './exception_guard.js';
+import {HeldPart} from './held_bytes.js';
 import {RefusalReason} from './refusal.js';
+import type {HeldBytes} from './held_bytes.js';
 import type {Dialect} from './ports.js';
-import type {CallerLimits} from '@citrontrestle/decisions';
+import type {CallerLimits, Millis} from '@citrontrestle/decisions';
 import type {Log} from '@citrontrestle/runtime';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Duplex} from 'node:stream';
@@ -44,6 +47,12 @@
  */
 const MAX_HEAD_BYTES = 64 * 1024;
 
+/** Time for which a connection stays open whose body was refused. */
+const LINGER_TIME: Millis = 1_000;
+
+/** Maximum size of the rest of such a body that is read. */
+const MAX_DISCARDED_BYTES = 512 * 1024;
+
 /** Maximum number of connections that wait to be accepted. */
 const LISTEN_BACKLOG = 1_024;
 
@@ -57,6 +66,8 @@
     private readonly dialect: Dialect,
     private readonly handler: FrontServerHandler,
     private readonly log: Log,
+    /** Bytes of bodies that are kept for all requests. */
+    private readonly heldRequests: HeldBytes,
   ) {
     this.server = createServer(
       {maxHeaderSize: MAX_HEAD_BYTES, noDelay: true},
@@ -108,8 +119,10 @@
     const state: {isClosed: boolean; handle?: RequestHandle} = {
       isClosed: false,
     };
+    const held = new HeldPart(this.heldRequests);
     serverResponse.on('close', () => {
       this.activeCount -= 1;
+      held.resize(0);
       state.isClosed = true;
       if (state.handle !== undefined) {
         this.handles.delete(state.handle);
@@ -122,7 +135,7 @@
       this.handler.isClosing(),
     );
     try {
-      const body = await this.readBodyOrRefuse(incoming, response);
+      const body = await this.readBodyOrRefuse(incoming, response, held);
       if (body === undefined || state.isClosed) {
         return;
       }
@@ -136,24 +149,32 @@
   }
 
   /**
-   * Reads the body of a request. Returns undefined if the body is too large, in
-   * which case the request is refused, or if the caller disconnected.
+   * Reads the body of a request. Returns undefined if the body is too large or
+   * there is no room for it, in which case the request is refused and the
+   * connection closed, or if the caller disconnected.
    */
   private async readBodyOrRefuse(
     incoming: IncomingMessage,
     response: CallerResponse,
+    held: HeldPart,
   ): Promise<Buffer | undefined> {
-    const maxBytes = this.handler.maxBodyBytes();
+    const maxBytes = Math.min(
+      this.handler.maxBodyBytes(),
+      this.heldRequests.limit,
+    );
     const contentLength = Number(incoming.headers['content-length'] ?? 0);
     try {
       if (contentLength > maxBytes) {
         throw new BodyTooLargeError('request body exceeds the maximum size');
       }
-      return await readBody(incoming, maxBytes);
+      return await readBody(incoming, maxBytes, bytes => held.tryGrow(bytes));
     } catch (error) {
-      if (error instanceof BodyTooLargeError) {
-        response.refuse(RefusalReason.BodyTooLarge);
-        incoming.resume();
+      const {BodyTooLarge, MachineBusy} = RefusalReason;
+      const isTooLarge = error instanceof BodyTooLargeError;
+      if (isTooLarge || error instanceof NoRoomError) {
+        held.resize(0);
+        response.refuse(isTooLarge ? BodyTooLarge : MachineBusy);
+        discardRest(incoming);
       }
       // Otherwise the caller disconnected before it had sent the whole body.
       return undefined;
@@ -161,6 +182,26 @@
   }
 }
 
+/**
+ * Reads some of the rest of a body that was refused, so that the caller reads the
+ * response; disconnects if the body does not end soon.
+ */
+function discardRest(incoming: IncomingMessage): void {
+  let discarded = 0;
+  incoming.on('data', (chunk: Buffer) => {
+    discarded += chunk.length;
+    if (discarded > MAX_DISCARDED_BYTES) {
+      incoming.pause();
+    }
+  });
+  incoming.resume();
+  setTimeout(() => {
+    if (!incoming.complete) {
+      incoming.socket.destroy();
+    }
+  }, LINGER_TIME);
+}
+
 /**
  * Status codes and texts by error code of the HTTP parser. Other errors mean a
  * malformed request.
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -24,6 +24,7 @@
 import {FrontServer} from './front_server.js';
 import {LimitWatch} from './limit_watch.js';
 import {GatewayMetrics} from './gateway_metrics.js';
+import {HeldBytes} from './held_bytes.js';
 import {PeerMessageKind} from './peer_message.js';
 import {PeerExchange} from './peer_exchange.js';
 import {PeerNetwork} from './peer_network.js';
@@ -76,6 +77,14 @@
  */
 const CORE_CAPACITY = 100;
 
+const MIB = 2 ** 20;
+
+/**
+ * Fraction of the machine's memory for bytes of requests, and as much for bytes
+ * of responses.
+ */
+const HELD_FRACTION = 0.08;
+
 /** Settings of a gateway, and its adapters to the platform. */
 export interface GatewayDependencies {
   settings: GatewaySettings;
@@ -278,7 +287,12 @@
       proxies: () => this.peerNetwork.proxies(),
       random: Math.random,
     });
-    this.frontServer = new FrontServer(dialect, this, log);
+    this.frontServer = new FrontServer(
+      dialect,
+      this,
+      log,
+      new HeldBytes(heldBytesLimit(settings)),
+    );
     this.readyServer = new ReadyServer(() => this.isReady(), log);
     const context: InstanceContext = {
       zone,
@@ -299,6 +313,7 @@
       brittleWatch: this.brittleWatch,
       statementWatch: this.statementWatch,
       streamTracker: this.streamTracker,
+      heldResponses: new HeldBytes(heldBytesLimit(settings)),
       linkLoad: this.linkLoad,
       admits: deadline => this.shutdown.admits(deadline),
       instanceCount: () => this.instanceCount(),
@@ -576,6 +591,11 @@
     .filter(address => address !== '');
 }
 
+/** Returns how many bytes of requests, and as many of responses, may be kept. */
+function heldBytesLimit({machine}: GatewaySettings): number {
+  return machine.memoryMb * MIB * HELD_FRACTION;
+}
+
 /**
  * Returns the capacity of the machine: that of its processor or that of its
  * link, whichever is lower.
--- a/packages/gateway/src/lib/instance_context.ts
+++ b/packages/gateway/src/lib/instance_context.ts
@@ -1,6 +1,7 @@
 /** Components of an instance that the forwarding of requests uses. */
 import type {Dialect} from './ports.js';
 import type {BrittleWatch} from './brittle_watch.js';
+import type {HeldBytes} from './held_bytes.js';
 import type {CrashWatch} from './crash_watch.js';
 import type {LimitWatch} from './limit_watch.js';
 import type {ReachabilityWatch} from './reachability_watch.js';
@@ -36,6 +37,8 @@
   brittleWatch: BrittleWatch;
   statementWatch: StatementWatch;
   streamTracker: StreamTracker;
+  /** Bytes of upstreams' responses that are kept for all requests. */
+  heldResponses: HeldBytes;
   /** Traffic on the machine's network link. */
   linkLoad: LinkLoad;
   /**
--- a/packages/gateway/src/lib/response_relay.ts
+++ b/packages/gateway/src/lib/response_relay.ts
@@ -6,6 +6,8 @@
  */
 import {EventNumbering, EventSuccession} from './event_numbering.js';
 import {EventReader} from './event_reader.js';
+import {HeldPart} from './held_bytes.js';
+import type {HeldBytes} from './held_bytes.js';
 import type {StreamEvent} from './event_reader.js';
 import type {CallerResponse} from './caller_response.js';
 import type {Dialect} from './ports.js';
@@ -16,7 +18,7 @@
   Accepted = 'taken',
   /** The caller reads too slowly; nothing more should be relayed for now. */
   Backpressure = 'caller-busy',
-  /** An incomplete event is larger than any event may be. */
+  /** An incomplete event is larger than any event may be, or than there is room. */
   EventTooLarge = 'overflow',
   /** A resumed stream does not go on after the last event of the caller. */
   OutOfSequence = 'out-of-sequence',
@@ -45,8 +47,9 @@
  *
  * An upstream's response may have no length and end with its connection. If it
  * were passed on in that form as it arrives, an end of this process would look
- * like its end. So its events are sent in chunks, and any other body is buffered
- * and sent at once, without a length: whether it is whole can't be proved.
+ * like its end, and even a reset may. So its events are sent in chunks, as is a
+ * body that is too large to be buffered; any other body is buffered and sent at
+ * once, without a length: whether it is whole can't be proved.
  */
 export class ResponseRelay {
   /** Number of stream events written to the caller, over all attempts. */
@@ -62,6 +65,8 @@
   /** Whether an earlier attempt has begun the response. */
   private hasBegunBefore = false;
   private readonly numbering: EventNumbering;
+  /** The bytes that were received and not yet relayed. */
+  private readonly held: HeldPart;
   /**
    * Whether the current attempt resumes the stream and may first repeat events
    * that the caller has.
@@ -79,19 +84,32 @@
     private readonly isResumable: boolean,
     /** Identifier of the last event that the caller had; undefined if none. */
     private readonly callerLastEventId: string | undefined,
+    heldBytes: HeldBytes,
   ) {
+    this.held = new HeldPart(heldBytes);
     this.numbering = new EventNumbering(callerLastEventId);
   }
 
   /** Begins an attempt: discards what a previous one received in vain. */
   beginAttempt(): void {
+    this.discard();
     this.receivedHead = undefined;
-    this.eventReader = new EventReader();
     this.isCatchingUp = this.isResumable && this.lastEventId() !== undefined;
     this.hasRepeatedEvents = false;
     this.hasBegunBefore = this.response.hasBegun();
+  }
+
+  /** Discards what was received and has not been relayed. */
+  discard(): void {
+    this.eventReader = new EventReader();
     this.bufferedChunks = [];
     this.bufferedBytes = 0;
+    this.held.resize(0);
+  }
+
+  /** Whether a body that is too large to be buffered is relayed as it arrives. */
+  relaysBulk(): boolean {
+    return this.isPassingThrough;
   }
 
   /** Sets the head of the upstream's response in the current attempt. */
@@ -151,18 +169,22 @@
     }
     this.bufferedChunks.push(chunk);
     this.bufferedBytes += chunk.length;
-    if (this.bufferedBytes <= MAX_BUFFERED_BYTES) {
+    const isSmall = this.bufferedBytes <= MAX_BUFFERED_BYTES;
+    if (isSmall && this.held.resize(this.bufferedBytes)) {
       return RelayOutcome.Accepted;
     }
+    const chunks = this.bufferedChunks;
+    this.discard();
     this.isPassingThrough = true;
-    return this.write(Buffer.concat(this.bufferedChunks));
+    const outcomes = chunks.map(buffered => this.write(buffered));
+    return outcomes.at(-1) ?? RelayOutcome.Accepted;
   }
 
   /** Completes the response, unless the end of the upstream's is ambiguous. */
   finish(): RelayCompletion {
     const isCloseDelimited = this.receivedHead?.isCloseDelimited === true;
     const isEmpty =
-      this.bufferedBytes === 0 && this.eventReader.pendingBytes().length === 0;
+      this.bufferedBytes === 0 && this.eventReader.pendingBytes() === 0;
     if (isCloseDelimited && isEmpty && !this.response.hasBegun()) {
       return RelayCompletion.Unproven;
     }
@@ -197,7 +219,7 @@
   }
 
   private finishStream(): RelayCompletion {
-    const hasPartialEvent = this.eventReader.pendingBytes().length > 0;
+    const hasPartialEvent = this.eventReader.pendingBytes() > 0;
     // The stream has broken off before, so the end of a connection alone is no
     // evidence that the rest of it is whole.
     const isAmbiguous =
@@ -226,9 +248,10 @@
       }
       outcome = this.deliver(event);
     }
-    return this.eventReader.isEventTooLarge()
-      ? RelayOutcome.EventTooLarge
-      : outcome;
+    const isTooLarge =
+      this.eventReader.isEventTooLarge() ||
+      !this.held.resize(this.eventReader.pendingBytes());
+    return isTooLarge ? RelayOutcome.EventTooLarge : outcome;
   }
 
   /**
@@ -259,9 +282,6 @@
       return;
     }
     this.mediaType = receivedHead.mediaType;
-    if (receivedHead.isCloseDelimited && !this.isStreaming()) {
-      this.response.delimitByClose();
-    }
     const headers = this.dialect.forwardedResponseHeaders(
       receivedHead.rawHeaders,
     );
--- a/packages/gateway/src/lib/settings.ts
+++ b/packages/gateway/src/lib/settings.ts
@@ -76,6 +76,8 @@
     cores: numberOr(1, POSITIVE_NUMBER),
     /** Bandwidth of the network link in Mbit/s. */
     linkMbps: numberOr(1_000, POSITIVE_NUMBER),
+    /** Memory that the process may use, in MiB. */
+    memoryMb: numberOr(200, POSITIVE_NUMBER),
   }),
   stop: sectionOf({
     /** Time between SIGTERM and SIGKILL, in seconds. */
--- a/packages/gateway/src/lib/upstream_paths.ts
+++ b/packages/gateway/src/lib/upstream_paths.ts
@@ -92,7 +92,13 @@
       const {address} = upstream;
       const observer = reachability.observerOf(upstream.id);
       return new UpstreamCall(
-        {...request, address, agent, observer, isProxied: false},
+        {
+          ...request,
+          address,
+          agent,
+          observer,
+          isProxied: false,
+        },
         dialect,
         listener,
       );
--- a/packages/gateway/src/test/exception_guard_test.ts
+++ b/packages/gateway/src/test/exception_guard_test.ts
@@ -7,6 +7,7 @@
 import {CallerResponse} from '../lib/caller_response.js';
 import {Forwarding} from '../lib/forwarding.js';
 import {FrontServer} from '../lib/front_server.js';
+import {HeldBytes} from '../lib/held_bytes.js';
 import type {AddressInfo, Server} from 'node:net';
 import type {AdmittedRequest} from '../lib/admission.js';
 import type {Dialect} from '../lib/ports.js';
@@ -126,6 +127,7 @@
         crashWatch: stub({}),
         repeatAllowance: stub({}),
         reachability: stub({}),
+        heldResponses: new HeldBytes(1_000),
         upstreamRegistry: stub({}, []),
         placement: stub({choose: () => ({upstream, prefillTime: 0})}),
         ...context,
@@ -172,6 +174,7 @@
         maxBodyBytes: () => 100,
       },
       log,
+      new HeldBytes(1_000),
     );
     server = createServer();
     await new Promise<void>(resolve => {
--- a/packages/runtime/src/lib/http.ts
+++ b/packages/runtime/src/lib/http.ts
@@ -40,6 +40,9 @@
 /** Default maximum size of an answer's body, in bytes. */
 const DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024;
 
+/** Maximum number of interim responses before the final one. */
+export const MAX_INTERIM_RESPONSES = 16;
+
 /** Maximum size of a request body that listeners read, in bytes. */
 export const MAX_REQUEST_BYTES = 1024 * 1024;
 
@@ -100,6 +103,13 @@
       mayHaveBeenSent &&= !CONNECT_ERRORS.has(error.code ?? '');
       resolveFailure(error.code ?? error.message);
     });
+    let interimResponses = 0;
+    outgoing.on('information', () => {
+      interimResponses += 1;
+      if (interimResponses > MAX_INTERIM_RESPONSES) {
+        outgoing.destroy(new Error('too many interim responses'));
+      }
+    });
     outgoing.on('response', incoming => {
       readBody(incoming, options.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES).then(
         body => {
@@ -121,23 +131,38 @@
 /** Thrown by `readBody` if the body exceeds the maximum size. */
 export class BodyTooLargeError extends Error {}
 
-/** Reads a body; rejects if it is incomplete or larger than `maxBytes`. */
+/** Thrown by `readBody` if there is no room for more bytes. */
+export class NoRoomError extends Error {}
+
+/**
+ * Reads a body; rejects if it is incomplete, larger than `maxBytes`, or if
+ * `tryHold` refuses to keep the next bytes.
+ */
 export function readBody(
   incoming: IncomingMessage,
   maxBytes: number,
+  tryHold: (bytes: number) => boolean = () => true,
 ): Promise<Buffer> {
   return new Promise((resolve, reject) => {
     const chunks: Buffer[] = [];
     let size = 0;
-    incoming.on('data', (chunk: Buffer) => {
+    const stopWith = (error: Error) => {
+      incoming.off('data', onData);
+      incoming.pause();
+      chunks.length = 0;
+      reject(error);
+    };
+    const onData = (chunk: Buffer) => {
       size += chunk.length;
       if (size > maxBytes) {
-        incoming.pause();
-        reject(new BodyTooLargeError('body exceeds the maximum size'));
-        return;
+        stopWith(new BodyTooLargeError('body exceeds the maximum size'));
+      } else if (!tryHold(chunk.length)) {
+        stopWith(new NoRoomError('no room for more bytes'));
+      } else {
+        chunks.push(chunk);
       }
-      chunks.push(chunk);
-    });
+    };
+    incoming.on('data', onData);
     incoming.on('end', () => resolve(Buffer.concat(chunks)));
     incoming.on('error', reject);
     incoming.on('close', () => {
--- a/packages/stand_ins/src/lib/hosted/caller.ts
+++ b/packages/stand_ins/src/lib/hosted/caller.ts
@@ -98,10 +98,16 @@
     if (options.disconnectAfterMs !== undefined) {
       setTimeout(() => clientRequest.destroy(), options.disconnectAfterMs);
     }
-    clientRequest.on('error', () => {
-      result.endedAt = Date.now();
-      resolve(result);
-    });
+    const finish = (isComplete: boolean) => {
+      // Node ends a response without a length also after a reset, as if it were
+      // complete; the error that tells of the reset comes first.
+      if (result.endedAt === 0) {
+        result.endedAt = Date.now();
+        result.complete = isComplete;
+        resolve(result);
+      }
+    };
+    clientRequest.on('error', () => finish(false));
     clientRequest.on('response', response => {
       result.status = response.statusCode ?? 0;
       result.headers = response.headers;
@@ -114,11 +120,7 @@
         result.body += bytes.toString('latin1');
       });
       response.on('error', () => undefined);
-      response.on('close', () => {
-        result.complete = response.complete;
-        result.endedAt = Date.now();
-        resolve(result);
-      });
+      response.on('close', () => finish(response.complete));
     });
     clientRequest.end(options.body);
   });
--- a/packages/stand_ins/src/lib/hosted/fleet.ts
+++ b/packages/stand_ins/src/lib/hosted/fleet.ts
@@ -104,6 +104,8 @@
   stderrText = '';
   /** Undefined while the process runs; null if a signal ended it. */
   exitCode: number | null | undefined;
+  /** Arguments of Node at the next start. */
+  nodeArguments: readonly string[] = [];
   private child: ChildProcess | undefined;
   private partitionCommand: PartitionCommand | undefined;
 
@@ -133,7 +135,9 @@
     this.exitCode = undefined;
     const isPartitionable = this.sourceAddress !== undefined;
     const preload = isPartitionable ? [`--import=${PARTITION_PRELOAD}`] : [];
-    const child = spawn(process.execPath, [...preload, this.mainModulePath], {
+    const nodeArguments = [...this.nodeArguments, ...preload];
+    const words = [...nodeArguments, this.mainModulePath];
+    const child = spawn(process.execPath, words, {
       env: {
         ...process.env,
         CITRONTRESTLE_CONFIG: this.settingsPath,
@@ -173,6 +177,15 @@
     writeFileSync(this.settingsPath, JSON.stringify(settings));
   }
 
+  /** Returns the memory in use and the most so far, in MiB. */
+  memory(): {now: number; most: number} {
+    const text = readFileSync(`/proc/${this.child?.pid}/status`, 'utf8');
+    const [most = 0, now = 0] = ['VmHWM', 'VmRSS'].map(
+      name => Number(new RegExp(`${name}:\\s+(\\d+)`).exec(text)?.[1]) / 1024,
+    );
+    return {now, most};
+  }
+
   /** Sets how its new connections end, also those of later processes. */
   setNewConnections(command: PartitionCommand): void {
     this.partitionCommand = command;
--- a/packages/stand_ins/src/lib/hosted/server.ts
+++ b/packages/stand_ins/src/lib/hosted/server.ts
@@ -43,10 +43,29 @@
   CutHead = 'cut-head',
   /** Gives the answer in `errorAnswer`. */
   ErrorAnswer = 'error-answer',
+  /** Sends bytes without end until the connection closes, see `endlessPart`. */
+  Endless = 'endless',
   /** Writes an odd line into the head of its answer, see `oddHeadLine`. */
   OddHead = 'odd-head',
 }
 
+/** A part of an answer that never ends. */
+export enum EndlessPart {
+  Head = 'head',
+  /** Interim answers follow each other. */
+  Interim = 'interim',
+  /** A body without a length. */
+  Body = 'body',
+  /** A body in chunks. */
+  Chunks = 'chunks',
+  ChunkExtension = 'chunk-extension',
+  /** One line of an event. */
+  EventLine = 'event-line',
+  /** One event of many lines. */
+  Event = 'event',
+  Trailers = 'trailers',
+}
+
 /** An answer that a test sets. */
 export interface ErrorAnswer {
   status: number;
@@ -146,6 +165,8 @@
   headCut: HeadCut = {bytes: 0, interim: '', resets: false};
   /** What it answers with the fault `ErrorAnswer`, besides the usual headers. */
   errorAnswer: ErrorAnswer = {status: 500, headers: {}, body: 'failed'};
+  /** Where its bytes have no end with the fault `Endless`. */
+  endlessPart = EndlessPart.Head;
   /** Line that it writes with the fault `OddHead`, in Latin-1. */
   oddHeadLine = '';
   /** Wrong identifiers of events in Latin-1, by the number of the event. */
@@ -433,6 +454,44 @@
   );
 }
 
+/** Size of the blocks that an endless answer consists of. */
+const BLOCK_BYTES = 64 * 1024;
+
+const EVENT_STREAM_LINE = 'Content-Type: text/event-stream\r\n';
+const CHUNKED_LINE = 'Transfer-Encoding: chunked\r\n';
+
+/** How answers begin that never end, given their head, and how they go on. */
+const ENDLESS_PARTS: Readonly<
+  Record<EndlessPart, {beginning(head: string): string; repeated: string}>
+> = {
+  [EndlessPart.Head]: {beginning: head => head, repeated: 'X-More: 1\r\n'},
+  [EndlessPart.Interim]: {
+    beginning: () => '',
+    repeated: 'HTTP/1.1 102 Processing\r\n\r\n',
+  },
+  [EndlessPart.Body]: {beginning: head => `${head}\r\n`, repeated: 'x'},
+  [EndlessPart.Chunks]: {
+    beginning: head => `${head}${CHUNKED_LINE}\r\n`,
+    repeated: '8\r\nxxxxxxxx\r\n',
+  },
+  [EndlessPart.ChunkExtension]: {
+    beginning: head => `${head}${CHUNKED_LINE}\r\n8;`,
+    repeated: 'x',
+  },
+  [EndlessPart.EventLine]: {
+    beginning: head => `${head}${EVENT_STREAM_LINE}\r\nid: 1\ndata: `,
+    repeated: 'x',
+  },
+  [EndlessPart.Event]: {
+    beginning: head => `${head}${EVENT_STREAM_LINE}\r\nid: 1\n`,
+    repeated: 'data: x\n',
+  },
+  [EndlessPart.Trailers]: {
+    beginning: head => `${head}${CHUNKED_LINE}\r\n4\r\ndone\r\n0\r\n`,
+    repeated: 'X-More: 1\r\n',
+  },
+};
+
 /** Handlers of executed requests by fault. */
 const FAULT_HANDLERS: Readonly<Record<ServerFault, FaultHandler>> = {
   [ServerFault.None]: sendNormalAnswer,
@@ -481,6 +540,18 @@
       setTimeout(() => outgoing.socket?.resetAndDestroy(), 1);
     }
   },
+  [ServerFault.Endless]: (server, outgoing, run) => {
+    const {beginning, repeated} = ENDLESS_PARTS[server.endlessPart];
+    const head = formatHead(server, run).replace(/\r\n$/, '');
+    const {socket} = outgoing;
+    socket?.write(beginning(head));
+    const block = repeated.repeat(Math.ceil(BLOCK_BYTES / repeated.length));
+    const writeOn = () => {
+      while (socket !== null && !socket.destroyed && socket.write(block)) {}
+    };
+    socket?.on('drain', writeOn);
+    writeOn();
+  },
   [ServerFault.OddHead]: (server, outgoing, run) => {
     const head = formatHead(server, run, 4).replace(
       /\r\n\r\n$/,
