--- a/packages/stand_ins/src/lib/hosted/server.ts
+++ b/packages/stand_ins/src/lib/hosted/server.ts
@@ -547,7 +547,10 @@
     socket?.write(beginning(head));
     const block = repeated.repeat(Math.ceil(BLOCK_BYTES / repeated.length));
     const writeOn = () => {
-      while (socket !== null && !socket.destroyed && socket.write(block)) {}
+      let hasRoom = true;
+      while (hasRoom && socket?.destroyed === false) {
+        hasRoom = socket.write(block);
+      }
     };
     socket?.on('drain', writeOn);
     writeOn();
