--- a/packages/gateway/src/lib/upstream_call.ts
+++ b/packages/gateway/src/lib/upstream_call.ts
@@ -89,7 +89,7 @@
 const MANY_PIECES = 512;
 
 /** Maximum number of tiny chunks of a body. */
-const MAX_TINY_PIECES = 8_192;
+const MAX_TINY_PIECES = 4_096;
 
 /** Maximum time to establish a new connection. */
 const CONNECT_TIMEOUT: Millis = 300;
