Collect unused buffers in proportion to the machine's memory

Cause: what is kept was bounded, but each read brings a buffer of up to 64 KiB, and the engine collects unused ones only when about half of the allowed heap has come together, whatever the machine's memory. Evidence: endless_bytes_test.ts by hand on: "body" red once (139.9 MB) and "event-line" red once (142.2 MB) in eight runs; a sampler of the process's memory shows 51 to 66 MB of buffers, 15 to 30 MB after the next collection, and a heap of 22 MB throughout. Change: BufferCollection looks at the memory of all buffers after each MiB that was read from upstreams and callers, and collects it when it has grown by as much as may be kept (8 in 100 of the machine's memory). The bound of the test is as before.

--- a/packages/gateway/src/lib/forwarding.ts
+++ b/packages/gateway/src/lib/forwarding.ts
@@ -421,7 +421,9 @@
 
   private handleData(chunk: Buffer): void {
     const {length} = chunk;
-    this.context.linkLoad.recordBytes(length, length, this.context.clock.now());
+    const {linkLoad, clock, bufferCollection} = this.context;
+    linkLoad.recordBytes(length, length, clock.now());
+    bufferCollection.recordRead(length);
     const eventsBefore = this.responseRelay.deliveredEvents;
     const outcome = this.responseRelay.push(chunk);
     this.recordProgress(eventsBefore);
--- a/packages/gateway/src/lib/front_server.ts
+++ b/packages/gateway/src/lib/front_server.ts
@@ -10,6 +10,7 @@
 import {exceptionFields} from './exception_guard.js';
 import {HeldPart} from './held_bytes.js';
 import {RefusalReason} from './refusal.js';
+import type {BufferCollection} from './buffer_collection.js';
 import type {HeldBytes} from './held_bytes.js';
 import type {Dialect} from './ports.js';
 import type {CallerLimits, Millis} from '@citrontrestle/decisions';
@@ -68,6 +69,8 @@
     private readonly log: Log,
     /** Bytes of bodies that are kept for all requests. */
     private readonly heldRequests: HeldBytes,
+    /** Is told of all bytes of bodies that are read. */
+    private readonly bufferCollection: BufferCollection,
   ) {
     this.server = createServer(
       {maxHeaderSize: MAX_HEAD_BYTES, noDelay: true},
@@ -167,39 +170,43 @@
       if (contentLength > maxBytes) {
         throw new BodyTooLargeError('request body exceeds the maximum size');
       }
-      return await readBody(incoming, maxBytes, bytes => held.tryGrow(bytes));
+      return await readBody(incoming, maxBytes, bytes => {
+        this.bufferCollection.recordRead(bytes);
+        return held.tryGrow(bytes);
+      });
     } catch (error) {
       const {BodyTooLarge, MachineBusy} = RefusalReason;
       const isTooLarge = error instanceof BodyTooLargeError;
       if (isTooLarge || error instanceof NoRoomError) {
         held.resize(0);
         response.refuse(isTooLarge ? BodyTooLarge : MachineBusy);
-        discardRest(incoming);
+        this.discardRest(incoming);
       }
       // Otherwise the caller disconnected before it had sent the whole body.
       return undefined;
     }
   }
-}
 
-/**
- * Reads some of the rest of a body that was refused, so that the caller reads the
- * response; disconnects if the body does not end soon.
- */
-function discardRest(incoming: IncomingMessage): void {
-  let discarded = 0;
-  incoming.on('data', (chunk: Buffer) => {
-    discarded += chunk.length;
-    if (discarded > MAX_DISCARDED_BYTES) {
-      incoming.pause();
-    }
-  });
-  incoming.resume();
-  setTimeout(() => {
-    if (!incoming.complete) {
-      incoming.socket.destroy();
-    }
-  }, LINGER_TIME);
+  /**
+   * Reads some of the rest of a body that was refused, so that the caller reads
+   * the response; disconnects if the body does not end soon.
+   */
+  private discardRest(incoming: IncomingMessage): void {
+    let discarded = 0;
+    incoming.on('data', (chunk: Buffer) => {
+      this.bufferCollection.recordRead(chunk.length);
+      discarded += chunk.length;
+      if (discarded > MAX_DISCARDED_BYTES) {
+        incoming.pause();
+      }
+    });
+    incoming.resume();
+    setTimeout(() => {
+      if (!incoming.complete) {
+        incoming.socket.destroy();
+      }
+    }, LINGER_TIME);
+  }
 }
 
 /**
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -19,6 +19,7 @@
   SystemMachineClock,
 } from '@citrontrestle/runtime';
 import {BrittleWatch} from './brittle_watch.js';
+import {BufferCollection, PROCESS_BUFFERS} from './buffer_collection.js';
 import {PrepaidBudgets} from './prepaid_budgets.js';
 import {CrashWatch, partTraits} from './crash_watch.js';
 import {FrontServer} from './front_server.js';
@@ -287,11 +288,16 @@
       proxies: () => this.peerNetwork.proxies(),
       random: Math.random,
     });
+    const bufferCollection = new BufferCollection(
+      PROCESS_BUFFERS,
+      heldBytesLimit(settings),
+    );
     this.frontServer = new FrontServer(
       dialect,
       this,
       log,
       new HeldBytes(heldBytesLimit(settings)),
+      bufferCollection,
     );
     this.readyServer = new ReadyServer(() => this.isReady(), log);
     const context: InstanceContext = {
@@ -314,6 +320,7 @@
       statementWatch: this.statementWatch,
       streamTracker: this.streamTracker,
       heldResponses: new HeldBytes(heldBytesLimit(settings)),
+      bufferCollection,
       linkLoad: this.linkLoad,
       admits: deadline => this.shutdown.admits(deadline),
       instanceCount: () => this.instanceCount(),
--- a/packages/gateway/src/lib/instance_context.ts
+++ b/packages/gateway/src/lib/instance_context.ts
@@ -1,6 +1,7 @@
 /** Components of an instance that the forwarding of requests uses. */
 import type {Dialect} from './ports.js';
 import type {BrittleWatch} from './brittle_watch.js';
+import type {BufferCollection} from './buffer_collection.js';
 import type {HeldBytes} from './held_bytes.js';
 import type {CrashWatch} from './crash_watch.js';
 import type {LimitWatch} from './limit_watch.js';
@@ -39,6 +40,8 @@
   streamTracker: StreamTracker;
   /** Bytes of upstreams' responses that are kept for all requests. */
   heldResponses: HeldBytes;
+  /** Is told of all bytes that are read from upstreams. */
+  bufferCollection: BufferCollection;
   /** Traffic on the machine's network link. */
   linkLoad: LinkLoad;
   /**
--- a/packages/gateway/src/lib/proxy_server.ts
+++ b/packages/gateway/src/lib/proxy_server.ts
@@ -56,6 +56,7 @@
   | 'log'
   | 'dialect'
   | 'linkLoad'
+  | 'bufferCollection'
   | 'placement'
   | 'upstreamRegistry'
   | 'statementWatch'
@@ -199,6 +200,7 @@
         recordStatements(this.context, target, head, startedAt),
       onData: chunk => {
         recordBytes(chunk.length, chunk.length);
+        this.context.bufferCollection.recordRead(chunk.length);
         if (!response.write(chunk)) {
           call.setFlowing(false);
           response.onDrain(() => call.setFlowing(true));
--- a/packages/gateway/src/test/exception_guard_test.ts
+++ b/packages/gateway/src/test/exception_guard_test.ts
@@ -128,6 +128,7 @@
         repeatAllowance: stub({}),
         reachability: stub({}),
         heldResponses: new HeldBytes(1_000),
+        bufferCollection: stub({}),
         upstreamRegistry: stub({}, []),
         placement: stub({choose: () => ({upstream, prefillTime: 0})}),
         ...context,
@@ -175,6 +176,7 @@
       },
       log,
       new HeldBytes(1_000),
+      stub({}),
     );
     server = createServer();
     await new Promise<void>(resolve => {
