List the keys anew when changes of the store are too large to be read

Cause: an answer is read up to 4 MiB, a watch answers with all changes at once, and StoreFeed took the answer for a failure of the store and watched from the same revision again, so that every answer was too large again. The feed of the configuration did the same. The stand-in of the store reads ranges in pages, as published.

--- a/packages/gateway/src/lib/ports.ts
+++ b/packages/gateway/src/lib/ports.ts
@@ -38,6 +38,8 @@
   Conflict = 'conflict',
   /** The requested history has been compacted and is no longer available. */
   Compacted = 'compacted',
+  /** The answer is larger than is read; it was not used. */
+  TooLarge = 'too-large',
   /** The call certainly had no effect: it was rejected or never sent. */
   Refused = 'refused',
   /**
@@ -56,7 +58,10 @@
   | {outcome: StoreOutcome.Done; entries: T[]; revision: number; era: number}
   | {
       outcome:
-        StoreOutcome.Compacted | StoreOutcome.Refused | StoreOutcome.Unknown;
+        | StoreOutcome.Compacted
+        | StoreOutcome.TooLarge
+        | StoreOutcome.Refused
+        | StoreOutcome.Unknown;
       reason: string;
     };
 
--- a/packages/gateway/src/lib/store_feed.ts
+++ b/packages/gateway/src/lib/store_feed.ts
@@ -58,13 +58,23 @@
 /** Time after which a feed that is off looks at its mode without being told. */
 const MAX_OFF_WAIT: Millis = 1_000;
 
+/**
+ * Log events by the outcome of a watch that can't go on after its revision, so
+ * that the keys have to be listed again. Only a list is read in pages, so large
+ * values may make all changes together too large to be read.
+ */
+const UNWATCHABLE_EVENTS: Readonly<Partial<Record<StoreOutcome, string>>> = {
+  [StoreOutcome.Compacted]: 'store.compacted',
+  [StoreOutcome.TooLarge]: 'store.changes-too-large',
+};
+
 /** Maximum number of times that a delay is doubled. */
 const MAX_DOUBLINGS = 10;
 
 /**
  * Follows the keys with one prefix as long as the process runs. Failed calls
- * are repeated. If the store has compacted the history or gone back to a copy,
- * the keys are listed again.
+ * are repeated. If the store has compacted the history or gone back to a copy, or
+ * if the changes are too large to be read, the keys are listed again.
  */
 export class StoreFeed {
   /** Number of failed calls since the store last answered. */
@@ -203,8 +213,7 @@
   }
 
   /**
-   * Watches until the history is compacted, the store goes back or the feed is
-   * turned off.
+   * Watches until the keys have to be listed again or the feed is turned off.
    */
   private async watch({era, revision}: StorePosition): Promise<void> {
     let afterRevision = revision;
@@ -220,11 +229,11 @@
         afterRevision,
         maxWait,
       );
-      if (result.outcome === StoreOutcome.Compacted) {
-        this.log.info('store.compacted', {
-          prefix: this.prefix,
-          after: afterRevision,
-        });
+      const unwatchableEvent = UNWATCHABLE_EVENTS[result.outcome];
+      if (unwatchableEvent !== undefined) {
+        const {prefix} = this;
+        this.log.info(unwatchableEvent, {prefix, after: afterRevision});
+        await sleep(BATCH_DELAY);
         return;
       }
       if (result.outcome !== StoreOutcome.Done) {
--- a/packages/platform/src/lib/key_value.ts
+++ b/packages/platform/src/lib/key_value.ts
@@ -172,7 +172,7 @@
 
   private decodeWrite(result: HttpResult): KeyValueResult {
     if (result.outcome !== HttpOutcome.Answered) {
-      const mayHaveRun = result.outcome === HttpOutcome.NoAnswer;
+      const mayHaveRun = result.outcome !== HttpOutcome.NotSent;
       const {Unknown, Unavailable} = KeyValueOutcome;
       return {outcome: mayHaveRun ? Unknown : Unavailable};
     }
--- a/packages/runtime/src/lib/http.ts
+++ b/packages/runtime/src/lib/http.ts
@@ -10,6 +10,8 @@
   NotSent = 'not-sent',
   /** It may have been sent, but no complete answer was received. */
   NoAnswer = 'lost',
+  /** The body of the answer exceeds the maximum size; it was not read. */
+  AnswerTooLarge = 'too-large',
 }
 
 /** An HTTP request to an address. */
@@ -35,7 +37,11 @@
       headers: IncomingMessage['headers'];
       body: Buffer;
     }
-  | {outcome: HttpOutcome.NotSent | HttpOutcome.NoAnswer; reason: string};
+  | {
+      outcome:
+        HttpOutcome.NotSent | HttpOutcome.NoAnswer | HttpOutcome.AnswerTooLarge;
+      reason: string;
+    };
 
 /** Default maximum size of an answer's body, in bytes. */
 const DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024;
@@ -73,12 +79,13 @@
 export function sendHttpRequest(options: HttpRequest): Promise<HttpResult> {
   return new Promise(resolve => {
     let mayHaveBeenSent = false;
-    const resolveFailure = (reason: string) => {
+    const resolveFailure = (error: NodeJS.ErrnoException) => {
       clearTimeout(timer);
-      const outcome = mayHaveBeenSent
-        ? HttpOutcome.NoAnswer
-        : HttpOutcome.NotSent;
-      resolve({outcome, reason});
+      const {AnswerTooLarge, NoAnswer, NotSent} = HttpOutcome;
+      const lost = mayHaveBeenSent ? NoAnswer : NotSent;
+      const outcome =
+        error instanceof BodyTooLargeError ? AnswerTooLarge : lost;
+      resolve({outcome, reason: error.code ?? error.message});
     };
     const outgoing = request({
       ...splitAddress(options.address),
@@ -101,7 +108,7 @@
     });
     outgoing.on('error', (error: NodeJS.ErrnoException) => {
       mayHaveBeenSent &&= !CONNECT_ERRORS.has(error.code ?? '');
-      resolveFailure(error.code ?? error.message);
+      resolveFailure(error);
     });
     let interimResponses = 0;
     outgoing.on('information', () => {
@@ -120,7 +127,7 @@
         },
         (error: Error) => {
           outgoing.destroy();
-          resolveFailure(error.message);
+          resolveFailure(error);
         },
       );
     });
--- a/packages/service/src/lib/service.ts
+++ b/packages/service/src/lib/service.ts
@@ -58,7 +58,7 @@
 
 function toServiceResult(result: HttpResult, id: string): ServiceResult {
   if (result.outcome !== HttpOutcome.Answered) {
-    const mayHaveRun = result.outcome === HttpOutcome.NoAnswer;
+    const mayHaveRun = result.outcome !== HttpOutcome.NotSent;
     const {Broken, Refused} = AttemptOutcome;
     return {outcome: mayHaveRun ? Broken : Refused, reason: result.reason};
   }
--- a/packages/stand_ins/src/lib/hosted/store.ts
+++ b/packages/stand_ins/src/lib/hosted/store.ts
@@ -62,6 +62,12 @@
 /** Delay of a write in `StoreMode.DelayedWrites`. */
 const WRITE_DELAY: Millis = 1_000;
 
+/** Maximum number of items of a page of a range. */
+const MAX_PAGE_ITEMS = 500;
+
+/** Length of the encoded values of a page above which it has one item only. */
+const MAX_PAGE_VALUE_LENGTH = 1_000_000;
+
 /**
  * Matches keys that gateways may not write, only the operator and upstreams.
  */
@@ -166,7 +172,8 @@
     (query: URLSearchParams, body: string) => CallResult | Promise<CallResult>
   > = {
     '/kv-key': query => this.readKey(query.get('key') ?? ''),
-    '/kv-range': query => this.readRange(query.get('prefix') ?? ''),
+    '/kv-range': query =>
+      this.readPage(query.get('prefix') ?? '', query.get('after') ?? ''),
     '/kv-watch': query => this.watchRange(query),
     '/kv-txn': (_query, body) =>
       this.applyTransaction(JSON.parse(body) as Transaction, true),
@@ -195,8 +202,13 @@
 
   /** Like `put`, for a value that need not be JSON. */
   putText(key: string, text: string): number {
-    const encodedValue = Buffer.from(text).toString('base64');
-    this.applyTransaction({setKeys: [{key, value: encodedValue}]}, false);
+    return this.putTexts([key], text);
+  }
+
+  /** Like `putText`, for several keys with the same value in one transaction. */
+  putTexts(keys: readonly string[], text: string): number {
+    const value = Buffer.from(text).toString('base64');
+    this.applyTransaction({setKeys: keys.map(key => ({key, value}))}, false);
     return this.revision;
   }
 
@@ -265,11 +277,28 @@
       : {status: 200, body: {...item, currentRev: this.revision}};
   }
 
-  private readRange(prefix: string): CallResult {
-    const items = [...this.items.values()].filter(item =>
-      item.key.startsWith(prefix),
-    );
-    const body = {items, truncated: false, currentRev: this.revision};
+  /** Returns the page of a range that begins after a key. */
+  private readPage(prefix: string, afterKey: string): CallResult {
+    const keys = this.listKeys(prefix)
+      .filter(key => key > afterKey)
+      .sort();
+    const items: Item[] = [];
+    let size = 0;
+    for (const key of keys) {
+      const item = this.items.get(key);
+      if (item === undefined) {
+        continue;
+      }
+      size += item.value.length;
+      const isFull =
+        items.length === MAX_PAGE_ITEMS || size > MAX_PAGE_VALUE_LENGTH;
+      if (isFull && items.length > 0) {
+        break;
+      }
+      items.push(item);
+    }
+    const truncated = items.length < keys.length;
+    const body = {items, truncated, currentRev: this.revision};
     return {status: 200, body};
   }
 
