Bound the bodies that peers send to be forwarded, with those of callers

What callers would see: instances that are cut off from the upstreams forward through one that is not; each sends bodies up to its own bound, so that the one runs out of memory and the requests of others end with it. Evidence: proxy_server_test.ts, two of four cases red on the code before. Change: they share the bound of the callers' bodies.

--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -288,15 +288,17 @@
       proxies: () => this.peerNetwork.proxies(),
       random: Math.random,
     });
+    const maxHeldBytes = heldBytesLimit(settings);
+    const heldRequests = new HeldBytes(maxHeldBytes);
     const bufferCollection = new BufferCollection(
       PROCESS_BUFFERS,
-      heldBytesLimit(settings),
+      maxHeldBytes,
     );
     this.frontServer = new FrontServer(
       dialect,
       this,
       log,
-      new HeldBytes(heldBytesLimit(settings)),
+      heldRequests,
       bufferCollection,
     );
     this.readyServer = new ReadyServer(() => this.isReady(), log);
@@ -319,7 +321,7 @@
       brittleWatch: this.brittleWatch,
       statementWatch: this.statementWatch,
       streamTracker: this.streamTracker,
-      heldResponses: new HeldBytes(heldBytesLimit(settings)),
+      heldResponses: new HeldBytes(maxHeldBytes),
       bufferCollection,
       linkLoad: this.linkLoad,
       admits: deadline => this.shutdown.admits(deadline),
@@ -330,6 +332,7 @@
       ...context,
       fleetKey: peers.key,
       agent: this.upstreamAgent,
+      heldRequests,
       maxBodyBytes: () => this.maxBodyBytes(),
     });
     this.requestService = new RequestService(
--- a/packages/gateway/src/lib/proxy_server.ts
+++ b/packages/gateway/src/lib/proxy_server.ts
@@ -10,6 +10,7 @@
 import {CallFailure} from './call_failure.js';
 import {CallerResponse} from './caller_response.js';
 import {exceptionFields} from './exception_guard.js';
+import {HeldPart} from './held_bytes.js';
 import {
   closeDelimitedHeaders,
   failureHeaders,
@@ -19,6 +20,7 @@
 } from './proxy_protocol.js';
 import {UpstreamCall} from './upstream_call.js';
 import {recordStatements} from './upstream_statements.js';
+import type {HeldBytes} from './held_bytes.js';
 import type {InstanceContext} from './instance_context.js';
 import type {ProxyFailure, ProxyOrder} from './proxy_protocol.js';
 import type {UpstreamAgent} from './upstream_agent.js';
@@ -37,6 +39,9 @@
 /** Status of responses that state a failure. */
 const FAILURE_STATUS = 502;
 
+/** Reason of a failure, as the body of the request would take too much memory. */
+const NO_ROOM = 'the peer has no room for the body';
+
 /** Status of responses to senders that do not hold the fleet key. */
 const FORBIDDEN_STATUS = 403;
 
@@ -67,6 +72,8 @@
 > {
   fleetKey: string;
   agent: UpstreamAgent;
+  /** Bytes of bodies that are kept for all requests, those of callers included. */
+  heldRequests: HeldBytes;
   /** Returns the maximum size of a request body in bytes. */
   maxBodyBytes(): number;
 }
@@ -100,7 +107,11 @@
     outgoing: ServerResponse,
   ): Promise<void> {
     this.activeCount += 1;
-    outgoing.on('close', () => (this.activeCount -= 1));
+    const held = new HeldPart(this.context.heldRequests);
+    outgoing.on('close', () => {
+      this.activeCount -= 1;
+      held.resize(0);
+    });
     const {fleetKey, dialect, log} = this.context;
     const order = parseOrder(incoming.headers, incoming.url ?? '', fleetKey);
     if (order === undefined) {
@@ -108,12 +119,25 @@
       outgoing.writeHead(FORBIDDEN_STATUS, {Connection: 'close'}).end();
       return;
     }
-    const body = await this.readBody(incoming, order);
+    let hasRoom = true;
+    const body = await this.readBody(incoming, order, bytes => {
+      this.context.bufferCollection.recordRead(bytes);
+      hasRoom = held.tryGrow(bytes);
+      return hasRoom;
+    });
+    // The rest of a body without room is not read, so the connection is closed.
+    const response = new CallerResponse(outgoing, dialect, () => !hasRoom);
+    if (!hasRoom) {
+      sendFailure(response, {
+        failure: CallFailure.ProxyFailed,
+        reason: NO_ROOM,
+      });
+      return;
+    }
     if (body === undefined || outgoing.destroyed) {
       outgoing.destroy();
       return;
     }
-    const response = new CallerResponse(outgoing, dialect, () => false);
     try {
       const target = this.findTarget(order);
       if ('failure' in target) {
@@ -128,13 +152,17 @@
     }
   }
 
-  /** Reads a body; undefined if it is too large or the peer disconnected. */
+  /**
+   * Reads a body; undefined if it is too large, there is no room for it, or the
+   * peer disconnected.
+   */
   private async readBody(
     incoming: IncomingMessage,
     {requestId}: ProxyOrder,
+    tryHold: (bytes: number) => boolean,
   ): Promise<Buffer | undefined> {
     try {
-      return await readBody(incoming, this.context.maxBodyBytes());
+      return await readBody(incoming, this.context.maxBodyBytes(), tryHold);
     } catch (error) {
       const reason = error instanceof Error ? error.message : String(error);
       this.context.log.info('proxy.unread', {request: requestId, reason});
--- /dev/null
+++ b/packages/gateway/src/test/proxy_server_test.ts
@@ -0,0 +1,114 @@
+/**
+ * Guards against bodies of peers that fill the memory of the instance that
+ * forwards them (issue 39, bytes without end).
+ */
+import {request} from 'node:http';
+import {createServer} from 'node:net';
+import {expect} from 'chai';
+import {CallFailure} from '../lib/call_failure.js';
+import {HeldBytes} from '../lib/held_bytes.js';
+import {orderHeaders, parseFailure} from '../lib/proxy_protocol.js';
+import {ProxyServer} from '../lib/proxy_server.js';
+import type {AddressInfo} from 'node:net';
+import type {ProxyFailure} from '../lib/proxy_protocol.js';
+import type {ProxyServerContext} from '../lib/proxy_server.js';
+
+const FLEET_KEY = 'fleet';
+
+/** Bytes of bodies that the instance may keep. */
+const MAX_HELD_BYTES = 1_000;
+
+const TARGET = '/order/1';
+
+/** The upstream is unknown, so a body that was read leads to `NotSent`. */
+const CASES = [
+  {name: 'is read with room for it', size: 600, failure: CallFailure.NotSent},
+  {
+    name: 'is refused without room for it',
+    size: 1_400,
+    failure: CallFailure.ProxyFailed,
+  },
+  {
+    name: 'is refused without room for a large one',
+    size: 4_000_000,
+    failure: CallFailure.ProxyFailed,
+  },
+];
+
+/** Returns a free port. */
+async function findPort(): Promise<number> {
+  const server = createServer();
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  const {port} = server.address() as AddressInfo;
+  await new Promise(resolve => server.close(resolve));
+  return port;
+}
+
+/** Sends a body as a peer does; resolves to the failure in the response. */
+function forward(
+  port: number,
+  size: number,
+): Promise<ProxyFailure | undefined> {
+  const order = {upstreamId: 'u1', requestId: 'r1', remainingTime: 1_000};
+  return new Promise((resolve, reject) => {
+    const outgoing = request({
+      port,
+      host: '127.0.0.1',
+      path: TARGET,
+      method: 'POST',
+      agent: false,
+      headers: {
+        ...orderHeaders(order, TARGET, FLEET_KEY),
+        'Content-Length': size,
+      },
+    });
+    outgoing.on('response', incoming => {
+      incoming.resume();
+      resolve(parseFailure(incoming.headers));
+    });
+    outgoing.on('error', reject);
+    outgoing.end(Buffer.alloc(size));
+  });
+}
+
+describe('the body of a request of a peer', () => {
+  let heldRequests: HeldBytes;
+  let port: number;
+
+  before(async () => {
+    heldRequests = new HeldBytes(MAX_HELD_BYTES);
+    const server = new ProxyServer({
+      fleetKey: FLEET_KEY,
+      heldRequests,
+      maxBodyBytes: () => Infinity,
+      admits: () => true,
+      clock: {now: () => 0},
+      log: {info: () => undefined},
+      linkLoad: {isSaturated: () => false},
+      bufferCollection: {recordRead: () => undefined},
+      reachability: {isPartitioned: () => false},
+      upstreamRegistry: {usableUpstream: () => undefined},
+    } as unknown as ProxyServerContext);
+    port = await findPort();
+    await server.listen(`127.0.0.1:${port}`);
+  });
+
+  for (const {name, size, failure} of CASES) {
+    it(name, async () => {
+      const answer = await forward(port, size);
+      expect(answer?.failure).to.equal(failure);
+    });
+  }
+
+  it('takes no room afterwards', async () => {
+    const sizes = [600, 4_000_000, 600];
+    for (const size of sizes) {
+      await forward(port, size);
+    }
+    while (heldRequests.held() > 0) {
+      await new Promise(resolve => setImmediate(resolve));
+    }
+    const answer = await forward(port, MAX_HELD_BYTES);
+    expect(answer?.failure).to.equal(CallFailure.NotSent);
+  });
+});
