--- a/packages/decisions/src/lib/limits.ts
+++ b/packages/decisions/src/lib/admission/limits.ts
@@ -3,7 +3,7 @@
  * once, the least important requests first, and one account can't take the
  * capacity of the others. Retries are limited as well.
  */
-import type {Millis} from './clock.js';
+import type {Millis} from '../base/clock.js';
 
 /** Outcome of an admission check. */
 export enum AdmissionDecision {
--- a/packages/decisions/src/lib/link_load.ts
+++ b/packages/decisions/src/lib/admission/link_load.ts
@@ -3,7 +3,7 @@
  * large account are sent to one small instance: each request then waits for the
  * link behind the others, while other instances of the zone are idle.
  */
-import type {Millis} from './clock.js';
+import type {Millis} from '../base/clock.js';
 
 /** Time over which traffic is averaged. */
 const AVERAGING_WINDOW: Millis = 1_000;
--- a/packages/decisions/src/lib/wait_queue.ts
+++ b/packages/decisions/src/lib/admission/wait_queue.ts
@@ -1,5 +1,5 @@
 /** Queues of requests and peers that wait for tokens of a budget. */
-import type {Millis} from './clock.js';
+import type {Millis} from '../base/clock.js';
 
 /** Kinds of waiters. */
 export enum WaiterKind {
--- a/packages/decisions/src/lib/account_share.ts
+++ b/packages/decisions/src/lib/budgets/account_share.ts
@@ -3,7 +3,7 @@
  * what it needs of them.
  */
 import {SpendingRate} from './spending_rate.js';
-import type {Millis} from './clock.js';
+import type {Millis} from '../base/clock.js';
 
 /** Time for which the limit of a share lasts at the long-term spending rate. */
 const LIMIT_HORIZON: Millis = 2_500;
--- a/packages/decisions/src/lib/budget_policy.ts
+++ b/packages/decisions/src/lib/budgets/budget_policy.ts
@@ -1,6 +1,6 @@
 /** Policies that divide a budget among the entries; selected by a setting. */
 import type {AllocationRequest} from './ledger_batch.js';
-import type {Millis} from './clock.js';
+import type {Millis} from '../base/clock.js';
 
 /** Names of the budget policies. */
 export enum BudgetPolicy {
--- a/packages/decisions/src/lib/charge_tracker.ts
+++ b/packages/decisions/src/lib/budgets/charge_tracker.ts
@@ -3,7 +3,7 @@
  * charge is secured once it is in the ledger or copied to another entry, so
  * that it survives the loss of this process.
  */
-import type {Millis} from './clock.js';
+import type {Millis} from '../base/clock.js';
 
 /** The reservation of one request. */
 export interface Reservation {
--- a/packages/decisions/src/lib/ledger.ts
+++ b/packages/decisions/src/lib/budgets/ledger.ts
@@ -6,7 +6,7 @@
  * Invariant: for each budget, the sum of `taken - returned` over all holders
  * never exceeds `granted`, and a holder never commits more than it holds.
  */
-import type {Millis} from './clock.js';
+import type {Millis} from '../base/clock.js';
 
 /**
  * State of a holder. A holder is one incarnation of an entry, that is, one run
--- a/packages/decisions/src/lib/ledger_batch.ts
+++ b/packages/decisions/src/lib/budgets/ledger_batch.ts
@@ -9,7 +9,7 @@
 } from './ledger.js';
 import {removeLeavingHolder, releaseClosingHolders} from './ledger_release.js';
 import type {Ledger, Settlement} from './ledger.js';
-import type {Millis} from './clock.js';
+import type {Millis} from '../base/clock.js';
 
 /** A holder's request for tokens of a budget. */
 export interface AllocationRequest {
--- a/packages/decisions/src/lib/ledger_sync.ts
+++ b/packages/decisions/src/lib/budgets/ledger_sync.ts
@@ -7,7 +7,7 @@
 import type {Batch} from './ledger_batch.js';
 import type {WalletState} from './wallet_state.js';
 import type {Ledger, Settlement, Share} from './ledger.js';
-import type {Millis} from './clock.js';
+import type {Millis} from '../base/clock.js';
 import type {PartitionOwner} from './partition.js';
 
 /** Synchronizes one wallet with the ledger. Internal to the wallet. */
--- a/packages/decisions/src/lib/local_share.ts
+++ b/packages/decisions/src/lib/budgets/local_share.ts
@@ -4,7 +4,7 @@
  */
 import type {ReportedCounts} from './ledger_batch.js';
 import type {Settlement, Share} from './ledger.js';
-import type {Millis} from './clock.js';
+import type {Millis} from '../base/clock.js';
 
 /** Weight of a new sample in the moving average of the spending rate. */
 const RATE_WEIGHT = 0.2;
--- a/packages/decisions/src/lib/page_entries.ts
+++ b/packages/decisions/src/lib/budgets/page_entries.ts
@@ -4,10 +4,10 @@
  */
 import {emptyPage} from './prepaid_page.js';
 import {elapsedTime, usableTokens} from './share_release.js';
-import {isNewer, UNKNOWN_POSITION} from './store_position.js';
+import {isNewer, UNKNOWN_POSITION} from '../fleet/store_position.js';
 import {CeilingHistory} from './take_ceilings.js';
-import type {MachineClock, MachineTime, Millis} from './clock.js';
-import type {StorePosition} from './store_position.js';
+import type {MachineClock, MachineTime, Millis} from '../base/clock.js';
+import type {StorePosition} from '../fleet/store_position.js';
 import type {Witnesses} from './witnesses.js';
 import type {
   ClosedHolder,
--- a/packages/decisions/src/lib/partition.ts
+++ b/packages/decisions/src/lib/budgets/partition.ts
@@ -8,7 +8,7 @@
 import {WalletEffectKind} from './wallet_messages.js';
 import type {Batch} from './ledger_batch.js';
 import type {Ledger} from './ledger.js';
-import type {Millis} from './clock.js';
+import type {Millis} from '../base/clock.js';
 import type {WalletEffect} from './wallet_messages.js';
 
 /** Functions of the wallet that a partition calls. */
--- a/packages/decisions/src/lib/partition_table.ts
+++ b/packages/decisions/src/lib/budgets/partition_table.ts
@@ -1,7 +1,7 @@
 /** The ledger partitions of one wallet, and when they are synchronized. */
 import {Partition} from './partition.js';
 import type {Ledger} from './ledger.js';
-import type {Millis} from './clock.js';
+import type {Millis} from '../base/clock.js';
 import type {PartitionOwner} from './partition.js';
 import type {WalletEffect} from './wallet_messages.js';
 
--- a/packages/decisions/src/lib/predecessors.ts
+++ b/packages/decisions/src/lib/budgets/predecessors.ts
@@ -4,7 +4,7 @@
  */
 import {ageAtEnd, closePageHolder, predecessorsOf} from './prepaid_page.js';
 import {RELEASE_START} from './share_release.js';
-import type {MachineClock, MachineTime, Millis} from './clock.js';
+import type {MachineClock, MachineTime, Millis} from '../base/clock.js';
 import type {PageEntries} from './page_entries.js';
 import type {ClosedHolder, EndEvidence, PageHolder} from './prepaid_page.js';
 import type {Witnesses} from './witnesses.js';
--- a/packages/decisions/src/lib/prepaid_page.ts
+++ b/packages/decisions/src/lib/budgets/prepaid_page.ts
@@ -4,7 +4,7 @@
  * has taken. Taken tokens count as spent until the process gives them back.
  */
 import {elapsedTime, usableTokens} from './share_release.js';
-import type {MachineTime, Millis} from './clock.js';
+import type {MachineTime, Millis} from '../base/clock.js';
 
 /** What one process of an instance has taken. */
 export interface PageHolder {
--- a/packages/decisions/src/lib/prepaid_shares.ts
+++ b/packages/decisions/src/lib/budgets/prepaid_shares.ts
@@ -18,11 +18,11 @@
 import {prepaidShareSize} from './share_size.js';
 import {MAX_HISTORY_LOSS} from './take_ceilings.js';
 import {TakeLimits} from './take_limits.js';
-import type {MachineClock, Millis} from './clock.js';
+import type {MachineClock, Millis} from '../base/clock.js';
 import type {PageWrite} from './page_entries.js';
 import type {PageChange, PrepaidPage} from './prepaid_page.js';
 import type {SharePolicy} from './share_policy.js';
-import type {StorePosition} from './store_position.js';
+import type {StorePosition} from '../fleet/store_position.js';
 import type {AccountBudget} from './take_limits.js';
 import type {Witnesses} from './witnesses.js';
 
--- a/packages/decisions/src/lib/share_balancer.ts
+++ b/packages/decisions/src/lib/budgets/share_balancer.ts
@@ -7,7 +7,7 @@
 import {WalletEffectKind} from './wallet_messages.js';
 import type {LocalShare} from './local_share.js';
 import type {WalletState} from './wallet_state.js';
-import type {Millis} from './clock.js';
+import type {Millis} from '../base/clock.js';
 import type {TokenAllocator} from './token_allocator.js';
 
 /** Delay of ledger writes that no request waits for. */
--- a/packages/decisions/src/lib/share_policy.ts
+++ b/packages/decisions/src/lib/budgets/share_policy.ts
@@ -1,5 +1,5 @@
 /** How large a share an instance holds of each prepaid budget. */
-import type {Millis} from './clock.js';
+import type {Millis} from '../base/clock.js';
 
 /** Settings that determine the size of the shares of one instance. */
 export interface SharePolicy {
--- a/packages/decisions/src/lib/share_release.ts
+++ b/packages/decisions/src/lib/budgets/share_release.ts
@@ -6,7 +6,7 @@
  * can tell how old the last write is, returns the tokens that the process can't
  * have used.
  */
-import type {MachineTime, Millis} from './clock.js';
+import type {MachineTime, Millis} from '../base/clock.js';
 
 /** Age of the last write up to which only the limit may be used. */
 export const RELEASE_START: Millis = 2_000;
--- a/packages/decisions/src/lib/spending_rate.ts
+++ b/packages/decisions/src/lib/budgets/spending_rate.ts
@@ -1,5 +1,5 @@
 /** Moving averages of how many tokens are reserved in a time. */
-import type {Millis} from './clock.js';
+import type {Millis} from '../base/clock.js';
 
 /** Weight of the latest sample in the moving average. */
 const RECENT_WEIGHT = 0.25;
--- a/packages/decisions/src/lib/take_ceilings.ts
+++ b/packages/decisions/src/lib/budgets/take_ceilings.ts
@@ -5,7 +5,7 @@
  * has stated for `MAX_HISTORY_LOSS`. So whatever copy the store goes back to
  * states enough, also if the process has ended since.
  */
-import type {Millis} from './clock.js';
+import type {Millis} from '../base/clock.js';
 
 /**
  * The store goes back to a copy at most this old. A write without an answer
--- a/packages/decisions/src/lib/token_allocator.ts
+++ b/packages/decisions/src/lib/budgets/token_allocator.ts
@@ -8,14 +8,14 @@
   SearchStage,
   TokenSearch,
 } from './token_search.js';
-import {SECOND} from './clock.js';
+import {SECOND} from '../base/clock.js';
 import {countUnallocatedTokens} from './ledger.js';
-import {WaiterKind} from './wait_queue.js';
+import {WaiterKind} from '../admission/wait_queue.js';
 import {BudgetRefusal, WalletEffectKind} from './wallet_messages.js';
 import type {WalletState} from './wallet_state.js';
 import type {EventOf, WalletEventKind} from './wallet_messages.js';
-import type {Millis} from './clock.js';
-import type {Waiter} from './wait_queue.js';
+import type {Millis} from '../base/clock.js';
+import type {Waiter} from '../admission/wait_queue.js';
 
 /** Period of spending that a request to a peer adds to the shortfall. */
 const PEER_PREFETCH_TIME: Millis = 2 * SECOND;
--- a/packages/decisions/src/lib/token_search.ts
+++ b/packages/decisions/src/lib/budgets/token_search.ts
@@ -4,7 +4,7 @@
  * home entry is the one that takes tokens from the ledger on behalf of all, so
  * that entries do not compete for writes.
  */
-import type {Millis} from './clock.js';
+import type {Millis} from '../base/clock.js';
 
 /**
  * How long the result of a search without success, or a view of the ledger,
--- a/packages/decisions/src/lib/wallet.ts
+++ b/packages/decisions/src/lib/budgets/wallet.ts
@@ -10,17 +10,17 @@
  */
 import {LedgerSync} from './ledger_sync.js';
 import {WalletState} from './wallet_state.js';
-import {SECOND} from './clock.js';
+import {SECOND} from '../base/clock.js';
 import {TokenAllocator} from './token_allocator.js';
 import {ShareBalancer} from './share_balancer.js';
-import {WaiterKind} from './wait_queue.js';
+import {WaiterKind} from '../admission/wait_queue.js';
 import {
   BudgetRefusal,
   WalletEffectKind,
   WalletEventKind,
 } from './wallet_messages.js';
 import type {EventOf, WalletEffect, WalletEvent} from './wallet_messages.js';
-import type {Millis} from './clock.js';
+import type {Millis} from '../base/clock.js';
 import type {Settlement} from './ledger.js';
 import type {WalletSettings} from './wallet_settings.js';
 
--- a/packages/decisions/src/lib/wallet_messages.ts
+++ b/packages/decisions/src/lib/budgets/wallet_messages.ts
@@ -4,7 +4,7 @@
  */
 import type {Ledger, Settlement} from './ledger.js';
 import type {GiveState} from './token_search.js';
-import type {Millis} from './clock.js';
+import type {Millis} from '../base/clock.js';
 
 /** Kinds of events that a wallet handles. */
 export enum WalletEventKind {
--- a/packages/decisions/src/lib/wallet_settings.ts
+++ b/packages/decisions/src/lib/budgets/wallet_settings.ts
@@ -1,7 +1,7 @@
 /** Settings of a wallet and their defaults. */
 import {BudgetPolicy} from './budget_policy.js';
-import {SECOND} from './clock.js';
-import type {Millis} from './clock.js';
+import {SECOND} from '../base/clock.js';
+import type {Millis} from '../base/clock.js';
 import type {ShareLimits} from './budget_policy.js';
 
 /** Settings of a wallet. */
--- a/packages/decisions/src/lib/witnesses.ts
+++ b/packages/decisions/src/lib/budgets/witnesses.ts
@@ -9,8 +9,8 @@
  * One witness may be out of reach: a process needs all but one of them, and its
  * successor the statements of two.
  */
-import {affinityRank} from './routing.js';
-import type {Millis} from './clock.js';
+import {affinityRank} from '../placement/routing.js';
+import type {Millis} from '../base/clock.js';
 
 /** The newest monotonic time of a process that was heard. */
 export interface HeardTime {
--- a/packages/decisions/src/lib/at_most_once_execution.ts
+++ b/packages/decisions/src/lib/crashes/at_most_once_execution.ts
@@ -5,7 +5,7 @@
  * and a request whose record exists is never executed by another attempt unless
  * the record says that it did not run.
  */
-import type {Millis} from './clock.js';
+import type {Millis} from '../base/clock.js';
 
 /** What is known about the execution of a non-idempotent request. */
 export enum ExecutionStatus {
--- a/packages/decisions/src/lib/crash_causes.ts
+++ b/packages/decisions/src/lib/crashes/crash_causes.ts
@@ -1,5 +1,5 @@
 /** Finds the traits of requests that explain why upstreams crashed. */
-import type {Millis} from './clock.js';
+import type {Millis} from '../base/clock.js';
 
 /**
  * Crashes after which traits that occur in the same crashes are all convicted;
--- a/packages/decisions/src/lib/crash_verdicts.ts
+++ b/packages/decisions/src/lib/crashes/crash_verdicts.ts
@@ -5,9 +5,9 @@
  * anything of their answers came back, and an answer clears its traits. Traits
  * that are convicted are refused by all instances.
  */
-import {MINUTE} from './clock.js';
+import {MINUTE} from '../base/clock.js';
 import {crashesUnder, findCauses, keyOf} from './crash_causes.js';
-import type {Millis} from './clock.js';
+import type {Millis} from '../base/clock.js';
 import type {Crash} from './crash_causes.js';
 
 /** Crashes, not cleared by an answer since, after which a trait is convicted. */
--- a/packages/decisions/src/lib/suspects.ts
+++ b/packages/decisions/src/lib/crashes/suspects.ts
@@ -3,8 +3,8 @@
  * apart from other suspect requests, and is refused once too many upstreams
  * have failed while they ran it.
  */
-import {MINUTE} from './clock.js';
-import type {Millis} from './clock.js';
+import {MINUTE} from '../base/clock.js';
+import type {Millis} from '../base/clock.js';
 
 /** A request is refused after this many upstreams failed while running it. */
 const MAX_FAILED_UPSTREAMS = 2;
--- a/packages/decisions/src/lib/configuration.ts
+++ b/packages/decisions/src/lib/fleet/configuration.ts
@@ -2,8 +2,8 @@
  * The operators' declarations of accounts, budgets and work classes, and the
  * generation that is in force.
  */
-import type {Millis} from './clock.js';
-import type {UpstreamKind} from './routing.js';
+import type {Millis} from '../base/clock.js';
+import type {UpstreamKind} from '../placement/routing.js';
 
 /** A client account as declared by the operators. */
 export interface ClientAccount {
--- a/packages/decisions/src/lib/feed_timing.ts
+++ b/packages/decisions/src/lib/fleet/feed_timing.ts
@@ -2,8 +2,8 @@
  * How often an instance has to ask the store, derived from the times by which a
  * change must be known everywhere.
  */
-import {REREGISTRATION_GRACE} from './upstream_registry.js';
-import type {Millis} from './clock.js';
+import {REREGISTRATION_GRACE} from '../upstreams/upstream_registry.js';
+import type {Millis} from '../base/clock.js';
 
 /** Times that the operator promises. */
 export interface PropagationBounds {
--- a/packages/decisions/src/lib/membership.ts
+++ b/packages/decisions/src/lib/fleet/membership.ts
@@ -3,8 +3,8 @@
  * only provides candidates; a peer counts as alive when messages from it
  * arrive, be they answers to probes or others.
  */
-import {SECOND} from './clock.js';
-import type {Millis} from './clock.js';
+import {SECOND} from '../base/clock.js';
+import type {Millis} from '../base/clock.js';
 
 /** Another entry, known from the instance list or from its own messages. */
 export interface Peer {
--- a/packages/decisions/src/lib/peer_table.ts
+++ b/packages/decisions/src/lib/fleet/peer_table.ts
@@ -1,6 +1,6 @@
 /** The other entries as sources of tokens and as holders of charge copies. */
-import {affinityRank} from './routing.js';
-import type {PeerHolder} from './wallet_messages.js';
+import {affinityRank} from '../placement/routing.js';
+import type {PeerHolder} from '../budgets/wallet_messages.js';
 
 /** The other entries with which a wallet exchanges tokens and charges. */
 export class PeerTable {
--- a/packages/decisions/src/lib/planned_stop.ts
+++ b/packages/decisions/src/lib/fleet/planned_stop.ts
@@ -2,7 +2,7 @@
  * Which requests an instance takes during a planned stop, so that none has to be
  * cut off at its end.
  */
-import type {Millis} from './clock.js';
+import type {Millis} from '../base/clock.js';
 
 /**
  * Time before the end of the grace period at which requests no longer run. It is
--- a/packages/decisions/src/lib/route_table.ts
+++ b/packages/decisions/src/lib/fleet/route_table.ts
@@ -1,5 +1,5 @@
 /** Routing configuration, and the lookup of routes, services and accounts. */
-import type {Millis} from './clock.js';
+import type {Millis} from '../base/clock.js';
 
 /** How often the requests of a route may run, and how they are answered. */
 export enum RouteKind {
--- a/packages/decisions/src/lib/topology.ts
+++ b/packages/decisions/src/lib/fleet/topology.ts
@@ -12,7 +12,7 @@
  * All instances must stay connected in a large fleet, also when relays are
  * killed, frozen or cut off from the network, and when instances are added.
  */
-import type {Millis} from './clock.js';
+import type {Millis} from '../base/clock.js';
 
 /** An instance as the others know it. */
 export interface Member {
--- a/packages/decisions/src/lib/placement.ts
+++ b/packages/decisions/src/lib/placement/placement.ts
@@ -5,9 +5,9 @@
  * popular; an upstream fails or becomes slow.
  */
 import {affinityRank} from './routing.js';
-import type {RunningRequests} from './brittle_upstreams.js';
-import type {Millis} from './clock.js';
-import type {UpstreamListing} from './upstream_registry.js';
+import type {RunningRequests} from '../upstreams/brittle_upstreams.js';
+import type {Millis} from '../base/clock.js';
+import type {UpstreamListing} from '../upstreams/upstream_registry.js';
 
 /**
  * One part of a prompt. Requests whose prompts begin alike name the same parts;
--- a/packages/decisions/src/lib/routing.ts
+++ b/packages/decisions/src/lib/placement/routing.ts
@@ -2,7 +2,7 @@
  * Routing policies of the entry, which is the process that accepts requests and
  * forwards them to upstreams. The settings select the policy.
  */
-import type {Millis} from './clock.js';
+import type {Millis} from '../base/clock.js';
 
 /** Kind of an upstream: a model engine or any other service. */
 export enum UpstreamKind {
--- a/packages/decisions/src/lib/urgency.ts
+++ b/packages/decisions/src/lib/placement/urgency.ts
@@ -3,7 +3,7 @@
  * and short prompts wait at the same engine, and a short one would miss its
  * latency target behind a long one.
  */
-import type {Millis} from './clock.js';
+import type {Millis} from '../base/clock.js';
 
 /** Urgency of a request that states none; 0 goes first, 9 goes last. */
 export const DEFAULT_URGENCY = 5;
--- a/packages/decisions/src/lib/recorder_choice.ts
+++ b/packages/decisions/src/lib/streams/recorder_choice.ts
@@ -3,8 +3,8 @@
  * small fleet each instance knows all beginnings, so one is enough; in a large
  * one each relay knows those of its zone.
  */
-import type {Millis} from './clock.js';
-import type {ExchangePartners} from './topology.js';
+import type {Millis} from '../base/clock.js';
+import type {ExchangePartners} from '../fleet/topology.js';
 
 /** Silence of the store from which an instance leaves the record to others. */
 const MAX_STORE_SILENCE: Millis = 3_000;
--- a/packages/decisions/src/lib/stream_lifetime.ts
+++ b/packages/decisions/src/lib/streams/stream_lifetime.ts
@@ -1,7 +1,7 @@
 /** How long streams last that callers may take up again. */
-import {isResumableStream} from './repeat_rule.js';
-import type {Millis} from './clock.js';
-import type {Route, RoutingConfiguration} from './route_table.js';
+import {isResumableStream} from '../upstreams/repeat_rule.js';
+import type {Millis} from '../base/clock.js';
+import type {Route, RoutingConfiguration} from '../fleet/route_table.js';
 
 /** Time by which a version is remembered longer than a stream can last. */
 const LIFETIME_MARGIN: Millis = 5_000;
--- a/packages/decisions/src/lib/stream_origins.ts
+++ b/packages/decisions/src/lib/streams/stream_origins.ts
@@ -2,7 +2,7 @@
  * Remembers which software version began each stream. Versions of an upstream's
  * software do not write the same, so a stream may go on only where it began.
  */
-import type {Millis} from './clock.js';
+import type {Millis} from '../base/clock.js';
 
 /** Time for which a stream is remembered; it is over long before. */
 const STREAM_LIFETIME: Millis = 60_000;
--- a/packages/decisions/src/lib/stream_segments.ts
+++ b/packages/decisions/src/lib/streams/stream_segments.ts
@@ -3,7 +3,7 @@
  * segment is open and is written again with each group of new streams, so that
  * a write stays small; a ring of segments holds all streams that still run.
  */
-import type {Millis} from './clock.js';
+import type {Millis} from '../base/clock.js';
 
 /** Time for which new streams go to the same segment. */
 const SEGMENT_TIME: Millis = 10_000;
--- a/packages/decisions/src/lib/brittle_upstreams.ts
+++ b/packages/decisions/src/lib/upstreams/brittle_upstreams.ts
@@ -4,8 +4,8 @@
  * more requests arrive than they have room for; while one is down, the others
  * must not be tried with its part.
  */
-import {SECOND} from './clock.js';
-import type {Millis} from './clock.js';
+import {SECOND} from '../base/clock.js';
+import type {Millis} from '../base/clock.js';
 import type {FleetView} from './request_limits.js';
 import type {UpstreamListing} from './upstream_registry.js';
 
--- a/packages/decisions/src/lib/proxy_choice.ts
+++ b/packages/decisions/src/lib/upstreams/proxy_choice.ts
@@ -4,7 +4,7 @@
  * its part. Covers these load patterns: one instance is partitioned; most
  * instances of a zone are, and the others carry their requests.
  */
-import type {Millis} from './clock.js';
+import type {Millis} from '../base/clock.js';
 
 /** A peer that forwards requests for others. */
 export interface ProxyPeer {
--- a/packages/decisions/src/lib/reachability.ts
+++ b/packages/decisions/src/lib/upstreams/reachability.ts
@@ -4,8 +4,8 @@
  * reset or are refused, while open ones may still work; a few upstreams crash at
  * once; a single upstream is silent for a moment.
  */
-import {randomSample} from './random_sample.js';
-import type {Millis} from './clock.js';
+import {randomSample} from '../base/random_sample.js';
+import type {Millis} from '../base/clock.js';
 
 /**
  * Number of upstreams to which connecting must fail, without a success in
--- a/packages/decisions/src/lib/repeat_allowance.ts
+++ b/packages/decisions/src/lib/upstreams/repeat_allowance.ts
@@ -3,7 +3,7 @@
  * all instances together keep to the fleet's limit. This matters when upstreams
  * fail and all instances send their requests to a second one at the same time.
  */
-import type {Millis} from './clock.js';
+import type {Millis} from '../base/clock.js';
 
 /** Limits on the repeats of the whole fleet, for each service. */
 export interface RepeatBounds {
--- a/packages/decisions/src/lib/repeat_rule.ts
+++ b/packages/decisions/src/lib/upstreams/repeat_rule.ts
@@ -2,8 +2,8 @@
  * Decides whether a request may be repeated at one more upstream after an
  * upstream crashed, lost the answer, or answered with a failure of its own.
  */
-import {RouteKind} from './route_table.js';
-import type {Route} from './route_table.js';
+import {RouteKind} from '../fleet/route_table.js';
+import type {Route} from '../fleet/route_table.js';
 
 /** A request that an upstream failed to serve. */
 export interface RepeatCandidate {
--- a/packages/decisions/src/lib/request_limits.ts
+++ b/packages/decisions/src/lib/upstreams/request_limits.ts
@@ -4,8 +4,8 @@
  * upstream in need takes few requests; many instances learn of it at about the
  * same time; instances come and go while a limit is in force.
  */
-import {affinityRank} from './routing.js';
-import type {Millis} from './clock.js';
+import {affinityRank} from '../placement/routing.js';
+import type {Millis} from '../base/clock.js';
 
 /** An instance as it is known to its peers. */
 export interface FleetMember {
--- a/packages/decisions/src/lib/service_versions.ts
+++ b/packages/decisions/src/lib/upstreams/service_versions.ts
@@ -3,7 +3,7 @@
  * A process that starts knows only those that are listed now; a record in the
  * store tells it the earlier ones.
  */
-import type {Millis} from './clock.js';
+import type {Millis} from '../base/clock.js';
 
 /**
  * Time for which a version stays in the record after streams of it have ended,
--- a/packages/decisions/src/lib/silence.ts
+++ b/packages/decisions/src/lib/upstreams/silence.ts
@@ -3,9 +3,9 @@
  * faults: an upstream runs requests but its responses are lost; an upstream
  * hangs while its health check still passes.
  */
-import {RouteKind} from './route_table.js';
-import type {Millis} from './clock.js';
-import type {Route} from './route_table.js';
+import {RouteKind} from '../fleet/route_table.js';
+import type {Millis} from '../base/clock.js';
+import type {Route} from '../fleet/route_table.js';
 
 /**
  * Timeout of a request other than a stream, as a fraction of its latency
--- a/packages/decisions/src/lib/upstream_registry.ts
+++ b/packages/decisions/src/lib/upstreams/upstream_registry.ts
@@ -4,9 +4,9 @@
  * responses of the upstreams. Updates are ordered by the position of the store.
  */
 import {ServiceVersions} from './service_versions.js';
-import {isNewer, UNKNOWN_POSITION} from './store_position.js';
-import type {Millis} from './clock.js';
-import type {StorePosition} from './store_position.js';
+import {isNewer, UNKNOWN_POSITION} from '../fleet/store_position.js';
+import type {Millis} from '../base/clock.js';
+import type {StorePosition} from '../fleet/store_position.js';
 
 /** One upstream as it stands in the list in the store. */
 export interface UpstreamListing {
--- a/packages/decisions/src/lib/upstream_rests.ts
+++ b/packages/decisions/src/lib/upstreams/upstream_rests.ts
@@ -2,7 +2,7 @@
  * Times in which upstreams want no requests from this instance. An upstream
  * that turns a request away may name such a time.
  */
-import type {Millis} from './clock.js';
+import type {Millis} from '../base/clock.js';
 import type {UpstreamListing} from './upstream_registry.js';
 
 /** A longer rest counts as this long, so that a wrong one does not last. */
--- a/packages/decisions/src/lib/upstreams.ts
+++ b/packages/decisions/src/lib/upstreams/upstreams.ts
@@ -8,14 +8,14 @@
   estimatedFirstTokenTime,
   ROUTING_RULES,
   UpstreamKind,
-} from './routing.js';
+} from '../placement/routing.js';
 import type {
   LoadReport,
   RoutingView,
   UpstreamState,
   RoutingPolicy,
-} from './routing.js';
-import type {Millis} from './clock.js';
+} from '../placement/routing.js';
+import type {Millis} from '../base/clock.js';
 
 /** One upstream as it stands in the list of instances. */
 export interface ListedUpstream {
--- a/packages/decisions/src/test/link_load_test.ts
+++ b/packages/decisions/src/test/admission/link_load_test.ts
@@ -3,8 +3,8 @@
  * is full, and must not ask them back right after a burst.
  */
 import {expect} from 'chai';
-import {LinkLoad} from '../lib/link_load.js';
-import type {Millis} from '../lib/clock.js';
+import {LinkLoad} from '../../lib/admission/link_load.js';
+import type {Millis} from '../../lib/base/clock.js';
 
 /** Requests at a constant rate for some time. */
 interface Phase {
--- a/packages/decisions/src/test/prepaid_shares_test.ts
+++ b/packages/decisions/src/test/budgets/prepaid_shares_test.ts
@@ -4,11 +4,11 @@
  * budget is lost when instances are killed.
  */
 import {expect} from 'chai';
-import {ManualClock, ManualMachineClock} from '../lib/clock.js';
-import {emptyPage, totalTaken} from '../lib/prepaid_page.js';
-import {PrepaidShares} from '../lib/prepaid_shares.js';
-import {SHARE_POLICY} from '../lib/share_policy.js';
-import {Witnesses} from '../lib/witnesses.js';
+import {ManualClock, ManualMachineClock} from '../../lib/base/clock.js';
+import {emptyPage, totalTaken} from '../../lib/budgets/prepaid_page.js';
+import {PrepaidShares} from '../../lib/budgets/prepaid_shares.js';
+import {SHARE_POLICY} from '../../lib/budgets/share_policy.js';
+import {Witnesses} from '../../lib/budgets/witnesses.js';
 import {ACCOUNT, REQUEST_TOKENS, ShareFleet} from './share_fleet.js';
 
 /** Returns the shares of one process that knows no page yet. */
--- a/packages/decisions/src/test/share_fleet.ts
+++ b/packages/decisions/src/test/budgets/share_fleet.ts
@@ -2,15 +2,15 @@
  * A small fleet whose instances share one prepaid budget through a store that
  * answers at once or never. For tests of the sizes of shares.
  */
-import {emptyPage, totalTaken} from '../lib/prepaid_page.js';
-import {ManualClock, ManualMachineClock} from '../lib/clock.js';
-import {PrepaidShares} from '../lib/prepaid_shares.js';
-import {SHARE_POLICY} from '../lib/share_policy.js';
-import {HeardTimes, Witnesses} from '../lib/witnesses.js';
-import type {Millis} from '../lib/clock.js';
-import type {PrepaidPage} from '../lib/prepaid_page.js';
-import type {StorePosition} from '../lib/store_position.js';
-import type {ShareView} from '../lib/prepaid_shares.js';
+import {emptyPage, totalTaken} from '../../lib/budgets/prepaid_page.js';
+import {ManualClock, ManualMachineClock} from '../../lib/base/clock.js';
+import {PrepaidShares} from '../../lib/budgets/prepaid_shares.js';
+import {SHARE_POLICY} from '../../lib/budgets/share_policy.js';
+import {HeardTimes, Witnesses} from '../../lib/budgets/witnesses.js';
+import type {Millis} from '../../lib/base/clock.js';
+import type {PrepaidPage} from '../../lib/budgets/prepaid_page.js';
+import type {StorePosition} from '../../lib/fleet/store_position.js';
+import type {ShareView} from '../../lib/budgets/prepaid_shares.js';
 
 /** The only account of the fleet. */
 export const ACCOUNT = 'club';
--- a/packages/decisions/src/test/share_release_test.ts
+++ b/packages/decisions/src/test/budgets/share_release_test.ts
@@ -1,13 +1,13 @@
 /** What an ended process cannot have used is returned, and nothing else. */
 import {expect} from 'chai';
-import {closePageHolder} from '../lib/prepaid_page.js';
+import {closePageHolder} from '../../lib/budgets/prepaid_page.js';
 import {
   RELEASE_END,
   RELEASE_START,
   usableTokens,
-} from '../lib/share_release.js';
-import type {PageHolder} from '../lib/prepaid_page.js';
-import type {MachineTime} from '../lib/clock.js';
+} from '../../lib/budgets/share_release.js';
+import type {PageHolder} from '../../lib/budgets/prepaid_page.js';
+import type {MachineTime} from '../../lib/base/clock.js';
 
 const ACCOUNT = 'club';
 const TAKEN = 100;
--- a/packages/decisions/src/test/witnesses_test.ts
+++ b/packages/decisions/src/test/budgets/witnesses_test.ts
@@ -1,7 +1,7 @@
 /** Two witnesses bound how long a process has run; one may be out of reach. */
 import {expect} from 'chai';
-import {HeardTimes, Witnesses} from '../lib/witnesses.js';
-import type {HeardTime} from '../lib/witnesses.js';
+import {HeardTimes, Witnesses} from '../../lib/budgets/witnesses.js';
+import type {HeardTime} from '../../lib/budgets/witnesses.js';
 
 const SELF = {holder: 'i0.2', zone: 'z0'};
 const PREDECESSOR = 'i0.1';
--- a/packages/decisions/src/test/feed_timing_test.ts
+++ b/packages/decisions/src/test/fleet/feed_timing_test.ts
@@ -3,8 +3,8 @@
  * in time: as a follower of a relay, and when its relay does not reach the store.
  */
 import {expect} from 'chai';
-import {feedTiming, longestFallback} from '../lib/feed_timing.js';
-import type {Millis} from '../lib/clock.js';
+import {feedTiming, longestFallback} from '../../lib/fleet/feed_timing.js';
+import type {Millis} from '../../lib/base/clock.js';
 
 /** Time until a call to a store that is there has its answer. */
 const CALL_TIME: Millis = 800;
--- a/packages/decisions/src/test/route_table_test.ts
+++ b/packages/decisions/src/test/fleet/route_table_test.ts
@@ -1,7 +1,11 @@
 /** Lookup of routes, order of versions, grants, and choice by weight. */
 import {expect} from 'chai';
-import {pickService, RouteKind, RouteTable} from '../lib/route_table.js';
-import type {Route, RoutingConfiguration} from '../lib/route_table.js';
+import {
+  pickService,
+  RouteKind,
+  RouteTable,
+} from '../../lib/fleet/route_table.js';
+import type {Route, RoutingConfiguration} from '../../lib/fleet/route_table.js';
 
 function route(prefix: string, host = 'desk.example'): Route {
   return {
--- a/packages/decisions/src/test/topology_test.ts
+++ b/packages/decisions/src/test/fleet/topology_test.ts
@@ -1,8 +1,8 @@
 /** Choice and replacement of relays, checked in virtual time. */
 import {expect} from 'chai';
-import {MAX_MESH_INSTANCES, Topology} from '../lib/topology.js';
-import type {ExchangePartners, Member} from '../lib/topology.js';
-import type {Millis} from '../lib/clock.js';
+import {MAX_MESH_INSTANCES, Topology} from '../../lib/fleet/topology.js';
+import type {ExchangePartners, Member} from '../../lib/fleet/topology.js';
+import type {Millis} from '../../lib/base/clock.js';
 
 /** Interval between heartbeats in the simulation. */
 const HEARTBEAT_INTERVAL: Millis = 300;
--- a/packages/decisions/src/test/placement_test.ts
+++ b/packages/decisions/src/test/placement/placement_test.ts
@@ -4,9 +4,9 @@
   Placement,
   PlacementOutcome,
   estimatePrefillTime,
-} from '../lib/placement.js';
-import type {PlacementRequest} from '../lib/placement.js';
-import type {UpstreamListing} from '../lib/upstream_registry.js';
+} from '../../lib/placement/placement.js';
+import type {PlacementRequest} from '../../lib/placement/placement.js';
+import type {UpstreamListing} from '../../lib/upstreams/upstream_registry.js';
 
 const ZONES = ['north', 'south'];
 const NO_UPSTREAMS: ReadonlySet<string> = new Set();
--- a/packages/decisions/src/test/stream_origins_test.ts
+++ b/packages/decisions/src/test/streams/stream_origins_test.ts
@@ -1,6 +1,6 @@
 /** Streams must be found where they began, and be forgotten when they are over. */
 import {expect} from 'chai';
-import {StreamOrigins} from '../lib/stream_origins.js';
+import {StreamOrigins} from '../../lib/streams/stream_origins.js';
 
 const CASES = [
   {name: 'a stream that began', records: ['v1'], after: 5_000, version: 'v1'},
--- a/packages/decisions/src/test/stream_recording_test.ts
+++ b/packages/decisions/src/test/streams/stream_recording_test.ts
@@ -3,10 +3,13 @@
  * reaches the store, and no write may replace streams that still run.
  */
 import {expect} from 'chai';
-import {isRecorder} from '../lib/recorder_choice.js';
-import {SEGMENT_COUNT, StreamSegments} from '../lib/stream_segments.js';
-import type {Millis} from '../lib/clock.js';
-import type {ExchangePartners} from '../lib/topology.js';
+import {isRecorder} from '../../lib/streams/recorder_choice.js';
+import {
+  SEGMENT_COUNT,
+  StreamSegments,
+} from '../../lib/streams/stream_segments.js';
+import type {Millis} from '../../lib/base/clock.js';
+import type {ExchangePartners} from '../../lib/fleet/topology.js';
 
 const NO_PARTNERS: ExchangePartners = {
   relay: undefined,
--- a/packages/decisions/src/test/brittle_upstreams_test.ts
+++ b/packages/decisions/src/test/upstreams/brittle_upstreams_test.ts
@@ -3,9 +3,9 @@
  * are, and must leave an upstream alone that is near its fall.
  */
 import {expect} from 'chai';
-import {BrittleUpstreams} from '../lib/brittle_upstreams.js';
-import type {FleetMember} from '../lib/request_limits.js';
-import type {UpstreamListing} from '../lib/upstream_registry.js';
+import {BrittleUpstreams} from '../../lib/upstreams/brittle_upstreams.js';
+import type {FleetMember} from '../../lib/upstreams/request_limits.js';
+import type {UpstreamListing} from '../../lib/upstreams/upstream_registry.js';
 
 const MAX_REJECTIONS = 5;
 
--- a/packages/decisions/src/test/proxy_choice_test.ts
+++ b/packages/decisions/src/test/upstreams/proxy_choice_test.ts
@@ -3,8 +3,8 @@
  * for their capacity, and one that fails must be left alone for a while.
  */
 import {expect} from 'chai';
-import {ProxyChoice} from '../lib/proxy_choice.js';
-import type {ProxyPeer} from '../lib/proxy_choice.js';
+import {ProxyChoice} from '../../lib/upstreams/proxy_choice.js';
+import type {ProxyPeer} from '../../lib/upstreams/proxy_choice.js';
 
 const NONE: ReadonlySet<string> = new Set();
 
--- a/packages/decisions/src/test/reachability_test.ts
+++ b/packages/decisions/src/test/upstreams/reachability_test.ts
@@ -3,8 +3,8 @@
  * upstreams, and must not take crashed or silent upstreams for a partition.
  */
 import {expect} from 'chai';
-import {Reachability} from '../lib/reachability.js';
-import type {Millis} from '../lib/clock.js';
+import {Reachability} from '../../lib/upstreams/reachability.js';
+import type {Millis} from '../../lib/base/clock.js';
 
 const LISTED = ['a', 'b', 'c', 'd', 'e', 'f'];
 
--- a/packages/decisions/src/test/repeat_allowance_test.ts
+++ b/packages/decisions/src/test/upstreams/repeat_allowance_test.ts
@@ -1,6 +1,6 @@
 /** The repeats of all instances together must stay within the fleet's limit. */
 import {expect} from 'chai';
-import {RepeatAllowance} from '../lib/repeat_allowance.js';
+import {RepeatAllowance} from '../../lib/upstreams/repeat_allowance.js';
 
 const BOUNDS = {ratio: 0.2, slack: 56, window: 10_000};
 
--- a/packages/decisions/src/test/repeat_rule_test.ts
+++ b/packages/decisions/src/test/upstreams/repeat_rule_test.ts
@@ -1,9 +1,9 @@
 /** Only requests that may run more than once are sent to another upstream. */
 import {expect} from 'chai';
-import {mayRepeat} from '../lib/repeat_rule.js';
-import {RouteKind} from '../lib/route_table.js';
-import type {RepeatCandidate} from '../lib/repeat_rule.js';
-import type {Route} from '../lib/route_table.js';
+import {mayRepeat} from '../../lib/upstreams/repeat_rule.js';
+import {RouteKind} from '../../lib/fleet/route_table.js';
+import type {RepeatCandidate} from '../../lib/upstreams/repeat_rule.js';
+import type {Route} from '../../lib/fleet/route_table.js';
 
 function route(changes: Partial<Route>): Route {
   return {
--- a/packages/decisions/src/test/request_limits_test.ts
+++ b/packages/decisions/src/test/upstreams/request_limits_test.ts
@@ -3,8 +3,14 @@
  * names, and must use most of it, however many they are and whoever is pressed.
  */
 import {expect} from 'chai';
-import {LimitChange, RequestLimits} from '../lib/request_limits.js';
-import type {FleetMember, FleetView} from '../lib/request_limits.js';
+import {
+  LimitChange,
+  RequestLimits,
+} from '../../lib/upstreams/request_limits.js';
+import type {
+  FleetMember,
+  FleetView,
+} from '../../lib/upstreams/request_limits.js';
 
 const UPSTREAM = 'u1';
 const SECOND = 1_000;
--- a/packages/decisions/src/test/service_versions_test.ts
+++ b/packages/decisions/src/test/upstreams/service_versions_test.ts
@@ -3,9 +3,9 @@
  * can have begun at another one, also after all instances have ended.
  */
 import {expect} from 'chai';
-import {ServiceVersions} from '../lib/service_versions.js';
-import type {Millis} from '../lib/clock.js';
-import type {VersionRecord} from '../lib/service_versions.js';
+import {ServiceVersions} from '../../lib/upstreams/service_versions.js';
+import type {Millis} from '../../lib/base/clock.js';
+import type {VersionRecord} from '../../lib/upstreams/service_versions.js';
 
 const SERVICE = 'models';
 const ERA = 2;
--- a/packages/decisions/src/test/silence_test.ts
+++ b/packages/decisions/src/test/upstreams/silence_test.ts
@@ -1,9 +1,12 @@
 /** Timeouts of silent upstreams, and the urgency of requests at an engine. */
 import {expect} from 'chai';
-import {RouteKind} from '../lib/route_table.js';
-import {isExcessiveSilence, silenceTimeout} from '../lib/silence.js';
-import {urgencyOf, DEFAULT_URGENCY} from '../lib/urgency.js';
-import type {Route} from '../lib/route_table.js';
+import {RouteKind} from '../../lib/fleet/route_table.js';
+import {
+  isExcessiveSilence,
+  silenceTimeout,
+} from '../../lib/upstreams/silence.js';
+import {urgencyOf, DEFAULT_URGENCY} from '../../lib/placement/urgency.js';
+import type {Route} from '../../lib/fleet/route_table.js';
 
 function route(kind: RouteKind, target: number): Route {
   return {
--- a/packages/decisions/src/test/upstream_registry_test.ts
+++ b/packages/decisions/src/test/upstreams/upstream_registry_test.ts
@@ -3,9 +3,9 @@
 import {
   UpstreamUpdateOutcome,
   UpstreamRegistry,
-} from '../lib/upstream_registry.js';
-import type {StorePosition} from '../lib/store_position.js';
-import type {UpstreamListing} from '../lib/upstream_registry.js';
+} from '../../lib/upstreams/upstream_registry.js';
+import type {StorePosition} from '../../lib/fleet/store_position.js';
+import type {UpstreamListing} from '../../lib/upstreams/upstream_registry.js';
 
 const SERVICE = 'desk';
 
--- a/packages/decisions/src/test/upstream_rests_test.ts
+++ b/packages/decisions/src/test/upstreams/upstream_rests_test.ts
@@ -1,6 +1,6 @@
 /** An upstream that asks for a rest gets no requests until it ends. */
 import {expect} from 'chai';
-import {MAX_REST, UpstreamRests} from '../lib/upstream_rests.js';
+import {MAX_REST, UpstreamRests} from '../../lib/upstreams/upstream_rests.js';
 
 const PROCESS = {id: 'a', startedAt: 1};
 
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,4 +1,4 @@
 /** The gateway: forwards requests of callers to upstreams. */
-export * from './lib/gateway.js';
-export * from './lib/ports.js';
-export * from './lib/settings.js';
+export * from './lib/process/gateway.js';
+export * from './lib/process/ports.js';
+export * from './lib/process/settings.js';
--- a/packages/gateway/src/lib/budget_page.ts
+++ b/packages/gateway/src/lib/budgets/budget_page.ts
@@ -4,8 +4,8 @@
  */
 import {emptyPage, PrepaidShares} from '@citrontrestle/decisions';
 import {PAGE_CODEC} from './page_codec.js';
-import {StoreOutcome} from './ports.js';
-import type {Store, StoreItem, StoreWriteResult} from './ports.js';
+import {StoreOutcome} from '../process/ports.js';
+import type {Store, StoreItem, StoreWriteResult} from '../process/ports.js';
 import type {
   Clock,
   Millis,
--- a/packages/gateway/src/lib/page_codec.ts
+++ b/packages/gateway/src/lib/budgets/page_codec.ts
@@ -1,7 +1,7 @@
 /** Encoding of budget pages in the store, as JSON. */
 import * as z from 'zod';
-import {decodeJson} from './json_codec.js';
-import type {PageCodec} from './ports.js';
+import {decodeJson} from '../process/json_codec.js';
+import type {PageCodec} from '../process/ports.js';
 import type {PrepaidPage} from '@citrontrestle/decisions';
 
 /** Numbers of tokens, by the name of the account. */
--- a/packages/gateway/src/lib/prepaid_budgets.ts
+++ b/packages/gateway/src/lib/budgets/prepaid_budgets.ts
@@ -6,7 +6,7 @@
  */
 import {partitionIndex, SHARE_POLICY} from '@citrontrestle/decisions';
 import {BudgetPage} from './budget_page.js';
-import type {Store} from './ports.js';
+import type {Store} from '../process/ports.js';
 import type {
   Clock,
   MachineClock,
--- a/packages/gateway/src/lib/token_exchange.ts
+++ b/packages/gateway/src/lib/budgets/token_exchange.ts
@@ -1,10 +1,10 @@
 /** Transfers of prepaid tokens between gateways. */
 import {randomSample} from '@citrontrestle/decisions';
 import {ReservationOutcome} from './prepaid_budgets.js';
-import {PeerMessageKind} from './peer_message.js';
+import {PeerMessageKind} from '../fleet/peer_message.js';
 import type {PrepaidBudgets} from './prepaid_budgets.js';
-import type {PeerMessage} from './peer_message.js';
-import type {PeerNetwork} from './peer_network.js';
+import type {PeerMessage} from '../fleet/peer_message.js';
+import type {PeerNetwork} from '../fleet/peer_network.js';
 import type {Log} from '@citrontrestle/runtime';
 
 /** A peer's request for tokens of an account. */
--- a/packages/gateway/src/lib/shared_verdicts.ts
+++ b/packages/gateway/src/lib/crashes/shared_verdicts.ts
@@ -4,9 +4,9 @@
  * there. Heartbeats carry the newest revision, so that nobody polls the store.
  */
 import * as z from 'zod';
-import {decodeJson} from './json_codec.js';
-import {StoreOutcome} from './ports.js';
-import type {DecodeResult, Store, StoreItem} from './ports.js';
+import {decodeJson} from '../process/json_codec.js';
+import {StoreOutcome} from '../process/ports.js';
+import type {DecodeResult, Store, StoreItem} from '../process/ports.js';
 import type {
   Clock,
   CrashVerdicts,
--- a/packages/gateway/src/lib/peer_exchange.ts
+++ b/packages/gateway/src/lib/fleet/peer_exchange.ts
@@ -6,17 +6,17 @@
 import {isNewer} from '@citrontrestle/decisions';
 import {PeerMessageKind} from './peer_message.js';
 import {FeedMode} from './store_feed.js';
-import type {PrepaidBudgets} from './prepaid_budgets.js';
-import type {BrittleWatch} from './brittle_watch.js';
-import type {CrashWatch} from './crash_watch.js';
-import type {LimitWatch} from './limit_watch.js';
+import type {PrepaidBudgets} from '../budgets/prepaid_budgets.js';
+import type {BrittleWatch} from '../upstreams/brittle_watch.js';
+import type {CrashWatch} from '../crashes/crash_watch.js';
+import type {LimitWatch} from '../upstreams/limit_watch.js';
 import type {PeerMessage} from './peer_message.js';
 import type {PeerNetwork} from './peer_network.js';
-import type {SharedVerdicts} from './shared_verdicts.js';
-import type {StatementWatch} from './statement_watch.js';
+import type {SharedVerdicts} from '../crashes/shared_verdicts.js';
+import type {StatementWatch} from '../upstreams/statement_watch.js';
 import type {StateSync} from './state_sync.js';
-import type {StreamTracker} from './stream_tracker.js';
-import type {TokenExchange} from './token_exchange.js';
+import type {StreamTracker} from '../streams/stream_tracker.js';
+import type {TokenExchange} from '../budgets/token_exchange.js';
 import type {
   Clock,
   FeedTiming,
--- a/packages/gateway/src/lib/peer_network.ts
+++ b/packages/gateway/src/lib/fleet/peer_network.ts
@@ -10,7 +10,7 @@
 } from '@citrontrestle/decisions';
 import {FleetLinks} from '@citrontrestle/fleet';
 import {splitAddress} from '@citrontrestle/runtime';
-import {guardStep} from './exception_guard.js';
+import {guardStep} from '../process/exception_guard.js';
 import {PEER_MESSAGE_SCHEMA, PeerMessageKind} from './peer_message.js';
 import {PeerVersions} from './peer_versions.js';
 import type {PeerMessage} from './peer_message.js';
--- a/packages/gateway/src/lib/state_sync.ts
+++ b/packages/gateway/src/lib/fleet/state_sync.ts
@@ -5,7 +5,7 @@
 import {isUpstreamId, UpstreamUpdateOutcome} from '@citrontrestle/decisions';
 import {FeedMode, StoreFeed} from './store_feed.js';
 import {FreshResult} from './fresh_result.js';
-import type {Dialect, Store, StoreEvent, StoreItem} from './ports.js';
+import type {Dialect, Store, StoreEvent, StoreItem} from '../process/ports.js';
 import type {
   Clock,
   FeedTiming,
--- a/packages/gateway/src/lib/store_feed.ts
+++ b/packages/gateway/src/lib/fleet/store_feed.ts
@@ -1,8 +1,8 @@
 /** Follows the keys with one prefix in the store: lists, then watches them. */
 import {sleep} from '@citrontrestle/runtime';
-import {guardStep} from './exception_guard.js';
-import {StoreOutcome} from './ports.js';
-import type {Store, StoreEvent, StoreItem} from './ports.js';
+import {guardStep} from '../process/exception_guard.js';
+import {StoreOutcome} from '../process/ports.js';
+import type {Store, StoreEvent, StoreItem} from '../process/ports.js';
 import type {
   Clock,
   FeedTiming,
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/process/gateway.ts
@@ -18,38 +18,38 @@
   MonotonicClock,
   SystemMachineClock,
 } from '@citrontrestle/runtime';
-import {BrittleWatch} from './brittle_watch.js';
+import {BrittleWatch} from '../upstreams/brittle_watch.js';
 import {BufferCollection, PROCESS_BUFFERS} from './buffer_collection.js';
-import {PrepaidBudgets} from './prepaid_budgets.js';
-import {CrashWatch, partTraits} from './crash_watch.js';
-import {FrontServer} from './front_server.js';
-import {LimitWatch} from './limit_watch.js';
+import {PrepaidBudgets} from '../budgets/prepaid_budgets.js';
+import {CrashWatch, partTraits} from '../crashes/crash_watch.js';
+import {FrontServer} from '../requests/front_server.js';
+import {LimitWatch} from '../upstreams/limit_watch.js';
 import {GatewayMetrics} from './gateway_metrics.js';
 import {HeldBytes} from './held_bytes.js';
-import {PeerMessageKind} from './peer_message.js';
-import {PeerExchange} from './peer_exchange.js';
-import {PeerNetwork} from './peer_network.js';
-import {ProxyServer} from './proxy_server.js';
-import {ReachabilityWatch} from './reachability_watch.js';
-import {ReadyServer} from './ready_server.js';
-import {RequestRecorder} from './request_recorder.js';
-import {RequestService} from './request_service.js';
-import {SharedVerdicts} from './shared_verdicts.js';
+import {PeerMessageKind} from '../fleet/peer_message.js';
+import {PeerExchange} from '../fleet/peer_exchange.js';
+import {PeerNetwork} from '../fleet/peer_network.js';
+import {ProxyServer} from '../upstreams/proxy_server.js';
+import {ReachabilityWatch} from '../upstreams/reachability_watch.js';
+import {ReadyServer} from '../requests/ready_server.js';
+import {RequestRecorder} from '../requests/request_recorder.js';
+import {RequestService} from '../requests/request_service.js';
+import {SharedVerdicts} from '../crashes/shared_verdicts.js';
 import {Shutdown} from './shutdown.js';
-import {StatementWatch} from './statement_watch.js';
-import {StateSync} from './state_sync.js';
-import {StreamRecords} from './stream_records.js';
-import {StreamTracker} from './stream_tracker.js';
-import {TokenExchange} from './token_exchange.js';
-import {UpstreamAgent} from './upstream_agent.js';
-import {UpstreamPaths} from './upstream_paths.js';
-import type {HeartbeatContent} from './peer_network.js';
-import type {CallerResponse} from './caller_response.js';
+import {StatementWatch} from '../upstreams/statement_watch.js';
+import {StateSync} from '../fleet/state_sync.js';
+import {StreamRecords} from '../streams/stream_records.js';
+import {StreamTracker} from '../streams/stream_tracker.js';
+import {TokenExchange} from '../budgets/token_exchange.js';
+import {UpstreamAgent} from '../upstreams/upstream_agent.js';
+import {UpstreamPaths} from '../upstreams/upstream_paths.js';
+import type {HeartbeatContent} from '../fleet/peer_network.js';
+import type {CallerResponse} from '../requests/caller_response.js';
 import type {
   RequestHandle,
   FrontServerHandler,
   BufferedRequest,
-} from './front_server.js';
+} from '../requests/front_server.js';
 import type {Dialect, EraListener, Store} from './ports.js';
 import {propagationBounds} from './settings.js';
 import type {GatewaySettings} from './settings.js';
--- a/packages/gateway/src/lib/instance_context.ts
+++ b/packages/gateway/src/lib/process/instance_context.ts
@@ -1,14 +1,14 @@
 /** Components of an instance that the forwarding of requests uses. */
 import type {Dialect} from './ports.js';
-import type {BrittleWatch} from './brittle_watch.js';
+import type {BrittleWatch} from '../upstreams/brittle_watch.js';
 import type {BufferCollection} from './buffer_collection.js';
 import type {HeldBytes} from './held_bytes.js';
-import type {CrashWatch} from './crash_watch.js';
-import type {LimitWatch} from './limit_watch.js';
-import type {ReachabilityWatch} from './reachability_watch.js';
-import type {StatementWatch} from './statement_watch.js';
-import type {StreamTracker} from './stream_tracker.js';
-import type {UpstreamPaths} from './upstream_paths.js';
+import type {CrashWatch} from '../crashes/crash_watch.js';
+import type {LimitWatch} from '../upstreams/limit_watch.js';
+import type {ReachabilityWatch} from '../upstreams/reachability_watch.js';
+import type {StatementWatch} from '../upstreams/statement_watch.js';
+import type {StreamTracker} from '../streams/stream_tracker.js';
+import type {UpstreamPaths} from '../upstreams/upstream_paths.js';
 import type {
   Clock,
   LinkLoad,
--- a/packages/gateway/src/lib/admission.ts
+++ b/packages/gateway/src/lib/requests/admission.ts
@@ -4,7 +4,7 @@
  */
 import {isRequestTarget, shortDigest} from '@citrontrestle/runtime';
 import {RefusalReason} from './refusal.js';
-import type {CallerRequest, Dialect} from './ports.js';
+import type {CallerRequest, Dialect} from '../process/ports.js';
 import type {BufferedRequest} from './front_server.js';
 import type {
   Clock,
--- a/packages/gateway/src/lib/caller_response.ts
+++ b/packages/gateway/src/lib/requests/caller_response.ts
@@ -3,7 +3,7 @@
  * way that the caller can detect.
  */
 import {REFUSAL_RESPONSES} from './refusal.js';
-import type {Dialect} from './ports.js';
+import type {Dialect} from '../process/ports.js';
 import type {Millis} from '@citrontrestle/decisions';
 import type {RefusalReason} from './refusal.js';
 import type {OutgoingHttpHeaders, ServerResponse} from 'node:http';
--- a/packages/gateway/src/lib/forwarding.ts
+++ b/packages/gateway/src/lib/requests/forwarding.ts
@@ -15,8 +15,8 @@
   urgencyOf,
 } from '@citrontrestle/decisions';
 import {deadlineOf, ESTIMATED_HEAD_BYTES} from './admission.js';
-import {guardStep} from './exception_guard.js';
-import {SURVIVED_EVENTS} from './crash_watch.js';
+import {guardStep} from '../process/exception_guard.js';
+import {SURVIVED_EVENTS} from '../crashes/crash_watch.js';
 import {
   ResponseRelay,
   RelayCompletion,
@@ -33,15 +33,15 @@
 } from './forwarding_result.js';
 import {RefusalReason} from './refusal.js';
 import {CallFailure} from './call_failure.js';
-import {Candidates} from './candidates.js';
-import {recordStatements} from './upstream_statements.js';
+import {Candidates} from '../upstreams/candidates.js';
+import {recordStatements} from '../upstreams/upstream_statements.js';
 import type {CallerResponse} from './caller_response.js';
-import type {LostRequest} from './crash_watch.js';
+import type {LostRequest} from '../crashes/crash_watch.js';
 import type {ForwardingResult} from './forwarding_result.js';
 import type {AdmittedRequest} from './admission.js';
-import type {ReceivedHead, UpstreamCall} from './upstream_call.js';
-import type {UpstreamPath} from './upstream_paths.js';
-import type {InstanceContext} from './instance_context.js';
+import type {ReceivedHead, UpstreamCall} from '../upstreams/upstream_call.js';
+import type {UpstreamPath} from '../upstreams/upstream_paths.js';
+import type {InstanceContext} from '../process/instance_context.js';
 import type {
   Millis,
   PlacedRequest,
--- a/packages/gateway/src/lib/front_server.ts
+++ b/packages/gateway/src/lib/requests/front_server.ts
@@ -7,12 +7,12 @@
   readBody,
 } from '@citrontrestle/runtime';
 import {CallerResponse} from './caller_response.js';
-import {exceptionFields} from './exception_guard.js';
-import {HeldPart} from './held_bytes.js';
+import {exceptionFields} from '../process/exception_guard.js';
+import {HeldPart} from '../process/held_bytes.js';
 import {RefusalReason} from './refusal.js';
-import type {BufferCollection} from './buffer_collection.js';
-import type {HeldBytes} from './held_bytes.js';
-import type {Dialect} from './ports.js';
+import type {BufferCollection} from '../process/buffer_collection.js';
+import type {HeldBytes} from '../process/held_bytes.js';
+import type {Dialect} from '../process/ports.js';
 import type {CallerLimits, Millis} from '@citrontrestle/decisions';
 import type {Log} from '@citrontrestle/runtime';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
--- a/packages/gateway/src/lib/request_recorder.ts
+++ b/packages/gateway/src/lib/requests/request_recorder.ts
@@ -1,9 +1,9 @@
 /** Records requests in logs and metrics, and counts the tokens that they used. */
 import {tokensToReserve} from './admission.js';
 import type {AdmittedRequest} from './admission.js';
-import type {PrepaidBudgets} from './prepaid_budgets.js';
+import type {PrepaidBudgets} from '../budgets/prepaid_budgets.js';
 import type {ForwardingResult} from './forwarding_result.js';
-import type {GatewayMetrics} from './gateway_metrics.js';
+import type {GatewayMetrics} from '../process/gateway_metrics.js';
 import {RefusalReason} from './refusal.js';
 import type {Clock, Millis, RouteTable} from '@citrontrestle/decisions';
 import type {Log} from '@citrontrestle/runtime';
--- a/packages/gateway/src/lib/request_service.ts
+++ b/packages/gateway/src/lib/requests/request_service.ts
@@ -9,18 +9,18 @@
   ESTIMATED_HEAD_BYTES,
   tokensToReserve,
 } from './admission.js';
-import {ReservationOutcome} from './prepaid_budgets.js';
-import {exceptionFields} from './exception_guard.js';
+import {ReservationOutcome} from '../budgets/prepaid_budgets.js';
+import {exceptionFields} from '../process/exception_guard.js';
 import {Forwarding} from './forwarding.js';
 import {ANSWERED} from './forwarding_result.js';
 import {RefusalReason} from './refusal.js';
 import type {AdmittedRequest} from './admission.js';
-import type {PrepaidBudgets} from './prepaid_budgets.js';
+import type {PrepaidBudgets} from '../budgets/prepaid_budgets.js';
 import type {CallerResponse} from './caller_response.js';
 import type {ForwardingResult} from './forwarding_result.js';
 import type {RequestHandle, BufferedRequest} from './front_server.js';
 import type {RequestRecorder} from './request_recorder.js';
-import type {InstanceContext} from './instance_context.js';
+import type {InstanceContext} from '../process/instance_context.js';
 import type {RouteTable} from '@citrontrestle/decisions';
 
 /** What happens to a request while it is served. */
--- a/packages/gateway/src/lib/response_relay.ts
+++ b/packages/gateway/src/lib/requests/response_relay.ts
@@ -6,12 +6,12 @@
  */
 import {EventNumbering, EventSuccession} from './event_numbering.js';
 import {EventReader} from './event_reader.js';
-import {HeldPart} from './held_bytes.js';
-import type {HeldBytes} from './held_bytes.js';
+import {HeldPart} from '../process/held_bytes.js';
+import type {HeldBytes} from '../process/held_bytes.js';
 import type {StreamEvent} from './event_reader.js';
 import type {CallerResponse} from './caller_response.js';
-import type {Dialect} from './ports.js';
-import type {ReceivedHead} from './upstream_call.js';
+import type {Dialect} from '../process/ports.js';
+import type {ReceivedHead} from '../upstreams/upstream_call.js';
 
 /** Result of relaying a chunk of a body. */
 export enum RelayOutcome {
--- a/packages/gateway/src/lib/stream_record_codec.ts
+++ b/packages/gateway/src/lib/streams/stream_record_codec.ts
@@ -1,7 +1,7 @@
 /** Encoding of what the store holds about streams, as JSON. */
 import * as z from 'zod';
-import {decodeJson} from './json_codec.js';
-import type {DecodeResult} from './ports.js';
+import {decodeJson} from '../process/json_codec.js';
+import type {DecodeResult} from '../process/ports.js';
 import type {VersionRecord} from '@citrontrestle/decisions';
 
 const VERSION_RECORD_SCHEMA = z.object({
--- a/packages/gateway/src/lib/stream_records.ts
+++ b/packages/gateway/src/lib/streams/stream_records.ts
@@ -11,14 +11,14 @@
   StreamSegments,
   UNKNOWN_POSITION,
 } from '@citrontrestle/decisions';
-import {StoreOutcome} from './ports.js';
+import {StoreOutcome} from '../process/ports.js';
 import {
   decodeSegment,
   decodeVersionRecord,
   encodeSegment,
   encodeVersionRecord,
 } from './stream_record_codec.js';
-import type {Store, StoreItem} from './ports.js';
+import type {Store, StoreItem} from '../process/ports.js';
 import type {
   Clock,
   Millis,
--- a/packages/gateway/src/lib/stream_tracker.ts
+++ b/packages/gateway/src/lib/streams/stream_tracker.ts
@@ -5,7 +5,7 @@
  */
 import {streamLifetime} from '@citrontrestle/decisions';
 import {shortDigest, waitAtMost} from '@citrontrestle/runtime';
-import type {AdmittedRequest} from './admission.js';
+import type {AdmittedRequest} from '../requests/admission.js';
 import type {
   Clock,
   Millis,
--- a/packages/gateway/src/lib/candidates.ts
+++ b/packages/gateway/src/lib/upstreams/candidates.ts
@@ -1,5 +1,5 @@
 /** The upstreams to which one request may be sent. */
-import type {InstanceContext} from './instance_context.js';
+import type {InstanceContext} from '../process/instance_context.js';
 import type {Millis, UpstreamListing} from '@citrontrestle/decisions';
 
 /** The components that know what upstreams may get. */
--- a/packages/gateway/src/lib/proxy_protocol.ts
+++ b/packages/gateway/src/lib/upstreams/proxy_protocol.ts
@@ -6,7 +6,7 @@
  */
 import {createHmac} from 'node:crypto';
 import {forwardedHeaders, secretsEqual} from '@citrontrestle/runtime';
-import {CallFailure} from './call_failure.js';
+import {CallFailure} from '../requests/call_failure.js';
 import type {Millis} from '@citrontrestle/decisions';
 import type {IncomingHttpHeaders, OutgoingHttpHeaders} from 'node:http';
 
--- a/packages/gateway/src/lib/proxy_server.ts
+++ b/packages/gateway/src/lib/upstreams/proxy_server.ts
@@ -6,11 +6,11 @@
  */
 import {createServer} from 'node:http';
 import {listenPersistently, readBody} from '@citrontrestle/runtime';
-import {ESTIMATED_HEAD_BYTES} from './admission.js';
-import {CallFailure} from './call_failure.js';
-import {CallerResponse} from './caller_response.js';
-import {exceptionFields} from './exception_guard.js';
-import {HeldPart} from './held_bytes.js';
+import {ESTIMATED_HEAD_BYTES} from '../requests/admission.js';
+import {CallFailure} from '../requests/call_failure.js';
+import {CallerResponse} from '../requests/caller_response.js';
+import {exceptionFields} from '../process/exception_guard.js';
+import {HeldPart} from '../process/held_bytes.js';
 import {
   closeDelimitedHeaders,
   failureHeaders,
@@ -20,8 +20,8 @@
 } from './proxy_protocol.js';
 import {UpstreamCall} from './upstream_call.js';
 import {recordStatements} from './upstream_statements.js';
-import type {HeldBytes} from './held_bytes.js';
-import type {InstanceContext} from './instance_context.js';
+import type {HeldBytes} from '../process/held_bytes.js';
+import type {InstanceContext} from '../process/instance_context.js';
 import type {ProxyFailure, ProxyOrder} from './proxy_protocol.js';
 import type {UpstreamAgent} from './upstream_agent.js';
 import type {ReceivedHead, UpstreamCallListener} from './upstream_call.js';
--- a/packages/gateway/src/lib/reachability_watch.ts
+++ b/packages/gateway/src/lib/upstreams/reachability_watch.ts
@@ -4,7 +4,7 @@
  */
 import {randomSample} from '@citrontrestle/decisions';
 import {checkConnection, ConnectionCheck} from './connection_check.js';
-import type {UpstreamAddress} from './crash_watch.js';
+import type {UpstreamAddress} from '../crashes/crash_watch.js';
 import type {ConnectionObserver} from './upstream_call.js';
 import type {UpstreamAgent} from './upstream_agent.js';
 import type {
--- a/packages/gateway/src/lib/statement_watch.ts
+++ b/packages/gateway/src/lib/upstreams/statement_watch.ts
@@ -3,7 +3,7 @@
  * it with the other instances.
  */
 import {UpstreamRests} from '@citrontrestle/decisions';
-import type {UpstreamResponseHead} from './ports.js';
+import type {UpstreamResponseHead} from '../process/ports.js';
 import type {
   Clock,
   Millis,
--- a/packages/gateway/src/lib/upstream_call.ts
+++ b/packages/gateway/src/lib/upstreams/upstream_call.ts
@@ -4,13 +4,13 @@
  */
 import {request} from 'node:http';
 import {MAX_INTERIM_RESPONSES, splitAddress} from '@citrontrestle/runtime';
-import {CallFailure} from './call_failure.js';
+import {CallFailure} from '../requests/call_failure.js';
 import {
   isMarkedCloseDelimited,
   parseFailure,
   withoutPeerHeaders,
 } from './proxy_protocol.js';
-import type {UpstreamResponseHead, Dialect} from './ports.js';
+import type {UpstreamResponseHead, Dialect} from '../process/ports.js';
 import type {Agent, IncomingMessage, OutgoingHttpHeaders} from 'node:http';
 import type {Millis} from '@citrontrestle/decisions';
 
--- a/packages/gateway/src/lib/upstream_paths.ts
+++ b/packages/gateway/src/lib/upstreams/upstream_paths.ts
@@ -8,7 +8,7 @@
 import {UpstreamAgent} from './upstream_agent.js';
 import {UpstreamCall} from './upstream_call.js';
 import type {ReachabilityWatch} from './reachability_watch.js';
-import type {Dialect} from './ports.js';
+import type {Dialect} from '../process/ports.js';
 import type {
   ConnectionObserver,
   UpstreamCallListener,
--- a/packages/gateway/src/lib/upstream_statements.ts
+++ b/packages/gateway/src/lib/upstreams/upstream_statements.ts
@@ -1,6 +1,6 @@
 /** Dispatches what upstreams state about themselves in their responses. */
-import type {InstanceContext} from './instance_context.js';
-import type {UpstreamResponseHead} from './ports.js';
+import type {InstanceContext} from '../process/instance_context.js';
+import type {UpstreamResponseHead} from '../process/ports.js';
 import type {Millis, UpstreamListing} from '@citrontrestle/decisions';
 
 /** The components that keep what upstreams state. */
--- a/packages/gateway/src/test/prepaid_budgets_test.ts
+++ b/packages/gateway/src/test/budgets/prepaid_budgets_test.ts
@@ -9,9 +9,12 @@
   Witnesses,
 } from '@citrontrestle/decisions';
 import {createLog} from '@citrontrestle/runtime';
-import {PrepaidBudgets, ReservationOutcome} from '../lib/prepaid_budgets.js';
-import type {BudgetContext} from '../lib/prepaid_budgets.js';
-import type {Store} from '../lib/ports.js';
+import {
+  PrepaidBudgets,
+  ReservationOutcome,
+} from '../../lib/budgets/prepaid_budgets.js';
+import type {BudgetContext} from '../../lib/budgets/prepaid_budgets.js';
+import type {Store} from '../../lib/process/ports.js';
 
 const ACCOUNT = 'club';
 
--- a/packages/gateway/src/test/crash_watch_test.ts
+++ b/packages/gateway/src/test/crashes/crash_watch_test.ts
@@ -5,7 +5,7 @@
  */
 import {expect} from 'chai';
 import {CrashVerdicts, ManualClock} from '@citrontrestle/decisions';
-import {CrashWatch} from '../lib/crash_watch.js';
+import {CrashWatch} from '../../lib/crashes/crash_watch.js';
 import type {UpstreamListing} from '@citrontrestle/decisions';
 
 const REQUEST = {
--- a/packages/gateway/src/test/shared_parts_test.ts
+++ b/packages/gateway/src/test/crashes/shared_parts_test.ts
@@ -3,9 +3,12 @@
  * crashes must fit the schema of messages whatever a prompt declares.
  */
 import {expect} from 'chai';
-import {sharedPartsOf} from '../lib/admission.js';
-import {partTraits} from '../lib/crash_watch.js';
-import {PEER_MESSAGE_SCHEMA, PeerMessageKind} from '../lib/peer_message.js';
+import {sharedPartsOf} from '../../lib/requests/admission.js';
+import {partTraits} from '../../lib/crashes/crash_watch.js';
+import {
+  PEER_MESSAGE_SCHEMA,
+  PeerMessageKind,
+} from '../../lib/fleet/peer_message.js';
 
 /** Returns the parts of a prompt with identifiers of a length. */
 function parts(count: number, length: number): {id: string; tokens: number}[] {
--- a/packages/gateway/src/test/fresh_result_test.ts
+++ b/packages/gateway/src/test/fleet/fresh_result_test.ts
@@ -1,6 +1,6 @@
 /** A result must be of a run that began after it was asked for. */
 import {expect} from 'chai';
-import {FreshResult} from '../lib/fresh_result.js';
+import {FreshResult} from '../../lib/fleet/fresh_result.js';
 
 describe('FreshResult', () => {
   it('shares the next run among all who ask during a run', async () => {
--- a/packages/gateway/src/test/buffer_collection_test.ts
+++ b/packages/gateway/src/test/process/buffer_collection_test.ts
@@ -3,7 +3,7 @@
  * (issue 39, bytes without end).
  */
 import {expect} from 'chai';
-import {BufferCollection} from '../lib/buffer_collection.js';
+import {BufferCollection} from '../../lib/process/buffer_collection.js';
 
 const MIB = 2 ** 20;
 
--- a/packages/gateway/src/test/event_numbering_test.ts
+++ b/packages/gateway/src/test/requests/event_numbering_test.ts
@@ -1,7 +1,10 @@
 /** The place of an event in its stream, by identifiers of which some are wrong. */
 import {expect} from 'chai';
-import {EventNumbering, EventSuccession} from '../lib/event_numbering.js';
-import type {StreamEvent} from '../lib/event_reader.js';
+import {
+  EventNumbering,
+  EventSuccession,
+} from '../../lib/requests/event_numbering.js';
+import type {StreamEvent} from '../../lib/requests/event_reader.js';
 
 /** Returns an event; undefined stands for an event without an identifier. */
 function event(id: string | undefined): StreamEvent {
--- a/packages/gateway/src/test/event_reader_test.ts
+++ b/packages/gateway/src/test/requests/event_reader_test.ts
@@ -1,6 +1,6 @@
 /** Events of a stream, however their bytes are divided into chunks. */
 import {expect} from 'chai';
-import {EventReader} from '../lib/event_reader.js';
+import {EventReader} from '../../lib/requests/event_reader.js';
 
 const STREAM =
   'id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: c\n\n\nid: 3\n\ndata';
--- a/packages/gateway/src/test/exception_guard_test.ts
+++ b/packages/gateway/src/test/requests/exception_guard_test.ts
@@ -4,17 +4,17 @@
  */
 import {createServer, request} from 'node:http';
 import {expect} from 'chai';
-import {CallerResponse} from '../lib/caller_response.js';
-import {Forwarding} from '../lib/forwarding.js';
-import {FrontServer} from '../lib/front_server.js';
-import {HeldBytes} from '../lib/held_bytes.js';
+import {CallerResponse} from '../../lib/requests/caller_response.js';
+import {Forwarding} from '../../lib/requests/forwarding.js';
+import {FrontServer} from '../../lib/requests/front_server.js';
+import {HeldBytes} from '../../lib/process/held_bytes.js';
 import type {AddressInfo, Server} from 'node:net';
-import type {AdmittedRequest} from '../lib/admission.js';
-import type {Dialect} from '../lib/ports.js';
-import type {ForwardingResult} from '../lib/forwarding_result.js';
-import type {InstanceContext} from '../lib/instance_context.js';
-import type {ReceivedHead} from '../lib/upstream_call.js';
-import type {UpstreamPaths} from '../lib/upstream_paths.js';
+import type {AdmittedRequest} from '../../lib/requests/admission.js';
+import type {Dialect} from '../../lib/process/ports.js';
+import type {ForwardingResult} from '../../lib/requests/forwarding_result.js';
+import type {InstanceContext} from '../../lib/process/instance_context.js';
+import type {ReceivedHead} from '../../lib/upstreams/upstream_call.js';
+import type {UpstreamPaths} from '../../lib/upstreams/upstream_paths.js';
 import type {Log} from '@citrontrestle/runtime';
 
 const DIALECT = {
--- a/packages/gateway/src/test/response_framing_test.ts
+++ b/packages/gateway/src/test/requests/response_framing_test.ts
@@ -6,13 +6,16 @@
 import {createServer} from 'node:http';
 import {connect} from 'node:net';
 import {expect} from 'chai';
-import {CallerResponse} from '../lib/caller_response.js';
-import {HeldBytes} from '../lib/held_bytes.js';
-import {RelayCompletion, ResponseRelay} from '../lib/response_relay.js';
+import {CallerResponse} from '../../lib/requests/caller_response.js';
+import {HeldBytes} from '../../lib/process/held_bytes.js';
+import {
+  RelayCompletion,
+  ResponseRelay,
+} from '../../lib/requests/response_relay.js';
 import type {Server} from 'node:http';
 import type {AddressInfo} from 'node:net';
-import type {Dialect} from '../lib/ports.js';
-import type {ReceivedHead} from '../lib/upstream_call.js';
+import type {Dialect} from '../../lib/process/ports.js';
+import type {ReceivedHead} from '../../lib/upstreams/upstream_call.js';
 
 /** More than a relay buffers. */
 const LARGE = 300_000;
--- a/packages/gateway/src/test/stream_records_test.ts
+++ b/packages/gateway/src/test/streams/stream_records_test.ts
@@ -5,12 +5,12 @@
  */
 import {expect} from 'chai';
 import {StreamOrigins, UpstreamRegistry} from '@citrontrestle/decisions';
-import {StoreOutcome} from '../lib/ports.js';
-import {encodeVersionRecord} from '../lib/stream_record_codec.js';
-import {StreamRecords} from '../lib/stream_records.js';
+import {StoreOutcome} from '../../lib/process/ports.js';
+import {encodeVersionRecord} from '../../lib/streams/stream_record_codec.js';
+import {StreamRecords} from '../../lib/streams/stream_records.js';
 import type {Millis} from '@citrontrestle/decisions';
 import type {Log} from '@citrontrestle/runtime';
-import type {Store} from '../lib/ports.js';
+import type {Store} from '../../lib/process/ports.js';
 
 const SERVICE = 'models';
 const LIFETIME: Millis = 10_000;
--- a/packages/gateway/src/test/proxy_server_test.ts
+++ b/packages/gateway/src/test/upstreams/proxy_server_test.ts
@@ -5,13 +5,16 @@
 import {request} from 'node:http';
 import {createServer} from 'node:net';
 import {expect} from 'chai';
-import {CallFailure} from '../lib/call_failure.js';
-import {HeldBytes} from '../lib/held_bytes.js';
-import {orderHeaders, parseFailure} from '../lib/proxy_protocol.js';
-import {ProxyServer} from '../lib/proxy_server.js';
+import {CallFailure} from '../../lib/requests/call_failure.js';
+import {HeldBytes} from '../../lib/process/held_bytes.js';
+import {
+  orderHeaders,
+  parseFailure,
+} from '../../lib/upstreams/proxy_protocol.js';
+import {ProxyServer} from '../../lib/upstreams/proxy_server.js';
 import type {AddressInfo} from 'node:net';
-import type {ProxyFailure} from '../lib/proxy_protocol.js';
-import type {ProxyServerContext} from '../lib/proxy_server.js';
+import type {ProxyFailure} from '../../lib/upstreams/proxy_protocol.js';
+import type {ProxyServerContext} from '../../lib/upstreams/proxy_server.js';
 
 const FLEET_KEY = 'fleet';
 
