Read homes, cold times, evacuation keys and the work time that upstreams report

Cause: the parts for evacuated zones, cold upstreams, homes and uneven upstreams need these values; agreeing on them first lets the parts be built side by side. Nothing decides by them yet.

--- a/packages/decisions/src/lib/fleet/route_table.ts
+++ b/packages/decisions/src/lib/fleet/route_table.ts
@@ -44,6 +44,8 @@
   resumable: boolean;
   /** Objective for the time between two events; 0 if none is set. */
   maxEventGap: Millis;
+  /** Regions that its requests may reach; empty for all. */
+  homes: readonly string[];
 }
 
 /** Properties of a service, as the operator configured them. */
@@ -53,6 +55,13 @@
   healthPath: string;
   /** Maximum number of connections that one upstream accepts in total. */
   maxConnections: number;
+  /** Time for which an upstream is cold after its start; 0 if it never is. */
+  coldTime: Millis;
+  /**
+   * Requests per second that a cold upstream takes from all instances together;
+   * 0 if they are not limited.
+   */
+  coldRequestsPerSecond: number;
   /** Properties of its model engines; undefined if it has none. */
   engine: EngineProfile | undefined;
 }
@@ -75,6 +84,8 @@
   priority: number | undefined;
   /** Tokens granted so far in total; undefined if there is no budget. */
   grantedTokens: number | undefined;
+  /** Regions that its requests may reach; empty for all. */
+  homes: readonly string[];
   /** Whether its name can't be told to upstreams, so it can't be served. */
   isNameUnusable?: boolean;
 }
--- a/packages/decisions/src/lib/placement/placement.ts
+++ b/packages/decisions/src/lib/placement/placement.ts
@@ -42,6 +42,11 @@
   waiting: number;
   /** Requests that the upstream can run at once. */
   slots: number;
+  /**
+   * Time that work takes on its machine now, relative to the usual time;
+   * undefined if it is not reported.
+   */
+  relativeWorkTime: number | undefined;
 }
 
 /** What a choice depends on besides the request and the recorded state. */
--- a/packages/decisions/src/test/fleet/route_table_test.ts
+++ b/packages/decisions/src/test/fleet/route_table_test.ts
@@ -21,6 +21,7 @@
     isPublic: false,
     resumable: false,
     maxEventGap: 0,
+    homes: [],
   };
 }
 
@@ -39,6 +40,7 @@
         apiKeys: ['k'],
         priority: undefined,
         grantedTokens: granted,
+        homes: [],
       },
     ],
     limits: {
--- a/packages/decisions/src/test/upstreams/repeat_rule_test.ts
+++ b/packages/decisions/src/test/upstreams/repeat_rule_test.ts
@@ -19,6 +19,7 @@
     isPublic: false,
     resumable: false,
     maxEventGap: 0,
+    homes: [],
     ...changes,
   };
 }
--- a/packages/decisions/src/test/upstreams/silence_test.ts
+++ b/packages/decisions/src/test/upstreams/silence_test.ts
@@ -22,6 +22,7 @@
     isPublic: false,
     resumable: true,
     maxEventGap: 0,
+    homes: [],
   };
 }
 
--- a/packages/gateway/src/lib/process/ports.ts
+++ b/packages/gateway/src/lib/process/ports.ts
@@ -143,6 +143,11 @@
   configurationPrefix: string;
   /** Key that holds the configuration. */
   configurationKey: string;
+  /**
+   * Prefix, below `configurationPrefix`, of the keys that order the evacuation
+   * of a zone: one key for each evacuated zone, which ends with its name.
+   */
+  evacuationPrefix: string;
   /** Prefix of the keys that list the upstreams, one key per upstream. */
   upstreamPrefix: string;
 }
@@ -227,6 +232,11 @@
    * one; undefined if it names none.
    */
   restTime: Millis | undefined;
+  /**
+   * Time for which the upstream is still cold; 0 if it says that it is not, and
+   * undefined if it says nothing.
+   */
+  coldTime: Millis | undefined;
 }
 
 /**
--- a/packages/gateway/src/lib/process/settings.ts
+++ b/packages/gateway/src/lib/process/settings.ts
@@ -105,7 +105,21 @@
     configurationMs: boundSchema(2_000),
     /** Milliseconds after which a withdrawn API key is refused everywhere. */
     revocationMs: boundSchema(5_000),
+    /** Milliseconds after which an evacuated zone gets no more requests. */
+    evacuationMs: boundSchema(5_000),
   }),
+  /** How far the limit of a cold upstream may be exceeded in one second. */
+  cold: sectionOf({
+    /** Factor on the requests per second that a cold upstream takes. */
+    overshoot: numberOr(1, z.number().min(1)),
+    /** Requests allowed in addition. */
+    slack: numberOr(0, z.number().nonnegative()),
+  }),
+  /** Region of each availability zone, by the name of the zone. */
+  regions: z
+    .record(z.string(), z.string())
+    .nullish()
+    .transform(regions => regions ?? {}),
   /** Address at which metrics are served; if unset, none are served. */
   metrics: OPTIONAL_ADDRESS,
   /** Least severe level that is logged. */
