Order requests at the engines by priority before prompt length

Cause: the priority of routes and accounts was decoded and used nowhere; urgency came from the prompt's length alone, so the least important short requests went before the most important ones. Change: Priorities ranks what the configuration uses (the account's before the route's); urgencyOf gives each rank a band of the ten urgencies and orders by prompt length within it. With one priority the order is as before.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -23,6 +23,7 @@
 export * from './lib/budgets/partition_table.js';
 export * from './lib/fleet/peer_table.js';
 export * from './lib/placement/placement.js';
+export * from './lib/placement/priorities.js';
 export * from './lib/fleet/planned_stop.js';
 export * from './lib/budgets/page_entries.js';
 export * from './lib/budgets/predecessors.js';
--- a/packages/decisions/src/lib/fleet/route_table.ts
+++ b/packages/decisions/src/lib/fleet/route_table.ts
@@ -1,4 +1,6 @@
 /** Routing configuration, and the lookup of routes, services and accounts. */
+import {Priorities} from '../placement/priorities.js';
+import type {PriorityRank} from '../placement/priorities.js';
 import type {Millis} from '../base/clock.js';
 
 /** How often the requests of a route may run, and how they are answered. */
@@ -125,6 +127,7 @@
   private routesByHost = new Map<string, Route[]>();
   private accountsByKey = new Map<string, PrepaidAccount>();
   private servicesByName = new Map<string, ServiceProfile>();
+  private priorities = new Priorities({routes: [], accounts: []});
   /** The largest grant of each account over all versions. */
   private readonly largestGrants = new Map<string, number>();
 
@@ -157,6 +160,7 @@
       next.services.map(service => [service.name, service]),
     );
     this.indexAccounts(next.accounts);
+    this.priorities = new Priorities(next);
     return true;
   }
 
@@ -176,6 +180,11 @@
     return this.servicesByName.get(name);
   }
 
+  /** Rank of a request's priority among those of the configuration. */
+  priorityOf(route: Route, account: PrepaidAccount | undefined): PriorityRank {
+    return this.priorities.rankOf(route, account);
+  }
+
   /** The largest grant to an account over all versions; undefined if none. */
   grantedTokens(account: string): number | undefined {
     return this.largestGrants.get(account);
--- a/packages/decisions/src/lib/placement/urgency.ts
+++ b/packages/decisions/src/lib/placement/urgency.ts
@@ -1,12 +1,14 @@
 /**
- * Urgency by which an engine orders its queue. Covers this load pattern: long
- * and short prompts wait at the same engine, and a short one would miss its
- * latency target behind a long one.
+ * Urgency by which an engine orders its queue and chooses what to preempt.
+ * Covers this load pattern: important and less important requests, with long and
+ * short prompts, wait at the same engine. The more important go first; among
+ * equals, a short prompt would miss its latency target behind a long one.
  */
 import type {Millis} from '../base/clock.js';
+import type {PriorityRank} from './priorities.js';
 
-/** Urgency of a request that states none; 0 goes first, 9 goes last. */
-export const DEFAULT_URGENCY = 5;
+/** Number of urgencies: 0 goes first, 9 goes last. */
+const URGENCY_COUNT = 10;
 
 /** What the urgency of a request depends on. */
 export interface UrgencyInputs {
@@ -14,25 +16,26 @@
   prefillTime: Millis;
   /** Latency target of the route; 0 or less if there is none. */
   latencyTarget: Millis;
+  priority: PriorityRank;
 }
 
 /**
- * Urgency by the ratio of the prompt's processing time to the latency target:
- * the first step whose maximum is not exceeded applies.
+ * Highest ratio of the prompt's processing time to the latency target in each
+ * class of prompts. A prompt above the last one misses its target anyway.
  */
-const URGENCY_STEPS: readonly {maxRatio: number; urgency: number}[] = [
-  {maxRatio: 0.1, urgency: 3},
-  {maxRatio: 0.3, urgency: 4},
-  {maxRatio: 0.8, urgency: DEFAULT_URGENCY},
-  {maxRatio: 1.5, urgency: 6},
-];
-
-/** Urgency above the last step, where a request misses its target anyway. */
-const LOWEST_URGENCY = 7;
+const CLASS_RATIOS: readonly number[] = [0.1, 0.3, 0.8, 1.5, Infinity];
 
 /** Returns the urgency that is sent to the engine with a request. */
-export function urgencyOf({prefillTime, latencyTarget}: UrgencyInputs): number {
+export function urgencyOf({
+  prefillTime,
+  latencyTarget,
+  priority: {rank, count},
+}: UrgencyInputs): number {
+  const bands = Math.min(count, CLASS_RATIOS.length);
+  const band = Math.floor((rank * bands) / count);
+  const levels = Math.floor(URGENCY_COUNT / bands);
   const ratio = latencyTarget > 0 ? prefillTime / latencyTarget : 0;
-  const step = URGENCY_STEPS.find(candidate => ratio <= candidate.maxRatio);
-  return step?.urgency ?? LOWEST_URGENCY;
+  const promptClass = CLASS_RATIOS.findIndex(maxRatio => ratio <= maxRatio);
+  const level = Math.floor((promptClass * levels) / CLASS_RATIOS.length);
+  return band * levels + level;
 }
--- a/packages/decisions/src/test/upstreams/silence_test.ts
+++ b/packages/decisions/src/test/upstreams/silence_test.ts
@@ -1,11 +1,10 @@
-/** Timeouts of silent upstreams, and the urgency of requests at an engine. */
+/** Timeouts of silent upstreams. */
 import {expect} from 'chai';
 import {RouteKind} from '../../lib/fleet/route_table.js';
 import {
   isExcessiveSilence,
   silenceTimeout,
 } from '../../lib/upstreams/silence.js';
-import {urgencyOf, DEFAULT_URGENCY} from '../../lib/placement/urgency.js';
 import type {Route} from '../../lib/fleet/route_table.js';
 
 function route(kind: RouteKind, target: number): Route {
@@ -53,16 +52,3 @@
     });
   }
 });
-
-describe('urgency', () => {
-  it('long and short prompts: a long one never goes before a shorter one', () => {
-    const target = 500;
-    const prefillTimes = [0, 20, 100, 300, 600, 2_000];
-    const urgencies = prefillTimes.map(prefillTime =>
-      urgencyOf({prefillTime, latencyTarget: target}),
-    );
-    expect(urgencies).to.deep.equal([...urgencies].sort((a, b) => a - b));
-    expect(urgencies).to.include(DEFAULT_URGENCY);
-    expect(Math.max(...urgencies)).to.be.at.most(9);
-  });
-});
--- a/packages/gateway/src/lib/requests/admission.ts
+++ b/packages/gateway/src/lib/requests/admission.ts
@@ -10,6 +10,7 @@
   Clock,
   Millis,
   PrepaidAccount,
+  PriorityRank,
   PromptPart,
   Route,
   RouteTable,
@@ -36,6 +37,8 @@
   route: Route;
   /** Account of the API key; undefined on public routes. */
   account: PrepaidAccount | undefined;
+  /** Rank of its priority: the account's, else the route's. */
+  priority: PriorityRank;
   arrivedAt: Millis;
   /**
    * Digest of method, target, account and body. It is the same when a caller
@@ -100,6 +103,7 @@
     body,
     route,
     account,
+    priority: routeTable.priorityOf(route, account),
     arrivedAt,
     fingerprint,
     sharedParts: sharedPartsOf(callerRequest.promptParts),
--- a/packages/gateway/src/lib/requests/forwarding.ts
+++ b/packages/gateway/src/lib/requests/forwarding.ts
@@ -308,10 +308,11 @@
 
   /** Returns the request's urgency at a model engine; undefined elsewhere. */
   private urgency({prefillTime}: PlacedRequest): number | undefined {
-    const {latencyTarget} = this.request.route;
+    const {route, priority} = this.request;
+    const {latencyTarget} = route;
     const isEngineRequest = this.placementRequest.promptTokens > 0;
     return isEngineRequest
-      ? urgencyOf({prefillTime, latencyTarget})
+      ? urgencyOf({prefillTime, latencyTarget, priority})
       : undefined;
   }
 
