--- a/packages/decisions/src/lib/fleet/feed_timing.ts
+++ b/packages/decisions/src/lib/fleet/feed_timing.ts
@@ -18,6 +18,8 @@
   configuration: Millis;
   /** Time after which a withdrawn API key is refused everywhere. */
   revocation: Millis;
+  /** Time after which an evacuated zone gets no more requests. */
+  evacuation: Millis;
 }
 
 /** Times by which the store is followed. */
@@ -62,8 +64,14 @@
 
 /** Returns the times that keep the bounds. */
 export function feedTiming(bounds: PropagationBounds): FeedTiming {
-  const {contact, drain, configuration, revocation} = bounds;
-  const strictest = Math.min(contact, drain, configuration, revocation);
+  const {contact, drain, configuration, revocation, evacuation} = bounds;
+  const strictest = Math.min(
+    contact,
+    drain,
+    configuration,
+    revocation,
+    evacuation,
+  );
   const maxFallbackDelay = clamp(
     contact - FALLBACK_TIME,
     SHORTEST_DELAY,
--- a/packages/decisions/src/test/fleet/feed_timing_test.ts
+++ b/packages/decisions/src/test/fleet/feed_timing_test.ts
@@ -26,6 +26,7 @@
       drain: strictest,
       configuration: strictest + 1_000,
       revocation: strictest + 2_000,
+      evacuation: strictest + 2_000,
     });
 
     it(`keep a contact time of ${contact} ms after an outage`, () => {
@@ -41,7 +42,13 @@
   }
 
   it('do not flood the store, however short the bounds are', () => {
-    const short = {contact: 1, drain: 1, configuration: 1, revocation: 1};
+    const short = {
+      contact: 1,
+      drain: 1,
+      configuration: 1,
+      revocation: 1,
+      evacuation: 1,
+    };
     const times = Object.values(feedTiming(short));
     expect(Math.min(...times)).to.be.at.least(200);
   });
--- a/packages/gateway/src/lib/process/settings.ts
+++ b/packages/gateway/src/lib/process/settings.ts
@@ -138,5 +138,6 @@
     drain: bounds.drainMs,
     configuration: bounds.configurationMs,
     revocation: bounds.revocationMs,
+    evacuation: bounds.evacuationMs,
   };
 }
