Keep new requests from evacuated zones and from regions outside the homes

Candidates, proxies and the moment at which a new connection is there look at it. Requests that no upstream may get are refused at once with zone-evacuated or outside-homes. A follower of a relay of an earlier build follows the store itself.

--- a/packages/decisions/src/test/fleet/evacuations_test.ts
+++ b/packages/decisions/src/test/fleet/evacuations_test.ts
@@ -175,7 +175,7 @@
             [...(truth?.zones ?? [])].sort(),
           );
         }
-        const newest = states.at(-1) ?? instances[0]!.snapshot();
+        const newest = states.at(-1) ?? new Evacuations().snapshot();
         for (const instance of instances) {
           instance.applySnapshot(newest, 0);
           states.forEach(state => instance.applySnapshot(state, 0));
--- a/packages/gateway/src/lib/fleet/peer_exchange.ts
+++ b/packages/gateway/src/lib/fleet/peer_exchange.ts
@@ -9,6 +9,7 @@
 import type {PrepaidBudgets} from '../budgets/prepaid_budgets.js';
 import type {BrittleWatch} from '../upstreams/brittle_watch.js';
 import type {CrashWatch} from '../crashes/crash_watch.js';
+import type {EvacuationWatch} from './evacuation_watch.js';
 import type {LimitWatch} from '../upstreams/limit_watch.js';
 import type {PeerMessage} from './peer_message.js';
 import type {PeerNetwork} from './peer_network.js';
@@ -49,6 +50,7 @@
   upstreamRegistry: UpstreamRegistry;
   placement: Placement;
   stateSync: StateSync;
+  evacuationWatch: EvacuationWatch;
   budgets: PrepaidBudgets;
   tokenExchange: TokenExchange;
   crashWatch: CrashWatch;
@@ -105,6 +107,13 @@
       this.sendUpstreams(from),
     [PeerMessageKind.UpstreamUpdates]: (message, from) =>
       this.handleUpstreamUpdates(message, from),
+    [PeerMessageKind.EvacuationsRequest]: (_message, from) =>
+      this.dependencies.peerNetwork.send(from, this.evacuationsMessage()),
+    [PeerMessageKind.Evacuations]: ({position, zones}, from) =>
+      this.dependencies.evacuationWatch.applyPeerState(
+        {...position, zones},
+        from,
+      ),
     [PeerMessageKind.TokenRequest]: (message, from) =>
       this.dependencies.tokenExchange.handleRequest(from, message),
     [PeerMessageKind.TokenTransfer]: ({account, tokens}) =>
@@ -180,6 +189,10 @@
     if (relay === undefined || storeSilence === undefined) {
       return FeedMode.Standalone;
     }
+    if (!peerNetwork.understands(relay, PeerMessageKind.Evacuations)) {
+      // A relay of an earlier version does not pass evacuations on.
+      return FeedMode.Standalone;
+    }
     if (storeSilence < feedTiming.maxRelayStoreSilence) {
       return FeedMode.Off;
     }
@@ -212,6 +225,20 @@
     }
   }
 
+  /**
+   * Tells the other instances which zones are evacuated.
+   * @param source the peer that told it; undefined for the store.
+   */
+  tellEvacuations(source: string | undefined): void {
+    const {peerNetwork} = this.dependencies;
+    const message = this.evacuationsMessage();
+    if (source === undefined) {
+      peerNetwork.broadcast(message);
+    } else {
+      peerNetwork.forwardBroadcast(source, message);
+    }
+  }
+
   /** Forgets the load of a peer that is no longer a partner. */
   forgetPartner(address: string): void {
     this.sentLoads.delete(address);
@@ -306,12 +333,21 @@
     }
   }
 
-  /** Gets the configuration, upstreams or verdicts if the sender's are newer. */
+  /**
+   * Gets evacuations, configuration, upstreams or verdicts if the sender's are
+   * newer. Evacuations come first, so that an instance that has just started
+   * knows them before it has a configuration and serves.
+   */
   private handleHeartbeat(
-    {version, era, revision, verdicts}: MessageOf<PeerMessageKind.Heartbeat>,
+    heartbeat: MessageOf<PeerMessageKind.Heartbeat>,
     from: string,
   ): void {
+    const {version, era, revision, verdicts, evacuations} = heartbeat;
     const {routeTable, upstreamRegistry, peerNetwork} = this.dependencies;
+    const {evacuationWatch} = this.dependencies;
+    if (evacuations && isNewer(evacuations, evacuationWatch.position())) {
+      peerNetwork.send(from, {kind: PeerMessageKind.EvacuationsRequest});
+    }
     this.dependencies.sharedVerdicts.learnRevision(verdicts ?? 0);
     if (version > routeTable.version()) {
       peerNetwork.send(from, {kind: PeerMessageKind.ConfigurationRequest});
@@ -322,6 +358,12 @@
     }
   }
 
+  private evacuationsMessage(): PeerMessage {
+    const {era, revision, zones} = this.dependencies.evacuationWatch.snapshot();
+    const kind = PeerMessageKind.Evacuations;
+    return {kind, position: {era, revision}, zones: [...zones]};
+  }
+
   /** Replaces the load that is known of the sender. */
   private handleLoad(
     message: MessageOf<PeerMessageKind.Load>,
--- a/packages/gateway/src/lib/fleet/peer_message.ts
+++ b/packages/gateway/src/lib/fleet/peer_message.ts
@@ -1,4 +1,8 @@
 /** Messages between gateways, and the schema that received ones must match. */
+import {
+  MAX_EVACUATED_ZONES,
+  MAX_ZONE_NAME_LENGTH,
+} from '@citrontrestle/decisions';
 import {isAddress} from '@citrontrestle/runtime';
 import * as z from 'zod';
 
@@ -15,6 +19,10 @@
   UpstreamsRequest = 'upstreams-ask',
   /** Updates of the list of upstreams, or the whole list. */
   UpstreamUpdates = 'upstreams-give',
+  /** Asks for all evacuated zones. */
+  EvacuationsRequest = 'evacuations-ask',
+  /** All evacuated zones as of a position of the store. */
+  Evacuations = 'evacuations-give',
   /** Asks for prepaid tokens of an account. */
   TokenRequest = 'tokens-ask',
   /** Transfers tokens; the receiver may use them from then on. */
@@ -56,6 +64,12 @@
  */
 const eraSchema = z.number().int().nonnegative().optional();
 
+/** A position of the store; see `StorePosition`. */
+const positionSchema = z.object({
+  era: z.number().int().nonnegative(),
+  revision: z.number().int(),
+});
+
 /** An instance that the sender knows. */
 const memberSchema = z.object({
   address: addressSchema,
@@ -101,6 +115,11 @@
      * Missing in messages of earlier versions of the gateway.
      */
     verdicts: z.number().optional(),
+    /**
+     * Position of the store up to which the sender knows the evacuated zones.
+     * Missing in messages of earlier versions of the gateway.
+     */
+    evacuations: positionSchema.optional(),
     /**
      * Whether the sender can record streams in the store. Missing in messages
      * of earlier versions of the gateway.
@@ -176,6 +195,14 @@
       }),
     ),
   }),
+  z.object({kind: z.literal(PeerMessageKind.EvacuationsRequest)}),
+  z.object({
+    kind: z.literal(PeerMessageKind.Evacuations),
+    position: positionSchema,
+    zones: z
+      .array(z.string().max(MAX_ZONE_NAME_LENGTH))
+      .max(MAX_EVACUATED_ZONES),
+  }),
   z.object({
     kind: z.literal(PeerMessageKind.TokenRequest),
     account: nameSchema,
--- a/packages/gateway/src/lib/fleet/peer_network.ts
+++ b/packages/gateway/src/lib/fleet/peer_network.ts
@@ -22,6 +22,7 @@
   MachineClock,
   Millis,
   ProxyPeer,
+  StorePosition,
   Witnesses,
 } from '@citrontrestle/decisions';
 import type {Log} from '@citrontrestle/runtime';
@@ -33,6 +34,8 @@
   /** Era and newest store revision contained in the list of upstreams. */
   era: number;
   revision: number;
+  /** Position of the store up to which the evacuated zones are known. */
+  evacuations: StorePosition;
   /** Newest store revision of the verdicts on crashes. */
   verdicts: number;
   /** Whether the instance is stopping. */
@@ -258,6 +261,11 @@
     return proxies;
   }
 
+  /** Whether a peer understands a kind of message; true if it is not known. */
+  understands(address: string, kind: PeerMessageKind): boolean {
+    return this.versions.understands(address, kind);
+  }
+
   /**
    * Sends a message to one peer, unless it is of an earlier version that does
    * not understand it; delivery isn't guaranteed.
--- a/packages/gateway/src/lib/fleet/peer_versions.ts
+++ b/packages/gateway/src/lib/fleet/peer_versions.ts
@@ -13,6 +13,8 @@
  * understands that kind.
  */
 const MARKING_FIELDS: Partial<Record<PeerMessageKind, keyof Heartbeat>> = {
+  [PeerMessageKind.Evacuations]: 'evacuations',
+  [PeerMessageKind.EvacuationsRequest]: 'evacuations',
   [PeerMessageKind.StreamBeginning]: 'verdicts',
   [PeerMessageKind.StreamQuery]: 'verdicts',
   [PeerMessageKind.UpstreamLeaving]: 'era',
--- a/packages/gateway/src/lib/fleet/state_sync.ts
+++ b/packages/gateway/src/lib/fleet/state_sync.ts
@@ -37,6 +37,10 @@
     positionBefore: StorePosition,
     afterOutage: boolean,
   ): void;
+  /** Called with all keys of the operator, before the configuration in them. */
+  onOperatorList(items: StoreItem[], position: StorePosition): void;
+  /** Called with each changed key of the operator. */
+  onOperatorChange(event: StoreEvent, era: number): void;
   /** Returns how the store is currently to be followed. */
   feedMode(): FeedMode;
 }
@@ -93,9 +97,14 @@
       clock,
       log,
       {
-        onList: items =>
-          items.forEach(item => this.handleConfigurationEvent(item)),
-        onChange: event => this.handleConfigurationEvent(event),
+        onList: (items, position) => {
+          this.handler.onOperatorList(items, position);
+          items.forEach(item => this.handleConfigurationEvent(item));
+        },
+        onChange: (event, era) => {
+          this.handler.onOperatorChange(event, era);
+          this.handleConfigurationEvent(event);
+        },
         onRegained: () => undefined,
       },
       timing,
--- a/packages/gateway/src/lib/process/gateway.ts
+++ b/packages/gateway/src/lib/process/gateway.ts
@@ -1,10 +1,12 @@
 /** One gateway process: creates its components and connects them. */
 import {
   CrashVerdicts,
+  Evacuations,
   feedTiming,
   LinkLoad,
   Placement,
   Reachability,
+  Regions,
   RepeatAllowance,
   RouteTable,
   SECOND,
@@ -22,6 +24,7 @@
 import {BufferCollection, PROCESS_BUFFERS} from './buffer_collection.js';
 import {PrepaidBudgets} from '../budgets/prepaid_budgets.js';
 import {CrashWatch, partTraits} from '../crashes/crash_watch.js';
+import {EvacuationWatch} from '../fleet/evacuation_watch.js';
 import {FrontServer} from '../requests/front_server.js';
 import {LimitWatch} from '../upstreams/limit_watch.js';
 import {GatewayMetrics} from './gateway_metrics.js';
@@ -110,6 +113,7 @@
   private readonly proxyServer: ProxyServer;
   private readonly metrics: GatewayMetrics;
   private readonly stateSync: StateSync;
+  private readonly evacuationWatch: EvacuationWatch;
   private readonly budgets: PrepaidBudgets;
   private readonly peerNetwork: PeerNetwork;
   private readonly crashVerdicts = new CrashVerdicts();
@@ -139,6 +143,7 @@
     const holder = `${instance}.${randomId(4)}`;
     store.setEraListener(this.createEraListener());
     this.metrics = new GatewayMetrics(store, () => this.budgets.totals());
+    this.evacuationWatch = this.createEvacuationWatch();
     const timing = feedTiming(propagationBounds(settings));
     this.stateSync = new StateSync(
       this.routeTable,
@@ -159,6 +164,10 @@
           );
           void this.streamRecords.check();
         },
+        onOperatorList: (items, position) =>
+          this.evacuationWatch.applyStoreList(items, position),
+        onOperatorChange: (event, era) =>
+          this.evacuationWatch.applyStoreChange(event, era),
         feedMode: () => this.peerExchange.feedMode(),
       },
     );
@@ -259,6 +268,7 @@
       upstreamRegistry: this.upstreamRegistry,
       placement: this.placement,
       stateSync: this.stateSync,
+      evacuationWatch: this.evacuationWatch,
       budgets: this.budgets,
       tokenExchange: this.tokenExchange,
       crashWatch: this.crashWatch,
@@ -285,6 +295,7 @@
       dialect,
       agent: this.upstreamAgent,
       reachability: this.reachability,
+      evacuationWatch: this.evacuationWatch,
       proxies: () => this.peerNetwork.proxies(),
       random: Math.random,
     });
@@ -311,6 +322,8 @@
       reachability: this.reachability,
       paths: this.paths,
       upstreamRegistry: this.upstreamRegistry,
+      evacuationWatch: this.evacuationWatch,
+      regions: new Regions(settings.regions),
       repeatAllowance: new RepeatAllowance({
         ratio: repeats.ratio,
         slack: repeats.slack,
@@ -364,6 +377,19 @@
     };
   }
 
+  /** Connects the evacuated zones to the other components. */
+  private createEvacuationWatch(): EvacuationWatch {
+    const {dialect, log} = this.dependencies;
+    const evacuations = new Evacuations();
+    return new EvacuationWatch(evacuations, dialect.layout, this.clock, log, {
+      onChanged: (change, source) => {
+        this.metrics.recordEvacuations(change, evacuations.count());
+        this.peerExchange.tellEvacuations(source);
+      },
+      onOpened: () => undefined,
+    });
+  }
+
   /** Connects the detection of crashes to the other instances. */
   private createCrashWatch(): CrashWatch {
     const {log} = this.dependencies;
@@ -529,6 +555,7 @@
       version: this.routeTable.version(),
       era,
       revision,
+      evacuations: this.evacuationWatch.position(),
       verdicts: this.sharedVerdicts.knownRevision(),
       leaving: this.shutdown.hasBegun(),
       partitioned: this.reachability.isPartitioned(),
--- a/packages/gateway/src/lib/process/gateway_metrics.ts
+++ b/packages/gateway/src/lib/process/gateway_metrics.ts
@@ -5,17 +5,31 @@
 import type {Store} from './ports.js';
 import type {Server} from 'node:http';
 import type {Log} from '@citrontrestle/runtime';
-import type {Millis, TokenTotals} from '@citrontrestle/decisions';
+import type {
+  EvacuationChange,
+  Millis,
+  TokenTotals,
+} from '@citrontrestle/decisions';
 
 /** Upper bounds of the buckets of latency histograms. */
 const LATENCY_BUCKETS: Millis[] = [
   5, 10, 20, 50, 100, 200, 300, 400, 600, 1_000, 2_000, 5_000, 10_000,
 ];
 
+/** Maximum number of zones with a label of their own. */
+const MAX_ZONE_LABELS = 256;
+
+/** Label of all other zones; no zone has an empty name. */
+const OTHER_ZONES_LABEL = '';
+
 /** Counts the requests of one gateway and its calls to the store. */
 export class GatewayMetrics {
   private readonly registry = new Registry();
   private readonly requests: Counter;
+  private readonly evacuatedZones: Gauge;
+  private readonly evacuationChanges: Counter;
+  /** Zones that have a label of their own. */
+  private readonly labelledZones = new Set<string>();
   private readonly totalTime: Histogram;
   private readonly timeToFirstByte: Histogram;
   private readonly server: Server;
@@ -29,6 +43,17 @@
       labelNames: ['route', 'outcome'],
       registers,
     });
+    this.evacuatedZones = new Gauge({
+      name: 'citrontrestle_evacuated_zones',
+      help: 'Zones that are evacuated now, as this instance knows',
+      registers,
+    });
+    this.evacuationChanges = new Counter({
+      name: 'citrontrestle_evacuation_changes_total',
+      help: 'Evacuations and their ends by zone, as this instance learned them',
+      labelNames: ['zone', 'change'],
+      registers,
+    });
     this.totalTime = new Histogram({
       name: 'citrontrestle_request_whole_ms',
       help: 'Time from the arrival of a request to the end of its answer',
@@ -80,6 +105,37 @@
     }
   }
 
+  /**
+   * Records zones that were evacuated or taken back.
+   * @param evacuatedCount number of zones that are evacuated now.
+   */
+  recordEvacuations(
+    {evacuated, opened}: EvacuationChange,
+    evacuatedCount: number,
+  ): void {
+    this.evacuatedZones.set(evacuatedCount);
+    for (const zone of evacuated) {
+      this.evacuationChanges.inc({
+        zone: this.zoneLabel(zone),
+        change: 'evacuated',
+      });
+    }
+    for (const zone of opened) {
+      this.evacuationChanges.inc({
+        zone: this.zoneLabel(zone),
+        change: 'taken-back',
+      });
+    }
+  }
+
+  /** Returns the label of a zone, so that there are not ever more of them. */
+  private zoneLabel(zone: string): string {
+    if (this.labelledZones.size < MAX_ZONE_LABELS) {
+      this.labelledZones.add(zone);
+    }
+    return this.labelledZones.has(zone) ? zone : OTHER_ZONES_LABEL;
+  }
+
   /** Records a request that has ended. */
   recordRequest(
     route: string,
--- a/packages/gateway/src/lib/process/instance_context.ts
+++ b/packages/gateway/src/lib/process/instance_context.ts
@@ -3,6 +3,7 @@
 import type {BrittleWatch} from '../upstreams/brittle_watch.js';
 import type {BufferCollection} from './buffer_collection.js';
 import type {HeldBytes} from './held_bytes.js';
+import type {EvacuationWatch} from '../fleet/evacuation_watch.js';
 import type {CrashWatch} from '../crashes/crash_watch.js';
 import type {LimitWatch} from '../upstreams/limit_watch.js';
 import type {ReachabilityWatch} from '../upstreams/reachability_watch.js';
@@ -14,6 +15,7 @@
   LinkLoad,
   Millis,
   Placement,
+  Regions,
   RepeatAllowance,
   UpstreamRegistry,
 } from '@citrontrestle/decisions';
@@ -32,6 +34,10 @@
   /** The ways on which requests reach upstreams. */
   paths: UpstreamPaths;
   upstreamRegistry: UpstreamRegistry;
+  /** Keeps requests from the upstreams of evacuated zones. */
+  evacuationWatch: EvacuationWatch;
+  /** The region of each availability zone. */
+  regions: Regions;
   repeatAllowance: RepeatAllowance;
   crashWatch: CrashWatch;
   limitWatch: LimitWatch;
--- a/packages/gateway/src/lib/requests/admission.ts
+++ b/packages/gateway/src/lib/requests/admission.ts
@@ -3,6 +3,7 @@
  * number of tokens to reserve for it.
  */
 import {isRequestTarget, shortDigest} from '@citrontrestle/runtime';
+import {Homes} from '@citrontrestle/decisions';
 import {RefusalReason} from './refusal.js';
 import type {CallerRequest, Dialect} from '../process/ports.js';
 import type {BufferedRequest} from './front_server.js';
@@ -11,6 +12,7 @@
   Millis,
   PrepaidAccount,
   PromptPart,
+  Regions,
   Route,
   RouteTable,
 } from '@citrontrestle/decisions';
@@ -130,6 +132,14 @@
     .map(({id}) => (id.length > MAX_PART_LENGTH ? shortDigest(id) : id));
 }
 
+/** Returns the regions that a request may reach. */
+export function homesOf(
+  {route, account}: Pick<AdmittedRequest, 'route' | 'account'>,
+  regions: Regions,
+): Homes {
+  return new Homes([route.homes, account?.homes ?? []], regions);
+}
+
 /** Returns when a request has its final response at the latest. */
 export function deadlineOf({
   callerRequest,
--- a/packages/gateway/src/lib/requests/forwarding.ts
+++ b/packages/gateway/src/lib/requests/forwarding.ts
@@ -5,16 +5,19 @@
  * the upstreams.
  */
 import {
+  Homes,
   isExcessiveSilence,
   isResumableStream,
   mayRepeat,
   PlacementOutcome,
   pickService,
+  Regions,
   RouteKind,
   silenceTimeout,
   urgencyOf,
 } from '@citrontrestle/decisions';
-import {deadlineOf, ESTIMATED_HEAD_BYTES} from './admission.js';
+import {deadlineOf, ESTIMATED_HEAD_BYTES, homesOf} from './admission.js';
+import {logBlocked} from './blocked_request.js';
 import {guardStep} from '../process/exception_guard.js';
 import {SURVIVED_EVENTS} from '../crashes/crash_watch.js';
 import {
@@ -71,6 +74,9 @@
 /** Interval at which a request that waits for room looks for some. */
 const ROOM_CHECK_INTERVAL: Millis = 10;
 
+/** The homes of a request that may go everywhere. */
+const ANYWHERE = new Homes([], new Regions({}));
+
 /** Lowest HTTP status of an error response. */
 const MIN_ERROR_STATUS = 400;
 
@@ -126,6 +132,7 @@
   private isFinished = false;
   private readonly deadline: Millis;
   private readonly serviceName: string;
+  private readonly homes: Homes;
   private readonly candidates: Candidates;
   private readonly placementRequest: PlacementRequest;
 
@@ -141,7 +148,8 @@
     const {callerRequest, route} = request;
     this.deadline = deadlineOf(request);
     this.serviceName = pickService(route, context.random()) ?? '';
-    this.candidates = new Candidates(context, this.serviceName);
+    this.homes = homesOf(request, context.regions);
+    this.candidates = new Candidates(context, this.serviceName, this.homes);
     this.placementRequest = {
       parts: callerRequest.promptParts,
       promptTokens: callerRequest.usage?.inputTokens ?? 0,
@@ -226,9 +234,10 @@
       return;
     }
     const path =
-      placed && context.paths.choose(placed.upstream, this.failedProxies);
+      placed &&
+      context.paths.choose(placed.upstream, this.failedProxies, this.homes);
     if (placed === undefined || path === undefined) {
-      this.giveUp(RefusalReason.NoUpstream);
+      this.giveUp(this.reasonWithoutPath(placed, now));
       return;
     }
     this.placed = placed;
@@ -280,6 +289,27 @@
     );
   }
 
+  /** Returns why the request can be sent nowhere; logs what that depends on. */
+  private reasonWithoutPath(
+    placed: PlacedRequest | undefined,
+    now: Millis,
+  ): RefusalReason {
+    const {context} = this;
+    const lacksPeerAtHome =
+      placed !== undefined &&
+      this.homes.isBound() &&
+      context.paths.choose(placed.upstream, this.failedProxies, ANYWHERE) !==
+        undefined;
+    const reason = lacksPeerAtHome
+      ? RefusalReason.OutsideHomes
+      : this.candidates.blockedReason(this.streamVersion, now);
+    if (reason === undefined) {
+      return RefusalReason.NoUpstream;
+    }
+    logBlocked(context, this.request, reason);
+    return reason;
+  }
+
   /** Returns the upstreams that may get the request now, tried ones included. */
   private available(now: Millis): UpstreamListing[] {
     return this.candidates.available(this.streamVersion, now);
--- a/packages/gateway/src/lib/requests/forwarding_result.ts
+++ b/packages/gateway/src/lib/requests/forwarding_result.ts
@@ -64,6 +64,8 @@
 /** Reasons whose responses promise that the request never runs. */
 const NOT_EXECUTED_REASONS = new Set([
   RefusalReason.NoUpstream,
+  RefusalReason.ZoneEvacuated,
+  RefusalReason.OutsideHomes,
   RefusalReason.Overloaded,
   RefusalReason.Stopping,
   RefusalReason.InternalError,
--- a/packages/gateway/src/lib/requests/refusal.ts
+++ b/packages/gateway/src/lib/requests/refusal.ts
@@ -19,6 +19,10 @@
   BudgetUnavailable = 'budget-unavailable',
   /** No usable upstream is left to try. */
   NoUpstream = 'no-upstream',
+  /** All usable upstreams are in zones that the operator has evacuated. */
+  ZoneEvacuated = 'zone-evacuated',
+  /** The homes of the route and the account exclude all usable upstreams. */
+  OutsideHomes = 'outside-homes',
   /**
    * The request takes up a stream of which it is not known which software
    * version began it.
@@ -66,6 +70,9 @@
   [RefusalReason.BudgetExhausted]: {status: 402, retryAfter: undefined},
   [RefusalReason.BudgetUnavailable]: {status: 503, retryAfter: 2_000},
   [RefusalReason.NoUpstream]: {status: 503, retryAfter: 500},
+  // No instance knows when the operator takes the zone back.
+  [RefusalReason.ZoneEvacuated]: {status: 503, retryAfter: 5_000},
+  [RefusalReason.OutsideHomes]: {status: 503, retryAfter: 5_000},
   [RefusalReason.UnknownStream]: {status: 503, retryAfter: 1_000},
   [RefusalReason.Overloaded]: {status: 503, retryAfter: 500},
   [RefusalReason.CrashesUpstreams]: {status: 503, retryAfter: 5_000},
--- a/packages/gateway/src/lib/requests/request_service.ts
+++ b/packages/gateway/src/lib/requests/request_service.ts
@@ -7,9 +7,12 @@
   admit,
   deadlineOf,
   ESTIMATED_HEAD_BYTES,
+  homesOf,
   tokensToReserve,
 } from './admission.js';
+import {Candidates} from '../upstreams/candidates.js';
 import {ReservationOutcome} from '../budgets/prepaid_budgets.js';
+import {logBlocked} from './blocked_request.js';
 import {exceptionFields} from '../process/exception_guard.js';
 import {Forwarding} from './forwarding.js';
 import {ANSWERED} from './forwarding_result.js';
@@ -21,7 +24,7 @@
 import type {RequestHandle, BufferedRequest} from './front_server.js';
 import type {RequestRecorder} from './request_recorder.js';
 import type {InstanceContext} from '../process/instance_context.js';
-import type {RouteTable} from '@citrontrestle/decisions';
+import type {Millis, RouteTable} from '@citrontrestle/decisions';
 
 /** What happens to a request while it is served. */
 interface ServingState {
@@ -65,6 +68,7 @@
     const {clock, linkLoad, crashWatch} = this.context;
     const state: ServingState = {hasEnded: false, forwarding: undefined};
     const now = clock.now();
+    const blockedReason = this.blockedReason(admitted, now);
     linkLoad.recordBytes(admitted.body.length + ESTIMATED_HEAD_BYTES, 0, now);
     if (!this.context.admits(deadlineOf(admitted))) {
       this.refuse(admitted, response, RefusalReason.Stopping);
@@ -75,6 +79,8 @@
       !crashWatch.takeTrial(admitted)
     ) {
       this.refuse(admitted, response, RefusalReason.CrashesUpstreams);
+    } else if (blockedReason !== undefined) {
+      this.refuse(admitted, response, blockedReason);
     } else if (resumesStream(admitted)) {
       const resumed = this.resumeStream(admitted, response, state);
       void this.endOnException(resumed, admitted, response, state);
@@ -90,6 +96,29 @@
     };
   }
 
+  /**
+   * Returns why none of the services of a request can get it, if evacuations or
+   * homes exclude all of their upstreams, and logs what that depends on.
+   */
+  private blockedReason(
+    admitted: AdmittedRequest,
+    now: Millis,
+  ): RefusalReason | undefined {
+    const {context} = this;
+    const homes = homesOf(admitted, context.regions);
+    const reasons = admitted.route.targets
+      .filter(({weight}) => weight > 0)
+      .map(({service}) =>
+        new Candidates(context, service, homes).blockedReason(undefined, now),
+      );
+    const [reason] = reasons;
+    if (reason === undefined || reasons.includes(undefined)) {
+      return undefined;
+    }
+    logBlocked(context, admitted, reason);
+    return reason;
+  }
+
   /** Gives a request its final response, because the instance stops. */
   private stop(
     admitted: AdmittedRequest,
--- a/packages/gateway/src/lib/upstreams/candidates.ts
+++ b/packages/gateway/src/lib/upstreams/candidates.ts
@@ -1,11 +1,16 @@
 /** The upstreams to which one request may be sent. */
+import {RefusalReason} from '../requests/refusal.js';
 import type {InstanceContext} from '../process/instance_context.js';
-import type {Millis, UpstreamListing} from '@citrontrestle/decisions';
+import type {Homes, Millis, UpstreamListing} from '@citrontrestle/decisions';
 
 /** The components that know what upstreams may get. */
 type Watches = Pick<
   InstanceContext,
-  'upstreamRegistry' | 'limitWatch' | 'statementWatch' | 'brittleWatch'
+  | 'upstreamRegistry'
+  | 'limitWatch'
+  | 'statementWatch'
+  | 'brittleWatch'
+  | 'evacuationWatch'
 >;
 
 /** Selects the upstreams of one service. */
@@ -13,6 +18,8 @@
   constructor(
     private readonly watches: Watches,
     private readonly service: string,
+    /** Regions that the request may reach. */
+    private readonly homes: Homes,
   ) {}
 
   /**
@@ -38,20 +45,63 @@
 
   /** Returns the time for which all upstreams want a rest, if they do. */
   restTime(now: Millis): Millis | undefined {
-    const {upstreamRegistry, statementWatch} = this.watches;
-    return statementWatch.timeUntilFirstEnd(
-      upstreamRegistry.usableUpstreams(this.service, now),
-    );
+    const {statementWatch} = this.watches;
+    return statementWatch.timeUntilFirstEnd(this.permitted(undefined, now));
+  }
+
+  /**
+   * Returns why no upstream may get the request, if the homes or evacuations
+   * exclude all that there are; undefined otherwise.
+   */
+  blockedReason(
+    version: string | undefined,
+    now: Millis,
+  ): RefusalReason | undefined {
+    if (
+      !this.homes.isBound() &&
+      !this.watches.evacuationWatch.isAnyEvacuated()
+    ) {
+      return undefined;
+    }
+    const usable = this.usable(version, now);
+    const atHome = this.atHome(usable);
+    if (usable.length > 0 && atHome.length === 0) {
+      return RefusalReason.OutsideHomes;
+    }
+    const open = this.watches.evacuationWatch.withoutEvacuated(atHome);
+    return atHome.length > 0 && open.length === 0
+      ? RefusalReason.ZoneEvacuated
+      : undefined;
   }
 
   /** Returns the upstreams that may get a request once they have room. */
   private willing(version: string | undefined, now: Millis): UpstreamListing[] {
-    const {upstreamRegistry, statementWatch} = this.watches;
+    const {statementWatch} = this.watches;
+    return statementWatch.withoutResting(this.permitted(version, now));
+  }
+
+  /** Returns the upstreams at home and outside evacuated zones. */
+  private permitted(
+    version: string | undefined,
+    now: Millis,
+  ): UpstreamListing[] {
+    const {evacuationWatch} = this.watches;
+    return evacuationWatch.withoutEvacuated(
+      this.atHome(this.usable(version, now)),
+    );
+  }
+
+  private atHome(upstreams: UpstreamListing[]): UpstreamListing[] {
+    return this.homes.isBound()
+      ? upstreams.filter(({zone}) => this.homes.allowsUpstream(zone))
+      : upstreams;
+  }
+
+  private usable(version: string | undefined, now: Millis): UpstreamListing[] {
+    const {upstreamRegistry} = this.watches;
     const upstreams = upstreamRegistry.usableUpstreams(this.service, now);
-    const compatible =
-      version === undefined
-        ? upstreams
-        : upstreams.filter(upstream => upstream.version === version);
-    return statementWatch.withoutResting(compatible);
+    return version === undefined
+      ? upstreams
+      : upstreams.filter(upstream => upstream.version === version);
   }
 }
--- a/packages/gateway/src/lib/upstreams/proxy_server.ts
+++ b/packages/gateway/src/lib/upstreams/proxy_server.ts
@@ -65,6 +65,7 @@
   | 'placement'
   | 'upstreamRegistry'
   | 'statementWatch'
+  | 'evacuationWatch'
   | 'limitWatch'
   | 'brittleWatch'
   | 'reachability'
@@ -175,8 +176,8 @@
     upstreamId,
     remainingTime,
   }: ProxyOrder): UpstreamListing | ProxyFailure {
-    const {clock, linkLoad, reachability, upstreamRegistry, statementWatch} =
-      this.context;
+    const {clock, linkLoad, reachability, upstreamRegistry} = this.context;
+    const {statementWatch, evacuationWatch} = this.context;
     const {ProxyFailed, NotSent} = CallFailure;
     const now = clock.now();
     if (!this.context.admits(now + remainingTime)) {
@@ -192,6 +193,9 @@
     if (upstream === undefined) {
       return {failure: NotSent, reason: 'the peer does not list the upstream'};
     }
+    if (evacuationWatch.isEvacuated(upstream.zone)) {
+      return {failure: NotSent, reason: 'the zone is evacuated'};
+    }
     const [willing] = statementWatch.withoutResting([upstream]);
     return (
       willing ?? {failure: NotSent, reason: 'the upstream asks for a rest'}
@@ -258,6 +262,8 @@
         agent,
         observer: reachability.observerOf(target.id),
         isProxied: false,
+        mayStillSend: () =>
+          !this.context.evacuationWatch.isEvacuated(target.zone),
       },
       dialect,
       listener,
--- a/packages/gateway/src/lib/upstreams/upstream_call.ts
+++ b/packages/gateway/src/lib/upstreams/upstream_call.ts
@@ -83,6 +83,11 @@
   observer: ConnectionObserver;
   /** Whether a peer forwards the request. */
   isProxied: boolean;
+  /**
+   * Whether the request may still be sent. Asked when a new connection has been
+   * established, before anything is written to it.
+   */
+  mayStillSend(): boolean;
 }
 
 /** Number of chunks in one read above which they count as tiny. */
@@ -91,6 +96,9 @@
 /** Maximum number of tiny chunks of a body. */
 const MAX_TINY_PIECES = 4_096;
 
+/** Reason of a call that may not be sent once it has a connection. */
+const WITHDRAWN = 'no more requests may be sent to the upstream';
+
 /** Maximum time to establish a new connection. */
 const CONNECT_TIMEOUT: Millis = 300;
 
@@ -179,9 +187,15 @@
         this.failUnsent('connection timed out');
       }, CONNECT_TIMEOUT);
       socket.once('connect', () => {
-        this.mayHaveSent = true;
+        const {observer, mayStillSend} = this.upstreamRequest;
         clearTimeout(this.connectTimer);
-        this.upstreamRequest.observer.onConnected();
+        observer.onConnected();
+        if (!mayStillSend()) {
+          // The request is written after this listener, so none of it is.
+          this.fail(CallFailure.NotSent, WITHDRAWN);
+          return;
+        }
+        this.mayHaveSent = true;
       });
     });
     outgoingRequest.on('error', (error: NodeJS.ErrnoException) => {
--- a/packages/gateway/src/lib/upstreams/upstream_paths.ts
+++ b/packages/gateway/src/lib/upstreams/upstream_paths.ts
@@ -14,8 +14,10 @@
   UpstreamCallListener,
   UpstreamRequest,
 } from './upstream_call.js';
+import type {EvacuationWatch} from '../fleet/evacuation_watch.js';
 import type {
   Clock,
+  Homes,
   Millis,
   ProxyPeer,
   UpstreamListing,
@@ -42,6 +44,7 @@
   /** Keeps the own connections to upstreams. */
   agent: UpstreamAgent;
   reachability: ReachabilityWatch;
+  evacuationWatch: EvacuationWatch;
   /** Returns the peers that forward requests and reach the upstreams. */
   proxies(): ProxyPeer[];
   random(): number;
@@ -60,18 +63,20 @@
   /**
    * Returns the way for a request to an upstream; undefined if there is none.
    * @param excludedProxies addresses of peers that must not get the request.
+   * @param homes regions of the peers that may get its body.
    */
   choose(
     upstream: UpstreamListing,
     excludedProxies: ReadonlySet<string>,
+    homes: Homes,
   ): UpstreamPath | undefined {
-    const {reachability, clock, random, proxies} = this.context;
+    const {reachability, clock, random, proxies, zone} = this.context;
     if (reachability.reachesDirectly(upstream)) {
       return {proxy: undefined};
     }
     const now = clock.now();
     const proxy = this.proxyChoice.choose(
-      proxies(),
+      proxies().filter(peer => homes.allowsPeer(peer.zone, zone)),
       excludedProxies,
       now,
       random,
@@ -87,7 +92,8 @@
     remainingTime: Millis,
     listener: UpstreamCallListener,
   ): UpstreamCall {
-    const {agent, dialect, reachability} = this.context;
+    const {agent, dialect, reachability, evacuationWatch} = this.context;
+    const mayStillSend = () => !evacuationWatch.isEvacuated(upstream.zone);
     if (proxy === undefined) {
       const {address} = upstream;
       const observer = reachability.observerOf(upstream.id);
@@ -98,6 +104,7 @@
           agent,
           observer,
           isProxied: false,
+          mayStillSend,
         },
         dialect,
         listener,
@@ -116,6 +123,7 @@
         agent: this.proxyAgent,
         observer: this.proxyObserver(proxy.address),
         isProxied: true,
+        mayStillSend,
       },
       dialect,
       listener,
--- a/packages/gateway/src/test/requests/exception_guard_test.ts
+++ b/packages/gateway/src/test/requests/exception_guard_test.ts
@@ -124,6 +124,8 @@
         limitWatch: stub({}, []),
         brittleWatch: stub({}, []),
         statementWatch: stub({}, []),
+        evacuationWatch: stub({}, []),
+        regions: stub({}),
         crashWatch: stub({}),
         repeatAllowance: stub({}),
         reachability: stub({}),
@@ -137,7 +139,11 @@
       const http = createServer((_incoming, outgoing) => {
         const admitted = {
           callerRequest: {id: 'r1', promptParts: [], timeout: 1_000},
-          route: {timeout: 1_000, targets: [{service: 's', weight: 1}]},
+          route: {
+            timeout: 1_000,
+            targets: [{service: 's', weight: 1}],
+            homes: [],
+          },
           rawHeaders: [],
           body: Buffer.alloc(0),
           arrivedAt: 0,
--- a/packages/gateway/src/test/upstreams/proxy_server_test.ts
+++ b/packages/gateway/src/test/upstreams/proxy_server_test.ts
@@ -38,6 +38,9 @@
   },
 ];
 
+/** An upstream in an evacuated zone. */
+const EVACUATED = {id: 'u2', zone: 'z'};
+
 /** Returns a free port. */
 async function findPort(): Promise<number> {
   const server = createServer();
@@ -51,8 +54,9 @@
 function forward(
   port: number,
   size: number,
+  upstreamId = 'u1',
 ): Promise<ProxyFailure | undefined> {
-  const order = {upstreamId: 'u1', requestId: 'r1', remainingTime: 1_000};
+  const order = {upstreamId, requestId: 'r1', remainingTime: 1_000};
   return new Promise((resolve, reject) => {
     const outgoing = request({
       port,
@@ -90,7 +94,11 @@
       linkLoad: {isSaturated: () => false},
       bufferCollection: {recordRead: () => undefined},
       reachability: {isPartitioned: () => false},
-      upstreamRegistry: {usableUpstream: () => undefined},
+      upstreamRegistry: {
+        usableUpstream: (id: string) =>
+          id === EVACUATED.id ? EVACUATED : undefined,
+      },
+      evacuationWatch: {isEvacuated: (zone: string) => zone === EVACUATED.zone},
     } as unknown as ProxyServerContext);
     port = await findPort();
     await server.listen(`127.0.0.1:${port}`);
@@ -103,6 +111,14 @@
     });
   }
 
+  it('goes to no upstream in an evacuated zone', async () => {
+    const answer = await forward(port, 600, EVACUATED.id);
+    expect(answer).to.deep.equal({
+      failure: CallFailure.NotSent,
+      reason: 'the zone is evacuated',
+    });
+  });
+
   it('takes no room afterwards', async () => {
     const sizes = [600, 4_000_000, 600];
     for (const size of sizes) {
