--- a/packages/gateway/src/lib/requests/request_service.ts
+++ b/packages/gateway/src/lib/requests/request_service.ts
@@ -68,7 +68,6 @@
     const {clock, linkLoad, crashWatch} = this.context;
     const state: ServingState = {hasEnded: false, forwarding: undefined};
     const now = clock.now();
-    const blockedReason = this.blockedReason(admitted, now);
     linkLoad.recordBytes(admitted.body.length + ESTIMATED_HEAD_BYTES, 0, now);
     if (!this.context.admits(deadlineOf(admitted))) {
       this.refuse(admitted, response, RefusalReason.Stopping);
@@ -79,13 +78,8 @@
       !crashWatch.takeTrial(admitted)
     ) {
       this.refuse(admitted, response, RefusalReason.CrashesUpstreams);
-    } else if (blockedReason !== undefined) {
-      this.refuse(admitted, response, blockedReason);
-    } else if (resumesStream(admitted)) {
-      const resumed = this.resumeStream(admitted, response, state);
-      void this.endOnException(resumed, admitted, response, state);
     } else {
-      this.reserveAndForward(admitted, response, state);
+      this.startUnlessBlocked(admitted, response, state, now);
     }
     return {
       cancel: () => {
@@ -119,6 +113,24 @@
     return reason;
   }
 
+  /** Starts a request, unless evacuations or homes leave no upstream for it. */
+  private startUnlessBlocked(
+    admitted: AdmittedRequest,
+    response: CallerResponse,
+    state: ServingState,
+    now: Millis,
+  ): void {
+    const blockedReason = this.blockedReason(admitted, now);
+    if (blockedReason !== undefined) {
+      this.refuse(admitted, response, blockedReason);
+    } else if (resumesStream(admitted)) {
+      const resumed = this.resumeStream(admitted, response, state);
+      void this.endOnException(resumed, admitted, response, state);
+    } else {
+      this.reserveAndForward(admitted, response, state);
+    }
+  }
+
   /** Gives a request its final response, because the instance stops. */
   private stop(
     admitted: AdmittedRequest,
--- a/packages/soak/src/lib/checks.ts
+++ b/packages/soak/src/lib/checks.ts
@@ -53,6 +53,14 @@
   announcedAt: number;
 }
 
+/** A zone that the operator evacuated. */
+export interface Evacuation {
+  zone: string;
+  orderedAt: number;
+  /** Infinity until it is taken back. */
+  takenBackAt: number;
+}
+
 /** A prompt part under which upstreams crashed. */
 export interface CrashingPart {
   part: string;
@@ -63,8 +71,8 @@
 /** What was observed in one run. */
 export interface RunObservations {
   sentRequests: SentRequest[];
-  /** Requests that upstreams started to run, each with its upstream. */
-  upstreamRuns: {upstream: string; run: ServerRun}[];
+  /** Requests that upstreams started to run, each with its upstream and zone. */
+  upstreamRuns: {upstream: string; zone: string; run: ServerRun}[];
   /** Tokens granted to each account by the end of the run. */
   grantedTokens: ReadonlyMap<string, number>;
   /**
@@ -76,6 +84,7 @@
   revocations: Revocation[];
   upstreamDrains: UpstreamDrain[];
   crashingParts: CrashingPart[];
+  evacuations: Evacuation[];
 }
 
 /** A guarantee that did not hold. */
@@ -97,10 +106,10 @@
 export const EVENTS_PER_STREAM = 6;
 
 /**
- * Maximum time until all instances apply the revocation of a key or the drain
- * of an upstream.
+ * Maximum time until all instances apply the revocation of a key, the drain of an
+ * upstream or the evacuation of a zone.
  */
-const CHANGE_PROPAGATION_LIMIT: Millis = 2_000;
+export const CHANGE_PROPAGATION_LIMIT: Millis = 2_000;
 
 /** Crashes under a part before the propagation limit begins to count. */
 const FREE_CRASHES = 5;
@@ -144,6 +153,7 @@
   'a planned stop cuts nothing': findRequestsCutByStop,
   'a key that is gone serves nobody': findUsesOfRevokedKeys,
   'an upstream that leaves gets nothing new': findRunsAfterDrain,
+  'an evacuated zone gets nothing new': findRunsAfterEvacuation,
   'a stream goes on at one version': findJoinedStreams,
   'what crashes upstreams is refused': findLateCrashes,
 };
@@ -393,6 +403,40 @@
     }));
 }
 
+/**
+ * Finds requests that an upstream started to run after its zone had been
+ * evacuated for longer than the propagation limit, and before it was taken back.
+ */
+function findRunsAfterEvacuation({
+  sentRequests,
+  upstreamRuns,
+  disruptions,
+  evacuations,
+}: RunObservations): Violation[] {
+  const gatewaysByRequest = new Map(
+    sentRequests.map(request => [request.id, request.gateway]),
+  );
+  return upstreamRuns
+    .filter(({zone, run}) => {
+      const {startedAt} = run;
+      const isLate = evacuations.some(
+        evacuation =>
+          evacuation.zone === zone &&
+          startedAt > evacuation.orderedAt + CHANGE_PROPAGATION_LIMIT &&
+          startedAt < evacuation.takenBackAt,
+      );
+      const gateway = gatewaysByRequest.get(run.id) ?? '';
+      return (
+        isLate && isUndisturbed(disruptions, gateway, startedAt, startedAt)
+      );
+    })
+    .map(({upstream, zone, run}) => ({
+      guarantee: 'an evacuated zone gets nothing new',
+      detail: `${upstream} in ${zone} ran a request from ${gatewaysByRequest.get(run.id)}`,
+      requestIds: [run.id],
+    }));
+}
+
 /** Finds streams with events of several versions, over a caller's tries. */
 function findJoinedStreams({sentRequests}: RunObservations): Violation[] {
   const versionsByStream = new Map<string, Set<string>>();
--- a/packages/soak/src/lib/faults.ts
+++ b/packages/soak/src/lib/faults.ts
@@ -5,12 +5,13 @@
   RelayMode,
   ServerFault,
 } from '@citrontrestle/stand_ins';
-import {EVENTS_PER_STREAM} from './checks.js';
+import {CHANGE_PROPAGATION_LIMIT, EVENTS_PER_STREAM} from './checks.js';
 import {FaultKind} from './plan.js';
 import type {Fault} from './plan.js';
 import type {
   CrashingPart,
   Disruption,
+  Evacuation,
   Revocation,
   UpstreamDrain,
 } from './checks.js';
@@ -58,8 +59,15 @@
   revocations: Revocation[];
   upstreamDrains: UpstreamDrain[];
   crashingParts: CrashingPart[];
+  evacuations: Evacuation[];
 }
 
+/** Prefix of the keys that order the evacuation of a zone. */
+const EVACUATION_PREFIX = 'op/evacuate/';
+
+/** Zones of the upstreams; the instances are in the first one. */
+const ZONES = ['north', 'south'];
+
 /** Modes of the store that count as a fault. */
 const STORE_FAULT_MODES = [
   StoreMode.Silent,
@@ -84,6 +92,7 @@
     revocations: [],
     upstreamDrains: [],
     crashingParts: [],
+    evacuations: [],
   };
   /** Prompt part under which model upstreams crash now. */
   private crashingPart: CrashingPart | undefined;
@@ -115,6 +124,7 @@
     [FaultKind.PeerLinkFault]: fault => this.degradePeerLink(fault),
     [FaultKind.ResetConnections]: fault => this.resetConnections(fault),
     [FaultKind.TopUp]: fault => this.topUpAccount(fault),
+    [FaultKind.Evacuation]: fault => this.evacuateZone(fault),
     [FaultKind.RotateKey]: fault => this.rotateKey(fault),
   };
 
@@ -145,20 +155,23 @@
   }
 
   /**
-   * Starts an upstream and lists it. Model upstreams have two versions in turn,
-   * which their events name.
+   * Starts an upstream in one of two zones and lists it. Model upstreams have two
+   * versions in turn, which their events name.
    */
   async addUpstream(service: string): Promise<void> {
     this.addedUpstreams += 1;
     const id = `${service}-${this.addedUpstreams}`;
+    // So both versions get upstreams in both zones.
+    const zone = ZONES[Math.floor(this.addedUpstreams / 4) % ZONES.length];
     if (service !== MODEL_SERVICE) {
-      await this.fleet.addServer(id, service);
+      await this.fleet.addServer(id, service, {zone});
       return;
     }
     this.addedModels += 1;
     const server = await this.fleet.addServer(id, service, {
       version: `v${1 + (this.addedModels % 2)}`,
       namesVersion: true,
+      zone,
       eventCount: EVENTS_PER_STREAM,
       stepMs: EVENT_INTERVAL,
     });
@@ -285,6 +298,18 @@
     this.fleet.unlistServer(server);
   }
 
+  /** Evacuates a zone for a time after the order is in force everywhere. */
+  private async evacuateZone(fault: Fault): Promise<void> {
+    const zone = pickItem(ZONES, fault.targetFraction);
+    const key = `${EVACUATION_PREFIX}${zone}`;
+    this.fleet.store.put(key, {});
+    const evacuation = {zone, orderedAt: Date.now(), takenBackAt: Infinity};
+    this.record.evacuations.push(evacuation);
+    await pause(CHANGE_PROPAGATION_LIMIT + fault.duration);
+    evacuation.takenBackAt = Date.now();
+    this.fleet.store.remove(key);
+  }
+
   private async letPartCrash(fault: Fault): Promise<void> {
     const part = `bad-${this.record.crashingParts.length}`;
     this.crashingPart = {part, crashTimes: []};
--- a/packages/soak/src/lib/plan.ts
+++ b/packages/soak/src/lib/plan.ts
@@ -48,6 +48,8 @@
   ResetConnections = 'reset-connections',
   /** An account is granted more tokens. */
   TopUp = 'top-up',
+  /** The operator evacuates a zone, and takes it back. */
+  Evacuation = 'evacuation',
   /** The oldest API key of an account is replaced by a new one. */
   RotateKey = 'change-key',
 }
@@ -103,6 +105,9 @@
 /** Minimum and maximum duration of a fault, in milliseconds. */
 const FAULT_DURATION = {min: 200, max: 3_000};
 
+/** One in this many runs has an evacuation. */
+const RUNS_PER_EVACUATION = 3;
+
 /** Draws the plan of a run; the same seed always gives the same plan. */
 export function planRun(seed: number): RunPlan {
   const random = seededRandom(seed);
@@ -110,7 +115,9 @@
     min + Math.floor(random() * (max - min + 1));
   const {min, max, large, runsPerLargeRun} = GATEWAY_COUNT;
   const isLarge = drawInteger(1, runsPerLargeRun) === 1;
-  const kinds = Object.values(FaultKind);
+  const kinds = Object.values(FaultKind).filter(
+    kind => kind !== FaultKind.Evacuation,
+  );
   const faultCount = drawInteger(FAULT_COUNT.min, FAULT_COUNT.max);
   const faults: Fault[] = Array.from({length: faultCount}, () => ({
     kind: kinds[drawInteger(0, kinds.length - 1)] ?? FaultKind.Kill,
@@ -122,8 +129,7 @@
     targetFraction: random(),
     variantFraction: random(),
   }));
-  faults.sort((a, b) => a.startsAfter - b.startsAfter);
-  return {
+  const plan = {
     seed,
     gatewayCount: isLarge ? large : drawInteger(min, max),
     initialGrant:
@@ -135,4 +141,16 @@
     loadDuration: LOAD_DURATION,
     faults,
   };
+  // Drawn last, so that a seed keeps the faults that it had without it.
+  if (drawInteger(1, RUNS_PER_EVACUATION) === 1) {
+    faults.push({
+      kind: FaultKind.Evacuation,
+      startsAfter: drawInteger(FAULT_FREE_MARGIN, LOAD_DURATION / 2),
+      duration: drawInteger(FAULT_DURATION.min, FAULT_DURATION.max),
+      targetFraction: random(),
+      variantFraction: random(),
+    });
+  }
+  faults.sort((a, b) => a.startsAfter - b.startsAfter);
+  return plan;
 }
--- a/packages/soak/src/lib/soak.ts
+++ b/packages/soak/src/lib/soak.ts
@@ -292,7 +292,11 @@
   faultInjector: FaultInjector,
 ): RunResult {
   const upstreamRuns = fleet.servers.flatMap(server =>
-    server.runs.map(run => ({upstream: server.settings.id, run})),
+    server.runs.map(run => ({
+      upstream: server.settings.id,
+      zone: server.settings.zone,
+      run,
+    })),
   );
   const grantedTokens = new Map(
     accounts.map(account => [account.name, account.grantedTokens]),
--- a/packages/soak/src/test/checks_test.ts
+++ b/packages/soak/src/test/checks_test.ts
@@ -54,7 +54,7 @@
     fault,
     ...request,
   };
-  return {upstream: 'u1', run: {...defaults, ...changes}};
+  return {upstream: 'u1', zone: 'z1', run: {...defaults, ...changes}};
 }
 
 /** Returns observations of one request that was run once, with changes. */
@@ -68,6 +68,7 @@
     revocations: [],
     upstreamDrains: [],
     crashingParts: [],
+    evacuations: [],
     ...changes,
   };
 }
@@ -251,6 +252,21 @@
     }),
     violatedGuarantee: undefined,
   },
+  ...[
+    {name: 'long after', orderedAt: 7_000, isLate: true},
+    {name: 'just after', orderedAt: 9_000},
+    {name: 'before', orderedAt: 10_060},
+    {name: 'after the end of', orderedAt: 5_000, takenBackAt: 9_000},
+    {name: 'elsewhere, long after', zone: 'z2', orderedAt: 7_000},
+  ].map(({name, isLate, zone = 'z1', takenBackAt = Infinity, orderedAt}) => ({
+    name: `a request run ${name} the evacuation of a zone`,
+    observations: buildObservations({
+      evacuations: [{zone, orderedAt, takenBackAt}],
+    }),
+    violatedGuarantee: isLate
+      ? 'an evacuated zone gets nothing new'
+      : undefined,
+  })),
   {
     name: 'a stream that goes on at another version',
     observations: buildObservations({
