Keep all instances together to what cold upstreams take

Cause: a service may say that its upstreams are cold for a time after a start (coldTime) and take few requests a second then (coldRequestsPerSecond). Nothing read that, so a zone that came back cold was the emptiest and got a herd.

Change: a fixed number of permits for each cold upstream, each good for one request in 1.25 s, held by instances that are chosen by rank without a message (fleet_share.ts, shared with the limits that upstreams name). An instance that sees less than most of its zone or of the zones takes nothing over, so a permit has two users at most, and the number of permits leaves room for that. Others place elsewhere; with only cold upstreams left a request is refused at once (503, cold-upstreams) with the time to the next permit. A process that says in a response that it is cold is told on to peers that understand it.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -5,6 +5,8 @@
  */
 export * from './lib/crashes/at_most_once_execution.js';
 export * from './lib/upstreams/brittle_upstreams.js';
+export * from './lib/upstreams/cold_upstreams.js';
+export * from './lib/upstreams/fleet_share.js';
 export * from './lib/budgets/budget_policy.js';
 export * from './lib/budgets/charge_copy_store.js';
 export * from './lib/budgets/charge_tracker.js';
--- a/packages/decisions/src/lib/upstreams/brittle_upstreams.ts
+++ b/packages/decisions/src/lib/upstreams/brittle_upstreams.ts
@@ -6,7 +6,7 @@
  */
 import {SECOND} from '../base/clock.js';
 import type {Millis} from '../base/clock.js';
-import type {FleetView} from './request_limits.js';
+import type {FleetView} from './fleet_share.js';
 import type {UpstreamListing} from './upstream_registry.js';
 
 /** What a process of an upstream has said of its brittleness. */
--- /dev/null
+++ b/packages/decisions/src/lib/upstreams/fleet_share.ts
@@ -0,0 +1,129 @@
+/**
+ * The part of a rate of all instances together that one instance may use, chosen
+ * without a message. Covers these situations: many instances are held to a rate
+ * that is small for each of them; instances come, end and are cut off meanwhile.
+ */
+import {affinityRank} from '../placement/routing.js';
+import type {Millis} from '../base/clock.js';
+
+/** An instance as it is known to its peers. */
+export interface FleetMember {
+  address: string;
+  zone: string;
+}
+
+/** The instances that are running, and which of them this one is. */
+export interface FleetView {
+  self: FleetMember;
+  /** All known running instances, this one included. */
+  members: readonly FleetMember[];
+}
+
+/**
+ * Returns the part of a rate that this instance may use. All instances choose the
+ * same senders for a key: some zones, which get equal parts, and some instances
+ * of each, which share its part. An instance knows all zones, but perhaps not all
+ * instances of other zones. Takes O(n log n) for n known members.
+ * @param maxSenders maximum number of instances that may use it.
+ */
+export function ownFraction(
+  key: string,
+  maxSenders: number,
+  {self, members}: FleetView,
+): number {
+  const allZones = [...new Set(members.map(({zone}) => zone))];
+  const zones = highestRanked(key, allZones, maxSenders);
+  const perZone = Math.floor(maxSenders / zones.length);
+  const ownZone = members
+    .filter(({zone}) => zone === self.zone)
+    .map(({address}) => address);
+  const senders = highestRanked(key, ownZone, perZone);
+  const isSender = zones.includes(self.zone) && senders.includes(self.address);
+  return isSender ? 1 / (zones.length * senders.length) : 0;
+}
+
+/** Returns the `count` names that rank highest for a key. */
+function highestRanked(
+  key: string,
+  names: readonly string[],
+  count: number,
+): string[] {
+  return names
+    .map(name => ({name, rank: affinityRank(key, name)}))
+    .sort((a, b) => b.rank - a.rank)
+    .slice(0, count)
+    .map(({name}) => name);
+}
+
+/**
+ * Time for which an instance that was seen counts when it is determined whether
+ * most are still in sight. A cut takes less time than this.
+ */
+const MEMORY_TIME: Millis = 300_000;
+
+/** Time after its start in which an instance learns of the others. */
+const SETTLE_TIME: Millis = 4_000;
+
+/** Maximum number of members and of zones that are remembered. */
+const MAX_REMEMBERED = 2_000;
+
+/**
+ * Tells an instance that is cut off from one that outlived others. The one that
+ * sees less than most of its zone, or of the zones, takes nothing over: it keeps
+ * the parts that it has among all that it remembers. So a part has two users at
+ * most: one that was cut off, and the one in sight of most that took it over.
+ */
+export class FleetMemory {
+  /** When each member of the own zone was last seen, by address. */
+  private readonly members = new Map<string, Millis>();
+  /** When a member of each zone was last seen. */
+  private readonly zones = new Map<string, Millis>();
+  private settledAt: Millis | undefined;
+
+  /**
+   * Records the running instances; returns those among which parts are chosen,
+   * undefined while the instance has not learned of them. To be called also
+   * while no part is needed.
+   */
+  update(view: FleetView, now: Millis): FleetView | undefined {
+    this.settledAt ??= now + SETTLE_TIME;
+    const {self, members} = view;
+    const ownZone = members.filter(({zone}) => zone === self.zone);
+    const zones = new Set(members.map(({zone}) => zone));
+    ownZone.forEach(({address}) => remember(this.members, address, now));
+    zones.forEach(zone => remember(this.zones, zone, now));
+    if (now < this.settledAt) {
+      return undefined;
+    }
+    const seesMost =
+      ownZone.length * 2 > this.members.size &&
+      zones.size * 2 > this.zones.size;
+    return seesMost ? view : {self, members: this.remembered(self)};
+  }
+
+  /** Returns the remembered members of the own zone, and one of each other. */
+  private remembered(self: FleetMember): FleetMember[] {
+    const {zone: ownZone} = self;
+    const others = [...this.zones.keys()].filter(zone => zone !== ownZone);
+    return [
+      ...[...this.members.keys()].map(address => ({address, zone: ownZone})),
+      ...others.map(zone => ({address: '', zone})),
+    ];
+  }
+}
+
+/** Records that a name was seen, and forgets those that were not for long. */
+function remember(
+  seenAt: Map<string, Millis>,
+  name: string,
+  now: Millis,
+): void {
+  seenAt.delete(name);
+  seenAt.set(name, now);
+  for (const [oldest, time] of seenAt) {
+    if (now - time < MEMORY_TIME && seenAt.size <= MAX_REMEMBERED) {
+      return;
+    }
+    seenAt.delete(oldest);
+  }
+}
--- a/packages/decisions/src/lib/upstreams/request_limits.ts
+++ b/packages/decisions/src/lib/upstreams/request_limits.ts
@@ -4,22 +4,10 @@
  * upstream in need takes few requests; many instances learn of it at about the
  * same time; instances come and go while a limit is in force.
  */
-import {affinityRank} from '../placement/routing.js';
+import {ownFraction} from './fleet_share.js';
+import type {FleetView} from './fleet_share.js';
 import type {Millis} from '../base/clock.js';
 
-/** An instance as it is known to its peers. */
-export interface FleetMember {
-  address: string;
-  zone: string;
-}
-
-/** The instances that are running, and which of them this one is. */
-export interface FleetView {
-  self: FleetMember;
-  /** All known running instances, this one included. */
-  members: readonly FleetMember[];
-}
-
 /** What changed when a response was recorded. */
 export enum LimitChange {
   None = 'none',
@@ -123,7 +111,11 @@
       return true;
     }
     if (now - limit.fractionAt >= FRACTION_TTL) {
-      limit.fraction = ownFraction(upstream, limit.perSecond, fleet);
+      limit.fraction = ownFraction(
+        upstream,
+        maxSenders(limit.perSecond),
+        fleet,
+      );
       limit.fractionAt = now;
     }
     const {perSecond, fraction} = limit;
@@ -164,37 +156,3 @@
 function maxSenders(perSecond: number): number {
   return BASE_SENDERS + Math.floor(perSecond);
 }
-
-/**
- * Returns the part of a limit that this instance may use. All instances choose
- * the same users of a limit without a message: some zones, which get equal
- * parts, and some instances of each, which share its part. An instance knows
- * all zones, but perhaps not all instances of other zones.
- */
-function ownFraction(
-  upstream: string,
-  perSecond: number,
-  {self, members}: FleetView,
-): number {
-  const total = maxSenders(perSecond);
-  const allZones = [...new Set(members.map(({zone}) => zone))];
-  const zones = highestRanked(upstream, allZones, total);
-  const perZone = Math.floor(total / zones.length);
-  const ownZone = members
-    .filter(({zone}) => zone === self.zone)
-    .map(({address}) => address);
-  const senders = highestRanked(upstream, ownZone, perZone);
-  const isSender = zones.includes(self.zone) && senders.includes(self.address);
-  return isSender ? 1 / (zones.length * senders.length) : 0;
-}
-
-/** Returns the `count` names that rank highest for an upstream. */
-function highestRanked(
-  upstream: string,
-  names: readonly string[],
-  count: number,
-): string[] {
-  return [...names]
-    .sort((a, b) => affinityRank(upstream, b) - affinityRank(upstream, a))
-    .slice(0, count);
-}
--- a/packages/decisions/src/test/upstreams/brittle_upstreams_test.ts
+++ b/packages/decisions/src/test/upstreams/brittle_upstreams_test.ts
@@ -4,7 +4,7 @@
  */
 import {expect} from 'chai';
 import {BrittleUpstreams} from '../../lib/upstreams/brittle_upstreams.js';
-import type {FleetMember} from '../../lib/upstreams/request_limits.js';
+import type {FleetMember} from '../../lib/upstreams/fleet_share.js';
 import type {UpstreamListing} from '../../lib/upstreams/upstream_registry.js';
 
 const MAX_REJECTIONS = 5;
--- a/packages/decisions/src/test/upstreams/request_limits_test.ts
+++ b/packages/decisions/src/test/upstreams/request_limits_test.ts
@@ -7,10 +7,7 @@
   LimitChange,
   RequestLimits,
 } from '../../lib/upstreams/request_limits.js';
-import type {
-  FleetMember,
-  FleetView,
-} from '../../lib/upstreams/request_limits.js';
+import type {FleetMember, FleetView} from '../../lib/upstreams/fleet_share.js';
 
 const UPSTREAM = 'u1';
 const SECOND = 1_000;
--- a/packages/gateway/src/lib/fleet/peer_exchange.ts
+++ b/packages/gateway/src/lib/fleet/peer_exchange.ts
@@ -8,6 +8,7 @@
 import {FeedMode} from './store_feed.js';
 import type {PrepaidBudgets} from '../budgets/prepaid_budgets.js';
 import type {BrittleWatch} from '../upstreams/brittle_watch.js';
+import type {ColdWatch} from '../upstreams/cold_watch.js';
 import type {CrashWatch} from '../crashes/crash_watch.js';
 import type {LimitWatch} from '../upstreams/limit_watch.js';
 import type {PeerMessage} from './peer_message.js';
@@ -54,6 +55,7 @@
   crashWatch: CrashWatch;
   limitWatch: LimitWatch;
   brittleWatch: BrittleWatch;
+  coldWatch: ColdWatch;
   statementWatch: StatementWatch;
   sharedVerdicts: SharedVerdicts;
   streamTracker: StreamTracker;
@@ -143,6 +145,12 @@
       this.dependencies.statementWatch.recordLeaving({id, startedAt}, from);
       this.dependencies.peerNetwork.forwardBroadcast(from, message);
     },
+    [PeerMessageKind.UpstreamCold]: (message, from) => {
+      const {upstream: id, startedAt, remaining} = message;
+      const {coldWatch, peerNetwork} = this.dependencies;
+      coldWatch.recordPeerReport({id, startedAt}, remaining, from);
+      peerNetwork.forwardBroadcast(from, message);
+    },
     [PeerMessageKind.StreamBeginning]: (message, from) => {
       this.dependencies.streamTracker.learnBeginning(
         message.stream,
--- a/packages/gateway/src/lib/fleet/peer_message.ts
+++ b/packages/gateway/src/lib/fleet/peer_message.ts
@@ -31,6 +31,8 @@
   UpstreamBrittle = 'brittle',
   /** Broadcast when a process of an upstream has said that it leaves. */
   UpstreamLeaving = 'leaving',
+  /** Broadcast when a process of an upstream has said that it is cold. */
+  UpstreamCold = 'cold',
   /** Tells which software version began a stream. */
   StreamBeginning = 'stream',
   /** Asks which software version began a stream. */
@@ -106,6 +108,11 @@
      * of earlier versions of the gateway.
      */
     recordsStreams: z.boolean().optional(),
+    /**
+     * Whether the sender keeps to the rate of cold upstreams. Missing in messages
+     * of earlier versions of the gateway.
+     */
+    knowsCold: z.boolean().optional(),
     leaving: z.boolean(),
     capacity: z.number(),
     /**
@@ -234,6 +241,14 @@
     /** Start of its process; see `UpstreamListing`. */
     startedAt: z.number(),
   }),
+  z.object({
+    kind: z.literal(PeerMessageKind.UpstreamCold),
+    upstream: nameSchema,
+    /** Start of its process; see `UpstreamListing`. */
+    startedAt: z.number(),
+    /** Milliseconds for which it is still cold. */
+    remaining: z.number().nonnegative(),
+  }),
   z.object({
     kind: z.literal(PeerMessageKind.StreamBeginning),
     stream: nameSchema,
--- a/packages/gateway/src/lib/fleet/peer_network.ts
+++ b/packages/gateway/src/lib/fleet/peer_network.ts
@@ -500,6 +500,7 @@
       capacity,
       proxy,
       recordsStreams: true,
+      knowsCold: true,
       ...content,
       time: this.machineClock.machineTime().monotonic,
       heard: this.heardTimes.of(address),
--- a/packages/gateway/src/lib/fleet/peer_versions.ts
+++ b/packages/gateway/src/lib/fleet/peer_versions.ts
@@ -17,6 +17,7 @@
   [PeerMessageKind.StreamQuery]: 'verdicts',
   [PeerMessageKind.UpstreamLeaving]: 'era',
   [PeerMessageKind.UpstreamBrittle]: 'partitioned',
+  [PeerMessageKind.UpstreamCold]: 'knowsCold',
 };
 
 /** What is known of the versions of the peers. */
--- a/packages/gateway/src/lib/process/gateway.ts
+++ b/packages/gateway/src/lib/process/gateway.ts
@@ -21,6 +21,7 @@
 import {BrittleWatch} from '../upstreams/brittle_watch.js';
 import {BufferCollection, PROCESS_BUFFERS} from './buffer_collection.js';
 import {PrepaidBudgets} from '../budgets/prepaid_budgets.js';
+import {ColdWatch} from '../upstreams/cold_watch.js';
 import {CrashWatch, partTraits} from '../crashes/crash_watch.js';
 import {FrontServer} from '../requests/front_server.js';
 import {LimitWatch} from '../upstreams/limit_watch.js';
@@ -117,6 +118,7 @@
   private readonly crashWatch: CrashWatch;
   private readonly limitWatch: LimitWatch;
   private readonly brittleWatch: BrittleWatch;
+  private readonly coldWatch: ColdWatch;
   private readonly statementWatch: StatementWatch;
   private readonly streamOrigins = new StreamOrigins();
   private readonly streamRecords: StreamRecords;
@@ -138,7 +140,11 @@
     // connects to peers; a restarted instance gets another one.
     const holder = `${instance}.${randomId(4)}`;
     store.setEraListener(this.createEraListener());
-    this.metrics = new GatewayMetrics(store, () => this.budgets.totals());
+    this.metrics = new GatewayMetrics(
+      store,
+      () => this.budgets.totals(),
+      () => this.coldWatch.coldCounts(),
+    );
     const timing = feedTiming(propagationBounds(settings));
     this.stateSync = new StateSync(
       this.routeTable,
@@ -152,6 +158,7 @@
         onConfigurationChanged: () => this.handleNewConfiguration(),
         onUpstreamLost: upstream => this.crashWatch.recordDown(upstream),
         onUpstreamUpdates: (updates, positionBefore, afterOutage) => {
+          this.coldWatch.recordUpdates(updates);
           this.peerExchange.forwardUpstreamUpdates(
             updates,
             positionBefore,
@@ -238,6 +245,7 @@
           isFull,
         }),
     });
+    this.coldWatch = this.createColdWatch();
     this.statementWatch = new StatementWatch(
       this.upstreamRegistry,
       clock,
@@ -264,6 +272,7 @@
       crashWatch: this.crashWatch,
       limitWatch: this.limitWatch,
       brittleWatch: this.brittleWatch,
+      coldWatch: this.coldWatch,
       statementWatch: this.statementWatch,
       sharedVerdicts: this.sharedVerdicts,
       streamTracker: this.streamTracker,
@@ -319,6 +328,7 @@
       crashWatch: this.crashWatch,
       limitWatch: this.limitWatch,
       brittleWatch: this.brittleWatch,
+      coldWatch: this.coldWatch,
       statementWatch: this.statementWatch,
       streamTracker: this.streamTracker,
       heldResponses: new HeldBytes(maxHeldBytes),
@@ -326,6 +336,7 @@
       linkLoad: this.linkLoad,
       admits: deadline => this.shutdown.admits(deadline),
       instanceCount: () => this.instanceCount(),
+      recordHeldBack: service => this.metrics.recordHeldBack(service),
       random: Math.random,
     };
     this.proxyServer = new ProxyServer({
@@ -391,6 +402,30 @@
     });
   }
 
+  /** Connects the watch of cold upstreams to the other instances. */
+  private createColdWatch(): ColdWatch {
+    const {settings, log} = this.dependencies;
+    return new ColdWatch(
+      settings.cold,
+      this.upstreamRegistry,
+      this.clock,
+      log,
+      {
+        fleetView: () => this.peerNetwork.fleetView(),
+        profileOf: service => this.routeTable.findService(service),
+        reportCold: ({id, startedAt}, remaining) => {
+          const kind = PeerMessageKind.UpstreamCold;
+          this.peerNetwork.broadcast({
+            kind,
+            upstream: id,
+            startedAt,
+            remaining,
+          });
+        },
+      },
+    );
+  }
+
   /** Connects the planned stop to the other components. */
   private createShutdown(): Shutdown {
     const {settings, log} = this.dependencies;
@@ -571,6 +606,7 @@
     this.limitWatch.prune(isListed);
     this.statementWatch.prune();
     this.brittleWatch.prune();
+    this.coldWatch.prune();
     this.paths.prune();
   }
 
--- a/packages/gateway/src/lib/process/gateway_metrics.ts
+++ b/packages/gateway/src/lib/process/gateway_metrics.ts
@@ -18,10 +18,18 @@
   private readonly requests: Counter;
   private readonly totalTime: Histogram;
   private readonly timeToFirstByte: Histogram;
+  private readonly heldBack: Counter;
   private readonly server: Server;
 
-  /** @param budgetTotals returns the prepaid tokens of this process. */
-  constructor(store: Store, budgetTotals: () => TokenTotals) {
+  /**
+   * @param budgetTotals returns the prepaid tokens of this process.
+   * @param coldCounts returns the number of cold upstreams by service.
+   */
+  constructor(
+    store: Store,
+    budgetTotals: () => TokenTotals,
+    coldCounts: () => ReadonlyMap<string, number>,
+  ) {
     const registers = [this.registry];
     this.requests = new Counter({
       name: 'citrontrestle_requests_total',
@@ -65,6 +73,24 @@
         }
       },
     });
+    this.heldBack = new Counter({
+      name: 'citrontrestle_held_back_total',
+      help: 'Requests refused as the upstreams of their service are cold',
+      labelNames: ['service'],
+      registers,
+    });
+    const coldUpstreams = new Gauge({
+      name: 'citrontrestle_cold_upstreams',
+      help: 'Upstreams that are cold or may be, by service',
+      labelNames: ['service'],
+      registers,
+      collect: () => {
+        coldUpstreams.reset();
+        for (const [service, count] of coldCounts()) {
+          coldUpstreams.set({service}, count);
+        }
+      },
+    });
     this.server = createServer((_incoming, response) => {
       void this.registry.metrics().then(text => {
         response.writeHead(200, {'Content-Type': this.registry.contentType});
@@ -80,6 +106,11 @@
     }
   }
 
+  /** Counts a request that was refused as upstreams of a service are cold. */
+  recordHeldBack(service: string): void {
+    this.heldBack.inc({service});
+  }
+
   /** Records a request that has ended. */
   recordRequest(
     route: string,
--- a/packages/gateway/src/lib/process/instance_context.ts
+++ b/packages/gateway/src/lib/process/instance_context.ts
@@ -3,6 +3,7 @@
 import type {BrittleWatch} from '../upstreams/brittle_watch.js';
 import type {BufferCollection} from './buffer_collection.js';
 import type {HeldBytes} from './held_bytes.js';
+import type {ColdWatch} from '../upstreams/cold_watch.js';
 import type {CrashWatch} from '../crashes/crash_watch.js';
 import type {LimitWatch} from '../upstreams/limit_watch.js';
 import type {ReachabilityWatch} from '../upstreams/reachability_watch.js';
@@ -36,6 +37,7 @@
   crashWatch: CrashWatch;
   limitWatch: LimitWatch;
   brittleWatch: BrittleWatch;
+  coldWatch: ColdWatch;
   statementWatch: StatementWatch;
   streamTracker: StreamTracker;
   /** Bytes of upstreams' responses that are kept for all requests. */
@@ -51,6 +53,8 @@
   admits(deadline: Millis): boolean;
   /** Returns the number of instances that may be running, at least 1. */
   instanceCount(): number;
+  /** Counts a request that was refused as upstreams of a service are cold. */
+  recordHeldBack(service: string): void;
   /** Returns a uniformly distributed random number in [0, 1). */
   random(): number;
 }
--- a/packages/gateway/src/lib/requests/forwarding.ts
+++ b/packages/gateway/src/lib/requests/forwarding.ts
@@ -228,7 +228,7 @@
     const path =
       placed && context.paths.choose(placed.upstream, this.failedProxies);
     if (placed === undefined || path === undefined) {
-      this.giveUp(RefusalReason.NoUpstream);
+      this.giveUpWithoutUpstream(placed === undefined, now);
       return;
     }
     this.placed = placed;
@@ -241,6 +241,7 @@
     this.result.upstreamVersion = placed.upstream.version;
     context.placement.recordStart(this.placementRequest, placed, now);
     context.limitWatch.recordSent(placed.upstream.id);
+    context.coldWatch.recordSent(placed.upstream.id);
     this.attemptStartedAt = now;
     context.linkLoad.recordBytes(
       0,
@@ -306,6 +307,30 @@
     return true;
   }
 
+  /**
+   * Refuses the request; if cold upstreams are left, with the time until this
+   * instance may send one of them a request.
+   */
+  private giveUpWithoutUpstream(hasNone: boolean, now: Millis): void {
+    const heldBack = hasNone
+      ? this.candidates.heldBack(this.triedUpstreams, this.streamVersion, now)
+      : undefined;
+    if (heldBack === undefined) {
+      this.giveUp(RefusalReason.NoUpstream);
+      return;
+    }
+    const {wait, upstreams, ownPermits} = heldBack;
+    this.context.recordHeldBack(this.serviceName);
+    this.context.log.info('request.held-for-cold', {
+      request: this.request.callerRequest.id,
+      service: this.serviceName,
+      upstreams,
+      ownPermits,
+      waitMs: Math.ceil(wait),
+    });
+    this.giveUp(RefusalReason.ColdUpstreams, wait);
+  }
+
   /** Returns the request's urgency at a model engine; undefined elsewhere. */
   private urgency({prefillTime}: PlacedRequest): number | undefined {
     const {latencyTarget} = this.request.route;
@@ -696,8 +721,10 @@
   /**
    * Refuses the request, or aborts the response if its head has already been
    * sent to the caller.
+   * @param retryTime time before which a retry would be refused as well, if it
+   *     is known.
    */
-  private giveUp(reason: RefusalReason): void {
+  private giveUp(reason: RefusalReason, retryTime: Millis = 0): void {
     if (this.response.hasBegun()) {
       this.response.abort();
       this.finish(`${RESPONSE_ABORTED}:${reason}`);
@@ -705,7 +732,7 @@
     }
     this.response.refuse(
       reasonForCaller(reason, this.result.mayHaveRun),
-      this.candidates.restTime(this.context.clock.now()),
+      this.candidates.restTime(this.context.clock.now()) ?? retryTime,
     );
     this.finish(reason);
   }
--- a/packages/gateway/src/lib/requests/forwarding_result.ts
+++ b/packages/gateway/src/lib/requests/forwarding_result.ts
@@ -64,6 +64,7 @@
 /** Reasons whose responses promise that the request never runs. */
 const NOT_EXECUTED_REASONS = new Set([
   RefusalReason.NoUpstream,
+  RefusalReason.ColdUpstreams,
   RefusalReason.Overloaded,
   RefusalReason.Stopping,
   RefusalReason.InternalError,
--- a/packages/gateway/src/lib/requests/refusal.ts
+++ b/packages/gateway/src/lib/requests/refusal.ts
@@ -19,6 +19,8 @@
   BudgetUnavailable = 'budget-unavailable',
   /** No usable upstream is left to try. */
   NoUpstream = 'no-upstream',
+  /** All upstreams that are left are cold, and get no more for now. */
+  ColdUpstreams = 'cold-upstreams',
   /**
    * The request takes up a stream of which it is not known which software
    * version began it.
@@ -66,6 +68,8 @@
   [RefusalReason.BudgetExhausted]: {status: 402, retryAfter: undefined},
   [RefusalReason.BudgetUnavailable]: {status: 503, retryAfter: 2_000},
   [RefusalReason.NoUpstream]: {status: 503, retryAfter: 500},
+  // The time until the next permit is longer, as a rule.
+  [RefusalReason.ColdUpstreams]: {status: 503, retryAfter: 20},
   [RefusalReason.UnknownStream]: {status: 503, retryAfter: 1_000},
   [RefusalReason.Overloaded]: {status: 503, retryAfter: 500},
   [RefusalReason.CrashesUpstreams]: {status: 503, retryAfter: 5_000},
--- a/packages/gateway/src/lib/upstreams/candidates.ts
+++ b/packages/gateway/src/lib/upstreams/candidates.ts
@@ -1,11 +1,16 @@
 /** The upstreams to which one request may be sent. */
+import type {HeldBack} from './cold_watch.js';
 import type {InstanceContext} from '../process/instance_context.js';
 import type {Millis, UpstreamListing} from '@citrontrestle/decisions';
 
 /** The components that know what upstreams may get. */
 type Watches = Pick<
   InstanceContext,
-  'upstreamRegistry' | 'limitWatch' | 'statementWatch' | 'brittleWatch'
+  | 'upstreamRegistry'
+  | 'limitWatch'
+  | 'statementWatch'
+  | 'brittleWatch'
+  | 'coldWatch'
 >;
 
 /** Selects the upstreams of one service. */
@@ -20,10 +25,9 @@
    * @param version only upstreams of this version; undefined for all.
    */
   available(version: string | undefined, now: Millis): UpstreamListing[] {
-    const {limitWatch, brittleWatch} = this.watches;
-    return limitWatch.withinLimits(
-      brittleWatch.withRoom(this.willing(version, now)),
-    );
+    const {limitWatch, brittleWatch, coldWatch} = this.watches;
+    const withRoom = brittleWatch.withRoom(this.willing(version, now));
+    return coldWatch.withinPermits(limitWatch.withinLimits(withRoom));
   }
 
   /** Whether an upstream that was not tried lacks only room for a request. */
@@ -36,6 +40,16 @@
     return this.watches.brittleWatch.withRoom(untried).length < untried.length;
   }
 
+  /** Returns what holds back cold upstreams that were not tried, if any. */
+  heldBack(
+    tried: ReadonlySet<string>,
+    version: string | undefined,
+    now: Millis,
+  ): HeldBack | undefined {
+    const untried = this.willing(version, now).filter(({id}) => !tried.has(id));
+    return this.watches.coldWatch.heldBack(untried);
+  }
+
   /** Returns the time for which all upstreams want a rest, if they do. */
   restTime(now: Millis): Millis | undefined {
     const {upstreamRegistry, statementWatch} = this.watches;
--- a/packages/gateway/src/lib/upstreams/proxy_server.ts
+++ b/packages/gateway/src/lib/upstreams/proxy_server.ts
@@ -67,6 +67,7 @@
   | 'statementWatch'
   | 'limitWatch'
   | 'brittleWatch'
+  | 'coldWatch'
   | 'reachability'
   | 'admits'
 > {
--- a/packages/gateway/src/lib/upstreams/upstream_statements.ts
+++ b/packages/gateway/src/lib/upstreams/upstream_statements.ts
@@ -6,7 +6,7 @@
 /** The components that keep what upstreams state. */
 type Watches = Pick<
   InstanceContext,
-  'limitWatch' | 'brittleWatch' | 'statementWatch'
+  'limitWatch' | 'brittleWatch' | 'statementWatch' | 'coldWatch'
 >;
 
 /**
@@ -14,7 +14,7 @@
  * @param sentAt when the request was sent.
  */
 export function recordStatements(
-  {limitWatch, brittleWatch, statementWatch}: Watches,
+  {limitWatch, brittleWatch, statementWatch, coldWatch}: Watches,
   upstream: UpstreamListing,
   head: UpstreamResponseHead,
   sentAt: Millis,
@@ -26,4 +26,5 @@
     isRejection: notExecuted,
   });
   statementWatch.recordResponse(upstream, {isLeaving, restTime});
+  coldWatch.recordResponse(upstream, head.coldTime, sentAt);
 }
--- a/packages/stand_ins/src/lib/hosted/server.ts
+++ b/packages/stand_ins/src/lib/hosted/server.ts
@@ -159,6 +159,8 @@
   brittleness: number | undefined;
   /** Whether it rejects requests beyond its slots; it queues none then. */
   limitsRoom = false;
+  /** Until when it says in each answer that it is cold; 0 if it never does. */
+  coldUntil = 0;
   /** Number of times that it fell over. */
   fallCount = 0;
   /** Where it stops with the fault `CutHead`. */
@@ -220,7 +222,9 @@
   /** Returns the headers of all answers that say how the server is. */
   private statementHeaders(): Record<string, string> {
     const {brittleness} = this;
+    const cold = this.coldUntil - Date.now();
     return {
+      ...(cold > 0 && {'X-Cold-Ms': `${cold}`}),
       ...(this.saysLeaving && {'Server-Leaving': '1'}),
       ...(brittleness !== undefined && {'Server-Brittle': `${brittleness}`}),
     };
