--- a/packages/stand_ins/src/lib/relay.ts
+++ b/packages/stand_ins/src/lib/relay.ts
@@ -46,6 +46,8 @@
 /** Forwards connections to a target address. */
 export class Relay {
   /** Whether new connections are closed at once. */
+  /** Number of connections that were opened through it. */
+  connectionCount = 0;
   private isCut = false;
   private mode = RelayMode.Open;
   /** Modes of connections from single source addresses. */
@@ -121,6 +123,7 @@
       socket.destroy();
       return;
     }
+    this.connectionCount += 1;
     const targetSocket = connect(splitAddress(this.target));
     const sourceAddress = socket.remoteAddress ?? '';
     for (const [source, destination, isTowardsTarget] of [
