--- a/packages/decisions/src/lib/upstreams/fleet_share.ts
+++ b/packages/decisions/src/lib/upstreams/fleet_share.ts
@@ -61,7 +61,10 @@
  */
 const MEMORY_TIME: Millis = 300_000;
 
-/** Time after its start in which an instance learns of the others. */
+/**
+ * Time after its start, or after it was suspended, in which an instance learns of
+ * the others.
+ */
 const SETTLE_TIME: Millis = 4_000;
 
 /** Maximum number of members and of zones that are remembered. */
@@ -78,15 +81,19 @@
   private readonly members = new Map<string, Millis>();
   /** When a member of each zone was last seen. */
   private readonly zones = new Map<string, Millis>();
-  private settledAt: Millis | undefined;
+  private settledAt: Millis = Infinity;
+  private updatedAt: Millis = -Infinity;
 
   /**
    * Records the running instances; returns those among which parts are chosen,
-   * undefined while the instance has not learned of them. To be called also
-   * while no part is needed.
+   * undefined while the instance has not learned of them. To be called each
+   * second, also while no part is needed.
    */
   update(view: FleetView, now: Millis): FleetView | undefined {
-    this.settledAt ??= now + SETTLE_TIME;
+    if (now - this.updatedAt >= SETTLE_TIME) {
+      this.settledAt = now + SETTLE_TIME;
+    }
+    this.updatedAt = now;
     const {self, members} = view;
     const ownZone = members.filter(({zone}) => zone === self.zone);
     const zones = new Set(members.map(({zone}) => zone));
--- a/packages/decisions/src/test/upstreams/cold_upstreams_test.ts
+++ b/packages/decisions/src/test/upstreams/cold_upstreams_test.ts
@@ -392,6 +392,22 @@
     expect(cold.permit('u', PROFILE, fleet, 0)?.wait).to.be.at.least(SECOND);
   });
 
+  const memoryTimes = [
+    {name: 'started', times: [0], knows: false},
+    {name: 'learned of the others', times: [0, 2, 4], knows: true},
+    {name: 'been suspended', times: [0, 2, 4, 400], knows: false},
+    {name: 'been back for long', times: [0, 400, 402, 404], knows: true},
+  ];
+  for (const {name, times, knows} of memoryTimes) {
+    it(`get ${knows ? '' : 'no '}requests of one that has ${name}`, () => {
+      const memory = new FleetMemory();
+      const self = {address: 'a', zone: 'z'};
+      const view = {self, members: [self]};
+      const views = times.map(time => memory.update(view, time * SECOND));
+      expect(views.at(-1) !== undefined).to.equal(knows);
+    });
+  }
+
   it('are not held back without a rate', () => {
     const cold = new ColdUpstreams(TOLERANCE);
     list(cold, {cold: 2_000});
