Remember a removed upstream from its removal on

Cause: the two minutes counted from the last entry, so a process that had been listed for long and was listed again after an outage of the store counted as new, and so as cold. Change: they count from the removal. Measured: the new test failed before and passes.

--- a/packages/decisions/src/lib/upstreams/cold_upstreams.ts
+++ b/packages/decisions/src/lib/upstreams/cold_upstreams.ts
@@ -60,7 +60,7 @@
   startedAt: number;
   /** Whether it is in the list. */
   isListed: boolean;
-  /** When it was listed last. */
+  /** When it was listed last, or removed from the list. */
   listedAt: Millis;
   /** End of the cold time in its entry. */
   listedUntil: Millis;
@@ -103,6 +103,7 @@
     if (listing === undefined) {
       if (known !== undefined) {
         known.isListed = false;
+        known.listedAt = now;
       }
       return false;
     }
--- a/packages/decisions/src/test/upstreams/cold_upstreams_test.ts
+++ b/packages/decisions/src/test/upstreams/cold_upstreams_test.ts
@@ -383,6 +383,17 @@
     });
   }
 
+  it('are not cold when the same process is listed again after an outage', () => {
+    const cold = new ColdUpstreams(TOLERANCE);
+    const hour = 3_600 * SECOND;
+    list(cold, {}, true);
+    cold.recordListing('u', undefined, undefined, false, hour);
+    cold.prune(hour + SECOND);
+    const now = hour + 2 * SECOND;
+    cold.recordListing('u', listing('u'), PROFILE, false, now);
+    expect(cold.isCold('u', now)).to.equal(false);
+  });
+
   it('are held back a while if they turn cold in use', () => {
     const cold = new ColdUpstreams(TOLERANCE);
     const self = {address: 'a', zone: 'z'};
