--- a/packages/gateway/src/lib/fleet/peer_network.ts
+++ b/packages/gateway/src/lib/fleet/peer_network.ts
@@ -508,6 +508,7 @@
       capacity,
       proxy,
       recordsStreams: true,
+      knowsCold: true,
       ...content,
       time: this.machineClock.machineTime().monotonic,
       heard: this.heardTimes.of(address),
--- a/packages/gateway/src/lib/process/gateway.ts
+++ b/packages/gateway/src/lib/process/gateway.ts
@@ -23,6 +23,7 @@
 import {BrittleWatch} from '../upstreams/brittle_watch.js';
 import {BufferCollection, PROCESS_BUFFERS} from './buffer_collection.js';
 import {PrepaidBudgets} from '../budgets/prepaid_budgets.js';
+import {ColdWatch} from '../upstreams/cold_watch.js';
 import {CrashWatch, partTraits} from '../crashes/crash_watch.js';
 import {EvacuationWatch} from '../fleet/evacuation_watch.js';
 import {FrontServer} from '../requests/front_server.js';
@@ -121,6 +122,7 @@
   private readonly crashWatch: CrashWatch;
   private readonly limitWatch: LimitWatch;
   private readonly brittleWatch: BrittleWatch;
+  private readonly coldWatch: ColdWatch;
   private readonly statementWatch: StatementWatch;
   private readonly streamOrigins = new StreamOrigins();
   private readonly streamRecords: StreamRecords;
@@ -142,7 +144,11 @@
     // connects to peers; a restarted instance gets another one.
     const holder = `${instance}.${randomId(4)}`;
     store.setEraListener(this.createEraListener());
-    this.metrics = new GatewayMetrics(store, () => this.budgets.totals());
+    this.metrics = new GatewayMetrics(
+      store,
+      () => this.budgets.totals(),
+      () => this.coldWatch.coldCounts(),
+    );
     this.evacuationWatch = this.createEvacuationWatch();
     const timing = feedTiming(propagationBounds(settings));
     this.stateSync = new StateSync(
@@ -157,6 +163,7 @@
         onConfigurationChanged: () => this.handleNewConfiguration(),
         onUpstreamLost: upstream => this.crashWatch.recordDown(upstream),
         onUpstreamUpdates: (updates, positionBefore, afterOutage) => {
+          this.coldWatch.recordUpdates(updates);
           this.peerExchange.forwardUpstreamUpdates(
             updates,
             positionBefore,
@@ -247,6 +254,7 @@
           isFull,
         }),
     });
+    this.coldWatch = this.createColdWatch();
     this.statementWatch = new StatementWatch(
       this.upstreamRegistry,
       clock,
@@ -274,6 +282,7 @@
       crashWatch: this.crashWatch,
       limitWatch: this.limitWatch,
       brittleWatch: this.brittleWatch,
+      coldWatch: this.coldWatch,
       statementWatch: this.statementWatch,
       sharedVerdicts: this.sharedVerdicts,
       streamTracker: this.streamTracker,
@@ -332,6 +341,7 @@
       crashWatch: this.crashWatch,
       limitWatch: this.limitWatch,
       brittleWatch: this.brittleWatch,
+      coldWatch: this.coldWatch,
       statementWatch: this.statementWatch,
       streamTracker: this.streamTracker,
       heldResponses: new HeldBytes(maxHeldBytes),
@@ -339,6 +349,7 @@
       linkLoad: this.linkLoad,
       admits: deadline => this.shutdown.admits(deadline),
       instanceCount: () => this.instanceCount(),
+      recordHeldBack: service => this.metrics.recordHeldBack(service),
       random: Math.random,
     };
     this.proxyServer = new ProxyServer({
@@ -386,7 +397,7 @@
         this.metrics.recordEvacuations(change, evacuations.count());
         this.peerExchange.tellEvacuations(source);
       },
-      onOpened: () => undefined,
+      onOpened: zone => this.coldWatch.recordZoneOpened(zone, this.clock.now()),
     });
   }
 
@@ -417,6 +428,30 @@
     });
   }
 
+  /** Connects the watch of cold upstreams to the other instances. */
+  private createColdWatch(): ColdWatch {
+    const {settings, log} = this.dependencies;
+    return new ColdWatch(
+      settings.cold,
+      this.upstreamRegistry,
+      this.clock,
+      log,
+      {
+        fleetView: () => this.peerNetwork.fleetView(),
+        profileOf: service => this.routeTable.findService(service),
+        reportCold: ({id, startedAt}, remaining) => {
+          const kind = PeerMessageKind.UpstreamCold;
+          this.peerNetwork.broadcast({
+            kind,
+            upstream: id,
+            startedAt,
+            remaining,
+          });
+        },
+      },
+    );
+  }
+
   /** Connects the planned stop to the other components. */
   private createShutdown(): Shutdown {
     const {settings, log} = this.dependencies;
@@ -598,6 +633,7 @@
     this.limitWatch.prune(isListed);
     this.statementWatch.prune();
     this.brittleWatch.prune();
+    this.coldWatch.prune();
     this.paths.prune();
   }
 
--- a/packages/gateway/src/lib/requests/forwarding.ts
+++ b/packages/gateway/src/lib/requests/forwarding.ts
@@ -237,7 +237,7 @@
       placed &&
       context.paths.choose(placed.upstream, this.failedProxies, this.homes);
     if (placed === undefined || path === undefined) {
-      this.giveUp(this.reasonWithoutPath(placed, now));
+      this.giveUpWithoutPath(placed, now);
       return;
     }
     this.placed = placed;
@@ -250,6 +250,7 @@
     this.result.upstreamVersion = placed.upstream.version;
     context.placement.recordStart(this.placementRequest, placed, now);
     context.limitWatch.recordSent(placed.upstream.id);
+    context.coldWatch.recordSent(placed.upstream.id);
     this.attemptStartedAt = now;
     context.linkLoad.recordBytes(
       0,
@@ -336,6 +337,34 @@
     return true;
   }
 
+  /**
+   * Refuses the request; if cold upstreams are left, with the time until this
+   * instance may send one of them a request.
+   */
+  private giveUpWithoutPath(
+    placed: PlacedRequest | undefined,
+    now: Millis,
+  ): void {
+    const heldBack =
+      placed === undefined
+        ? this.candidates.heldBack(this.triedUpstreams, this.streamVersion, now)
+        : undefined;
+    if (heldBack === undefined) {
+      this.giveUp(this.reasonWithoutPath(placed, now));
+      return;
+    }
+    const {wait, upstreams, ownPermits} = heldBack;
+    this.context.recordHeldBack(this.serviceName);
+    this.context.log.info('request.held-for-cold', {
+      request: this.request.callerRequest.id,
+      service: this.serviceName,
+      upstreams,
+      ownPermits,
+      waitMs: Math.ceil(wait),
+    });
+    this.giveUp(RefusalReason.ColdUpstreams, wait);
+  }
+
   /** Returns the request's urgency at a model engine; undefined elsewhere. */
   private urgency({prefillTime}: PlacedRequest): number | undefined {
     const {route, priority} = this.request;
@@ -727,8 +756,10 @@
   /**
    * Refuses the request, or aborts the response if its head has already been
    * sent to the caller.
+   * @param retryTime time before which a retry would be refused as well, if it
+   *     is known.
    */
-  private giveUp(reason: RefusalReason): void {
+  private giveUp(reason: RefusalReason, retryTime: Millis = 0): void {
     if (this.response.hasBegun()) {
       this.response.abort();
       this.finish(`${RESPONSE_ABORTED}:${reason}`);
@@ -736,7 +767,7 @@
     }
     this.response.refuse(
       reasonForCaller(reason, this.result.mayHaveRun),
-      this.candidates.restTime(this.context.clock.now()),
+      this.candidates.restTime(this.context.clock.now()) ?? retryTime,
     );
     this.finish(reason);
   }
--- a/packages/gateway/src/lib/requests/refusal.ts
+++ b/packages/gateway/src/lib/requests/refusal.ts
@@ -23,6 +23,8 @@
   ZoneEvacuated = 'zone-evacuated',
   /** The homes of the route and the account exclude all usable upstreams. */
   OutsideHomes = 'outside-homes',
+  /** All upstreams that are left are cold, and get no more for now. */
+  ColdUpstreams = 'cold-upstreams',
   /**
    * The request takes up a stream of which it is not known which software
    * version began it.
@@ -73,6 +75,8 @@
   // No instance knows when the operator takes the zone back.
   [RefusalReason.ZoneEvacuated]: {status: 503, retryAfter: 5_000},
   [RefusalReason.OutsideHomes]: {status: 503, retryAfter: 5_000},
+  // The time until the next permit is longer, as a rule.
+  [RefusalReason.ColdUpstreams]: {status: 503, retryAfter: 20},
   [RefusalReason.UnknownStream]: {status: 503, retryAfter: 1_000},
   [RefusalReason.Overloaded]: {status: 503, retryAfter: 500},
   [RefusalReason.CrashesUpstreams]: {status: 503, retryAfter: 5_000},
--- a/packages/gateway/src/lib/upstreams/proxy_server.ts
+++ b/packages/gateway/src/lib/upstreams/proxy_server.ts
@@ -68,6 +68,7 @@
   | 'evacuationWatch'
   | 'limitWatch'
   | 'brittleWatch'
+  | 'coldWatch'
   | 'reachability'
   | 'admits'
 > {
