--- /dev/null
+++ b/packages/decisions/src/lib/budgets/budget_reading.ts
@@ -0,0 +1,47 @@
+/**
+ * What one instance knows of a budget, and whether that proves that the balance
+ * does not cover a request. Answers the loss of requests that are refused for
+ * good although tokens are left: untaken ones that this instance may not take
+ * yet, ones that others hold unused, and ones that an old page does not show.
+ */
+import type {Millis} from '../base/clock.js';
+import type {PageHolder} from './prepaid_page.js';
+
+/** The state of a budget, according to the newest page that is known. */
+export interface BudgetReading {
+  /** Tokens granted in total, spent ones included. */
+  granted: number;
+  /**
+   * Tokens that no process is known to have taken. They are more than the
+   * untaken ones while the store may have lost entries.
+   */
+  unclaimed: number;
+  /** Tokens that this process holds unused, also those not usable yet. */
+  heldHere: number;
+  /**
+   * Tokens that other processes had taken and neither used nor given away at
+   * their last writes, without processes that write no more.
+   */
+  heldByOthers: number;
+  /** Tokens that requests of this process have reserved. */
+  reservedHere: number;
+}
+
+/**
+ * Time without a change of its entry after which a process counts as ended: what
+ * it holds unused can't be asked for, and its machine has had the time to start
+ * the next process and return it.
+ */
+export const MAX_ENTRY_SILENCE: Millis = 15_000;
+
+/** Returns the tokens that could still be reserved for a request somewhere. */
+export function obtainableTokens(reading: BudgetReading): number {
+  const {unclaimed, heldHere, heldByOthers} = reading;
+  return Math.max(0, unclaimed) + Math.max(0, heldHere) + heldByOthers;
+}
+
+/** Returns the tokens that a process held unused when it wrote its entry. */
+export function unusedTokens(entry: PageHolder, account: string): number {
+  const taken = entry.taken[account] ?? 0;
+  return Math.max(0, taken - (entry.used[account] ?? 0));
+}
--- a/packages/decisions/src/lib/budgets/page_entries.ts
+++ b/packages/decisions/src/lib/budgets/page_entries.ts
@@ -2,6 +2,7 @@
  * The entry of one process in a page, as the store has it or may have it: an
  * unanswered write may have taken effect, or may still do so.
  */
+import {MAX_ENTRY_SILENCE, unusedTokens} from './budget_reading.js';
 import {emptyPage} from './prepaid_page.js';
 import {elapsedTime, usableTokens} from './share_release.js';
 import {isNewer, UNKNOWN_POSITION} from '../fleet/store_position.js';
@@ -43,6 +44,13 @@
  */
 const MAX_BASE_AGE: Millis = 2_000;
 
+/** When this process first saw the present entry of another one. */
+interface EntryChange {
+  /** Monotonic time of the writer, which changes with each of its writes. */
+  writtenAt: Millis | undefined;
+  seenAt: Millis;
+}
+
 /** The known page, and the entries of one process that the store may have. */
 export class PageEntries {
   private knownPage: PrepaidPage = emptyPage();
@@ -54,6 +62,8 @@
   /** What earlier processes can have used that this one has closed. */
   private readonly closedHolders = new Map<string, Record<string, number>>();
   private readonly ceilings = new CeilingHistory();
+  /** The newest changes of the entries in the page, by the process. */
+  private entryChanges = new Map<string, EntryChange>();
   /** Writes that may still take effect. */
   private pendingWrites: PageWrite[] = [];
 
@@ -101,12 +111,29 @@
     this.knownPosition = position;
     this.knownPage = {...page, holders, isYoung};
     this.recordClosed(page);
+    this.recordEntryChanges(now);
     // Writes that expect an older revision can no longer take effect.
     this.pendingWrites = this.pendingWrites.filter(
       write => write.expectedRevision >= position.revision,
     );
   }
 
+  /**
+   * Returns the tokens of an account that other processes held unused at their
+   * last writes, without processes that write no more.
+   */
+  unusedByOthers(account: string): number {
+    const now = this.clock.machineTime().monotonic;
+    let sum = 0;
+    for (const [id, entry] of Object.entries(this.knownPage.holders)) {
+      const seenAt = this.entryChanges.get(id)?.seenAt ?? -Infinity;
+      if (id !== this.holder && now - seenAt <= MAX_ENTRY_SILENCE) {
+        sum += unusedTokens(entry, account);
+      }
+    }
+    return sum;
+  }
+
   /** Whether the known page is too old to base a write on it. */
   isStale(): boolean {
     const age =
@@ -221,6 +248,18 @@
     this.ceilings.recordSent(this.entryOf(write.page)?.ceilings ?? {}, now);
   }
 
+  /** Notes which entries of the known page are new. */
+  private recordEntryChanges(now: Millis): void {
+    const changes = new Map<string, EntryChange>();
+    for (const [id, {confirmedAt}] of Object.entries(this.knownPage.holders)) {
+      const writtenAt = confirmedAt?.monotonic;
+      const known = this.entryChanges.get(id);
+      const isKnown = known !== undefined && known.writtenAt === writtenAt;
+      changes.set(id, isKnown ? known : {writtenAt, seenAt: now});
+    }
+    this.entryChanges = changes;
+  }
+
   /** Remembers the entries that writes of this process have closed. */
   private recordClosed(page: PrepaidPage): void {
     const closed = this.pendingWrites.flatMap(write => write.closed);
--- a/packages/decisions/src/lib/budgets/prepaid_shares.ts
+++ b/packages/decisions/src/lib/budgets/prepaid_shares.ts
@@ -19,6 +19,7 @@
 import {MAX_HISTORY_LOSS} from './take_ceilings.js';
 import {TakeLimits} from './take_limits.js';
 import type {MachineClock, Millis} from '../base/clock.js';
+import type {BudgetReading} from './budget_reading.js';
 import type {PageWrite} from './page_entries.js';
 import type {PageChange, PrepaidPage} from './prepaid_page.js';
 import type {SharePolicy} from './share_policy.js';
@@ -54,6 +55,11 @@
   now: Millis;
   /** Number of instances that may be running, at least 1. */
   instances: number;
+  /**
+   * Number of instances that take tokens from the store when each has found its
+   * relay; missing if all do.
+   */
+  drawers?: number;
   /** Tokens granted to an account in total, spent ones included. */
   granted(account: string): number;
 }
@@ -256,6 +262,20 @@
     return view.granted(account) - knownTaken(this.entries.page(), account);
   }
 
+  /**
+   * Returns what is known of a budget. Costs a look at each entry of the page,
+   * that is, one for each instance that draws on the store.
+   */
+  reading(account: string, view: ShareView): BudgetReading {
+    return {
+      granted: view.granted(account),
+      unclaimed: this.unclaimedTokens(account, view),
+      heldHere: this.heldTokens(account),
+      heldByOthers: this.entries.unusedByOthers(account),
+      reservedHere: this.shareOf(account).reservedTokens(),
+    };
+  }
+
   /** Samples the spending rates, unless the last sample is too recent. */
   sampleRates(now: Millis): void {
     const elapsed = now - this.lastSampleAt;
@@ -271,15 +291,17 @@
   /** Whether requests wait for tokens that the store may have. */
   hasUrgentDemand(view: ShareView): boolean {
     for (const [account, share] of this.shares) {
-      const available = Math.max(0, this.availableTokens(account));
       const awaited = share.awaitedTokens();
-      const isMissing = awaited > 0 && awaited > available;
+      const available = Math.max(0, this.availableTokens(account));
+      if (awaited <= available) {
+        continue;
+      }
       const canTake =
         this.takeableTokens(account, view) > 0 ||
         (this.untakenTokens(account, view) > 0 &&
           !this.entries.hasCeiling(account));
       const canBeSupplied = canTake || this.heldTokens(account) > available;
-      if (isMissing && canBeSupplied) {
+      if (canBeSupplied) {
         return true;
       }
     }
@@ -460,6 +482,7 @@
       granted: view.granted(account),
       untaken: this.untakenTokens(account, view),
       instances: Math.max(1, view.instances),
+      drawers: Math.max(1, view.drawers ?? view.instances),
     };
   }
 
--- a/packages/decisions/src/lib/budgets/take_limits.ts
+++ b/packages/decisions/src/lib/budgets/take_limits.ts
@@ -29,6 +29,8 @@
   untaken: number;
   /** Number of instances that may be running, at least 1. */
   instances: number;
+  /** Number of them that take tokens from the store as a rule, at least 1. */
+  drawers: number;
 }
 
 /** What requests of an account have used so far. */
@@ -114,7 +116,7 @@
     const remaining = Math.max(0, view.untaken);
     const allowance = Math.max(
       this.initialAllowances.get(account) ?? 0,
-      Math.floor((remaining * initialFraction) / view.instances),
+      Math.floor((remaining * initialFraction) / view.drawers),
     );
     this.initialAllowances.set(account, allowance);
     return allowance;
--- a/packages/decisions/src/test/budgets/prepaid_shares_test.ts
+++ b/packages/decisions/src/test/budgets/prepaid_shares_test.ts
@@ -110,6 +110,19 @@
     expect(write?.change.get(ACCOUNT)).to.equal(10 * REQUEST_TOKENS);
   });
 
+  it('lets an instance without a relay take a request larger than an equal part', () => {
+    const clock = new ManualClock(100_000);
+    const shares = createShares(clock);
+    const page = {...emptyPage(), isYoung: false};
+    shares.recordPage({era: 0, revision: 1}, page);
+    shares.adjustAwaitedTokens(ACCOUNT, 5 * REQUEST_TOKENS);
+    const granted = () => 60 * REQUEST_TOKENS;
+    const view = {now: clock.now(), instances: 75, drawers: 4, granted};
+    const write = shares.planWrite([ACCOUNT], view);
+    expect(write?.change.get(ACCOUNT)).to.be.at.least(5 * REQUEST_TOKENS);
+    expect(write?.change.get(ACCOUNT)).to.be.at.most(15 * REQUEST_TOKENS);
+  });
+
   it('refills its share with the write for which requests wait', () => {
     const clock = new ManualClock(100_000);
     const shares = createShares(clock);
