Refuse with 402 only when a reading proves it, and ask before

Cause: requests waited 25 to 130 ms; a relay's answer about a request of one size refused all waiting ones of that size or more; a follower's piece and those of other followers never came together; followers were never asked for what they held unused; the log line of a refusal showed no age.

A relay's refusal concerns the request that asked; it counts as proof only with the age of the reading (new optional field 'age' of TokenRefusal). A follower then returns its piece and asks for the whole (optional field 'wait' of TokenRequest: time to answer). Relays collect from followers what these hold unused, at most every 250 ms an account. Near the end of a budget relays give nothing ahead. A 503 says 0.7 s, or 2 s while the store is away. request.ended of a refusal carries knownUsed, unclaimed, held, heldByOthers, reserved, readingAgeMs, supplied, relayReadingAgeMs and waitedMs.

--- a/packages/gateway/src/lib/budgets/budget_page.ts
+++ b/packages/gateway/src/lib/budgets/budget_page.ts
@@ -72,12 +72,9 @@
     return this.lastCallFailed;
   }
 
-  /**
-   * Whether the known page matched the store at `time`, or less than `maxAge`
-   * before it.
-   */
-  isCurrentAt(time: Millis, maxAge: Millis): boolean {
-    return time - this.confirmedAt < maxAge;
+  /** Returns the time since the store confirmed the known page. */
+  ageAt(time: Millis): Millis {
+    return time - this.confirmedAt;
   }
 
   /** Reads the page from the store. Failures are logged. */
--- a/packages/gateway/src/lib/budgets/prepaid_budgets.ts
+++ b/packages/gateway/src/lib/budgets/prepaid_budgets.ts
@@ -4,15 +4,27 @@
  * an instance has taken from a budget in advance are its share of the budget,
  * from which it reserves tokens without a call to the store.
  */
-import {partitionIndex, SHARE_POLICY} from '@citrontrestle/decisions';
+import {
+  decideTokenWait,
+  ExhaustionProofs,
+  MAX_READING_AGE,
+  MIN_PATIENCE,
+  partitionIndex,
+  SHARE_POLICY,
+  WaitDecision,
+} from '@citrontrestle/decisions';
 import {BudgetPage} from './budget_page.js';
+import {TokenQueue} from './token_queue.js';
+import type {WaitingRequest} from './token_queue.js';
 import type {Store} from '../process/ports.js';
 import type {
+  BudgetReading,
   Clock,
   MachineClock,
   Millis,
   ShareView,
   TokenTotals,
+  WaitSituation,
   Witnesses,
 } from '@citrontrestle/decisions';
 import type {Log} from '@citrontrestle/runtime';
@@ -52,6 +64,11 @@
   budgetedAccounts(): string[];
   /** Returns how many instances, with this one, take tokens from the store. */
   drawingInstanceCount(): number;
+  /**
+   * Returns how many instances take tokens from the store while each follower
+   * has a relay; at most `drawingInstanceCount`.
+   */
+  supplierCount(): number;
   /**
    * Whether this instance follows a relay that sent a heartbeat recently. It
    * then gets its tokens from the relay instead of the store.
@@ -59,9 +76,14 @@
   hasResponsiveRelay(): boolean;
   /**
    * Asks the relay for tokens; returns false if there is no responsive relay.
-   * @param prefetch tokens wanted in addition, for later requests.
+   * @param options.prefetch tokens wanted in addition, for later requests.
+   * @param options.wait time within which the relay is to answer.
    */
-  requestFromRelay(account: string, tokens: number, prefetch: number): boolean;
+  requestFromRelay(
+    account: string,
+    tokens: number,
+    options: {prefetch: number; wait: Millis},
+  ): boolean;
   /** Gives tokens back to the relay; returns false if none is responsive. */
   returnToRelay(account: string, tokens: number): boolean;
   /** Asks some peers for tokens. */
@@ -84,29 +106,23 @@
 /** Minimum time between two writes of a page that no request waits for. */
 const ROUTINE_WRITE_INTERVAL: Millis = 1_200;
 
-/** Maximum time for which a request waits for tokens. */
-const MAX_WAIT: Millis = 120;
-
-/**
- * Added to the delay of each timer, because a timer may fire this much before
- * the clock shows that its delay has passed.
- */
-const TIMER_TOLERANCE: Millis = 1;
+/** Interval at which waiting requests are looked at. */
+const WAIT_CHECK_INTERVAL: Millis = 10;
 
-/** Time after which a request that waits for the store also asks the peers. */
-const STORE_WAIT: Millis = 12;
+/** Minimum time between two requests to the peers for tokens of an account. */
+const ASK_INTERVAL: Millis = 30;
 
 /**
- * Minimum time for which a request waits before it fails because the budget is
- * exhausted, so that the peers can answer.
+ * Part of the time that a request may still wait within which the relay is to
+ * answer, so that its answer arrives in time.
  */
-const PEER_WAIT: Millis = 25;
+const RELAY_ANSWER_FRACTION = 0.8;
 
-/**
- * A page confirmed longer ago than this is read again before a budget counts as
- * exhausted.
- */
-const MAX_PAGE_AGE: Millis = 500;
+/** When a caller whose budget is with an unreachable store should come back. */
+const STORE_RETRY_DELAY: Millis = 2_000;
+
+/** When other callers that got no tokens in time should come back. */
+const USUAL_RETRY_DELAY: Millis = 700;
 
 /**
  * Time after the start during which shares are taken only for waiting requests:
@@ -124,9 +140,6 @@
  */
 const MAX_PREFETCH_FRACTION = 0.2;
 
-/** Time after which a request that waits for the relay also asks the peers. */
-const RELAY_WAIT: Millis = 60;
-
 /** Tokens that were taken from the share of this instance for another one. */
 export interface SupplyResult {
   /** Number of tokens to give, the prefetched ones included. */
@@ -134,27 +147,39 @@
   outcome: ReservationOutcome;
 }
 
-/** A request that waits for tokens. */
-interface WaitingRequest {
-  account: string;
-  tokens: number;
-  waitingSince: Millis;
-  /** Whether the peers were asked; also true if they must not be asked. */
-  peersAsked: boolean;
-  /** Whether the relay was asked for the missing tokens. */
-  relayAsked: boolean;
-  /** Outcome if the relay refused the tokens; undefined if it did not. */
-  relayRefusal: ReservationOutcome | undefined;
-  resolve(outcome: ReservationOutcome): void;
+/** What a refusal for lack of tokens relies on. For logs. */
+export interface BudgetEvidence extends BudgetReading {
+  /** Untaken tokens that this instance may take. */
+  takeable: number;
+  /** Time since the store confirmed the reading; undefined if it never did. */
+  age: Millis | undefined;
+  /** Whether the tokens of this instance come from a relay. */
+  isSupplied: boolean;
+  /** Age of the reading by which the relay last refused tokens of the account. */
+  relayAge: Millis | undefined;
+}
+
+/** How a request may wait for tokens. */
+export interface WaitOptions {
+  /** Time for which it may wait. */
+  patience?: Millis;
+  /** Whether the relay and the peers may be asked for tokens. */
+  mayAskPeers?: boolean;
 }
 
 /**
  * The prepaid budgets of one instance. Requests that its shares do not cover
- * wait until tokens arrive or `MAX_WAIT` has passed.
+ * wait until tokens arrive, or until `decideTokenWait` refuses them.
  */
 export class PrepaidBudgets {
   private readonly pages: BudgetPage[] = [];
-  private waitingRequests: WaitingRequest[] = [];
+  private readonly queue = new TokenQueue();
+  private isCheckScheduled = false;
+  private readonly proofs = new ExhaustionProofs();
+  /** When the peers were last asked for tokens of each account. */
+  private readonly peersAskedAt = new Map<string, Millis>();
+  /** Time of the reading by which the relay last refused each account. */
+  private readonly relayReadAt = new Map<string, Millis>();
   private maintenanceTimer: NodeJS.Timeout | undefined;
   private readonly startedAt: Millis;
   /** Whether `start` was called; the store is not called before. */
@@ -212,19 +237,24 @@
     clearInterval(this.maintenanceTimer);
   }
 
-  /**
-   * Reserves tokens for a request, waiting for them for at most `MAX_WAIT`.
-   * @param mayAskPeers whether the relay and the peers may be asked for tokens.
-   */
+  /** Reserves tokens for a request, waiting for them as the options allow. */
   reserve(
     account: string,
     tokens: number,
-    mayAskPeers = true,
+    {patience = MIN_PATIENCE, mayAskPeers = true}: WaitOptions = {},
   ): Promise<ReservationOutcome> {
     const {shares} = this.pageOf(account);
     if (shares.reserve(account, tokens)) {
       return Promise.resolve(ReservationOutcome.Reserved);
     }
+    const now = this.clock.now();
+    const granted = this.context.grantedTokens(account);
+    if (this.proofs.proves(account, tokens, {granted, now})) {
+      return Promise.resolve(ReservationOutcome.Exhausted);
+    }
+    if (this.queue.isFull(account)) {
+      return Promise.resolve(ReservationOutcome.Unavailable);
+    }
     const missingTokens = missingFor(
       tokens,
       shares.availableTokens(account),
@@ -232,31 +262,28 @@
     );
     shares.adjustAwaitedTokens(account, tokens);
     return new Promise(resolve => {
-      const waitingSince = this.clock.now();
-      const prefetch = Math.max(
-        0,
-        shares.imbalance(account, FOLLOWER_SHARE_HORIZON),
-      );
-      const relayAsked =
-        mayAskPeers &&
-        this.context.requestFromRelay(account, missingTokens, prefetch);
-      this.waitingRequests.push({
+      const request: WaitingRequest = {
         account,
         tokens,
-        waitingSince,
-        peersAsked: !mayAskPeers,
-        relayAsked,
-        relayRefusal: undefined,
+        waitingSince: now,
+        patience,
+        mayAskPeers,
+        peersAskedSince: undefined,
+        askedOfRelay: undefined,
+        isRefusedByRelay: false,
         resolve,
-      });
-      this.serveWaitingRequests();
-      const firstWait = relayAsked ? RELAY_WAIT : STORE_WAIT;
-      this.context.callAfter(firstWait + TIMER_TOLERANCE, () =>
-        this.serveWaitingRequests(),
-      );
-      this.context.callAfter(MAX_WAIT + TIMER_TOLERANCE, () =>
-        this.serveWaitingRequests(),
-      );
+      };
+      this.queue.add(request);
+      if (mayAskPeers) {
+        const prefetch = shares.imbalance(account, FOLLOWER_SHARE_HORIZON);
+        this.askRelay(request, missingTokens, Math.max(0, prefetch));
+      }
+      // Those behind others are looked at with the next check, so that a burst
+      // costs no look at all of them for each.
+      if (this.queue.of(account).length === 1) {
+        this.serveAccount(account);
+      }
+      this.scheduleCheck();
     });
   }
 
@@ -266,24 +293,27 @@
    *     are given.
    * @param options.prefetch further tokens that it wants for later requests; as
    *     many are given as this instance can spare at once.
-   * @param options.mayAskPeers whether the relay and the peers may be asked.
    */
   async supply(
     account: string,
     tokens: number,
-    {prefetch, mayAskPeers}: {prefetch: number; mayAskPeers: boolean},
+    {prefetch, ...options}: WaitOptions & {prefetch: number},
   ): Promise<SupplyResult> {
     const {shares} = this.pageOf(account);
     if (tokens > 0) {
-      const outcome = await this.reserve(account, tokens, mayAskPeers);
+      const outcome = await this.reserve(account, tokens, options);
       if (outcome !== ReservationOutcome.Reserved) {
         return {given: 0, outcome};
       }
       shares.transferReservation(account, tokens);
     }
-    const maxExtraTokens = Math.floor(
-      shares.availableTokens(account) * MAX_PREFETCH_FRACTION,
-    );
+    // Once the store has less than this instance, it keeps what is left: any
+    // follower may need it, and those that hold more than they need strand it.
+    const available = shares.availableTokens(account);
+    const isNearEnd = this.untakenTokens(account) < available;
+    const maxExtraTokens = isNearEnd
+      ? 0
+      : Math.floor(available * MAX_PREFETCH_FRACTION);
     const extraTokens = shares.giveToPeer(
       account,
       Math.min(prefetch, Math.max(0, maxExtraTokens)),
@@ -298,31 +328,39 @@
   }
 
   /**
-   * Handles the relay's refusal of tokens: requests of the account that wait
-   * for as many tokens or more fail, unless the share now covers them.
-   * @param exhausted whether the budget is exhausted; otherwise the relay could
-   * not obtain the tokens in time.
+   * Handles the relay's refusal of tokens: it concerns the first waiting request
+   * that asked for as many.
+   * @param refusal.exhausted whether the budget is exhausted; otherwise the
+   *     relay could not obtain the tokens in time.
+   * @param refusal.age age of the reading that proves it. Relays of earlier
+   *     versions state none; what they call exhausted is not proved.
    */
   recordRelayRefusal(
     account: string,
     tokens: number,
-    exhausted: boolean,
+    {exhausted, age}: {exhausted: boolean; age: Millis | undefined},
   ): void {
-    const {Exhausted, Unavailable} = ReservationOutcome;
-    for (const request of this.waitingRequests) {
-      if (request.account === account && request.tokens >= tokens) {
-        request.relayRefusal = exhausted ? Exhausted : Unavailable;
+    const request = this.queue
+      .of(account)
+      .find(({askedOfRelay}) => askedOfRelay === tokens);
+    if (request === undefined) {
+      return;
+    }
+    request.askedOfRelay = undefined;
+    if (exhausted && age !== undefined) {
+      this.relayReadAt.set(account, this.clock.now() - age);
+      request.isRefusedByRelay = tokens >= request.tokens;
+      if (!request.isRefusedByRelay) {
+        this.poolAtRelay(request);
       }
     }
-    this.serveWaitingRequests();
+    this.serveAccount(account);
   }
 
   /** Ends a reservation of which `used` tokens were consumed. */
   settle(account: string, reserved: number, used: number): void {
     this.pageOf(account).shares.settle(account, reserved, used);
-    if (this.waitingRequests.length > 0) {
-      this.serveWaitingRequests();
-    }
+    this.serveIfCovered(account);
   }
 
   /** Gives a peer up to `tokens` that are not needed here; returns how many. */
@@ -333,7 +371,7 @@
   /** Adds tokens that a peer or the relay gave. */
   receiveFromPeer(account: string, tokens: number): void {
     this.pageOf(account).shares.receiveFromPeer(account, tokens);
-    this.serveWaitingRequests();
+    this.serveIfCovered(account);
   }
 
   /** Adjusts the shares after the granted tokens of accounts have changed. */
@@ -363,6 +401,18 @@
     }
   }
 
+  /** Returns when a caller that got no tokens in time should come back. */
+  retryDelay(account: string): Millis {
+    const isAway =
+      this.pageOf(account).isFailing() && !this.context.hasResponsiveRelay();
+    return isAway ? STORE_RETRY_DELAY : USUAL_RETRY_DELAY;
+  }
+
+  /** Returns the time since the store confirmed the page of an account. */
+  readingAge(account: string): Millis {
+    return this.pageOf(account).ageAt(this.clock.now());
+  }
+
   /** Returns the tokens of an account that may be reserved now. For logs. */
   availableTokens(account: string): number {
     return this.pageOf(account).shares.availableTokens(account);
@@ -379,12 +429,20 @@
     );
   }
 
-  /** Returns the untaken tokens that this instance may take. For logs. */
-  takeableTokens(account: string): number {
-    return this.pageOf(account).shares.takeableTokens(
-      account,
-      this.currentView(),
-    );
+  /** Returns what is known of an account. For logs. */
+  evidence(account: string): BudgetEvidence {
+    const page = this.pageOf(account);
+    const {shares} = page;
+    const view = this.currentView();
+    const age = page.ageAt(view.now);
+    const relayReadAt = this.relayReadAt.get(account);
+    return {
+      ...shares.reading(account, view),
+      takeable: shares.takeableTokens(account, view),
+      age: age === Infinity ? undefined : age,
+      isSupplied: this.context.hasResponsiveRelay(),
+      relayAge: relayReadAt === undefined ? undefined : view.now - relayReadAt,
+    };
   }
 
   /** Returns the sums over all accounts. For metrics. */
@@ -404,6 +462,7 @@
   private maintain(): void {
     const now = this.clock.now();
     const hasResponsiveRelay = this.context.hasResponsiveRelay();
+    this.proofs.prune(now);
     for (const page of this.pages) {
       page.shares.sampleRates(now);
       if (hasResponsiveRelay) {
@@ -473,94 +532,195 @@
 
   /** Whether requests wait for tokens of a page that may be out of date. */
   private needsConfirmation(page: BudgetPage, now: Millis): boolean {
-    const isCurrent = page.isCurrentAt(now, MAX_PAGE_AGE);
     return (
-      !isCurrent &&
-      this.waitingRequests.some(
-        request => this.pageOf(request.account) === page,
-      )
+      page.ageAt(now) >= MAX_READING_AGE &&
+      this.queue.accounts().some(account => this.pageOf(account) === page)
     );
   }
 
+  /** Looks at all waiting requests soon, and again while there are any. */
+  private scheduleCheck(): void {
+    if (this.isCheckScheduled || this.queue.isEmpty()) {
+      return;
+    }
+    this.isCheckScheduled = true;
+    this.context.callAfter(WAIT_CHECK_INTERVAL, () => {
+      this.isCheckScheduled = false;
+      this.serveWaitingRequests();
+      this.scheduleCheck();
+    });
+  }
+
   /**
-   * Completes the waiting requests whose outcome is known, in their order, and
-   * tries to obtain tokens for the others.
+   * Completes the waiting requests whose outcome is known, and tries to obtain
+   * tokens for the others.
    */
   private serveWaitingRequests(): void {
-    const requests = this.waitingRequests;
-    this.waitingRequests = [];
-    // Tokens that requests before the current one wait for, by account.
-    const awaitedBefore = new Map<string, number>();
-    for (const request of requests) {
-      const {account, tokens} = request;
-      const awaited = awaitedBefore.get(account) ?? 0;
-      const outcome = this.tryReserve(request, awaited);
-      if (outcome === undefined) {
-        this.waitingRequests.push(request);
-        awaitedBefore.set(account, awaited + tokens);
-      } else {
-        const {shares} = this.pageOf(account);
-        shares.adjustAwaitedTokens(account, -tokens);
-        request.resolve(outcome);
-      }
+    const pages = new Set<BudgetPage>();
+    for (const account of this.queue.accounts()) {
+      this.completeRequests(account);
+      pages.add(this.pageOf(account));
     }
-    const pages = new Set(
-      this.waitingRequests.map(request => this.pageOf(request.account)),
-    );
     pages.forEach(page => this.readOrWriteIfDue(page));
   }
 
+  /** Serves the requests of an account if its share covers one of them. */
+  private serveIfCovered(account: string): void {
+    const requests = this.queue.of(account);
+    if (requests.length > 0) {
+      const available = this.availableTokens(account);
+      if (requests.some(({tokens}) => tokens <= available)) {
+        this.serveAccount(account);
+      }
+    }
+  }
+
+  private serveAccount(account: string): void {
+    this.completeRequests(account);
+    this.readOrWriteIfDue(this.pageOf(account));
+  }
+
   /**
-   * Reserves tokens for a waiting request or asks the peers for them. Returns
-   * undefined while the request must wait further.
-   * @param awaitedBefore tokens that earlier requests of the account wait for.
+   * Completes the requests of an account, in their order. Costs a look at each
+   * of them and at each entry of the page.
    */
-  private tryReserve(
-    request: WaitingRequest,
-    awaitedBefore: number,
-  ): ReservationOutcome | undefined {
-    const {account, tokens} = request;
+  private completeRequests(account: string): void {
+    const requests = this.queue.of(account);
+    if (requests.length === 0) {
+      return;
+    }
     const page = this.pageOf(account);
-    if (page.shares.reserve(account, tokens)) {
-      return ReservationOutcome.Reserved;
+    const {shares} = page;
+    const situation = this.situationOf(account, page);
+    const waiting: WaitingRequest[] = [];
+    const asking: WaitingRequest[] = [];
+    const served: Array<[WaitingRequest, ReservationOutcome]> = [];
+    let available = shares.availableTokens(account);
+    for (const request of requests) {
+      if (available >= request.tokens) {
+        shares.reserve(account, request.tokens);
+        available -= request.tokens;
+        served.push([request, ReservationOutcome.Reserved]);
+        continue;
+      }
+      const decision = this.decide(request, situation);
+      const outcome = OUTCOMES[decision];
+      if (outcome !== undefined) {
+        served.push([request, outcome]);
+        continue;
+      }
+      waiting.push(request);
+      if (decision === WaitDecision.AskPeers && request.mayAskPeers) {
+        asking.push(request);
+      }
     }
-    if (request.relayRefusal !== undefined) {
-      return request.relayRefusal;
+    this.queue.replace(account, waiting);
+    for (const [request, outcome] of served) {
+      this.complete(request, outcome, situation);
     }
+    this.askPeers(account, asking, available);
+  }
+
+  private decide(
+    request: WaitingRequest,
+    situation: Omit<WaitSituation, 'peersAskedSince'>,
+  ): WaitDecision {
+    if (request.isRefusedByRelay) {
+      return WaitDecision.Exhausted;
+    }
+    const {peersAskedSince, askedOfRelay} = request;
+    const awaitsRelay = askedOfRelay !== undefined;
+    return decideTokenWait(
+      {...request, awaitsRelay},
+      {...situation, peersAskedSince},
+    );
+  }
+
+  /** Ends the wait of a request. */
+  private complete(
+    request: WaitingRequest,
+    outcome: ReservationOutcome,
+    {reading: {granted}, readAt}: Omit<WaitSituation, 'peersAskedSince'>,
+  ): void {
+    const {account, tokens} = request;
+    this.pageOf(account).shares.adjustAwaitedTokens(account, -tokens);
+    if (outcome === ReservationOutcome.Exhausted) {
+      const provedAt = request.isRefusedByRelay
+        ? (this.relayReadAt.get(account) ?? -Infinity)
+        : readAt;
+      this.proofs.record(account, tokens, {granted, provedAt});
+    }
+    request.resolve(outcome);
+  }
+
+  private situationOf(
+    account: string,
+    page: BudgetPage,
+  ): Omit<WaitSituation, 'peersAskedSince'> {
+    const view = this.currentView();
+    const {now} = view;
+    return {
+      now,
+      reading: page.shares.reading(account, view),
+      readAt: now - page.ageAt(now),
+      isStoreFailing: page.isFailing(),
+    };
+  }
+
+  /** Asks the peers for what requests lack together, unless just asked. */
+  private askPeers(
+    account: string,
+    requests: readonly WaitingRequest[],
+    available: number,
+  ): void {
     const now = this.clock.now();
-    if (request.relayAsked && now - request.waitingSince < RELAY_WAIT) {
-      return undefined;
+    const askedAt = this.peersAskedAt.get(account) ?? -Infinity;
+    if (requests.length === 0 || now - askedAt < ASK_INTERVAL) {
+      return;
     }
-    const unclaimed = page.shares.unclaimedTokens(account, this.currentView());
-    const isHeld = page.shares.heldTokens(account) + unclaimed >= tokens;
-    const isCurrent = page.isCurrentAt(request.waitingSince, MAX_PAGE_AGE);
-    const storeHasTooFew = isCurrent && !isHeld;
-    const waitTime = now - request.waitingSince;
-    const isStoreSlow = waitTime >= STORE_WAIT;
-    if (
-      !request.peersAsked &&
-      (storeHasTooFew || page.isFailing() || isStoreSlow)
-    ) {
-      request.peersAsked = true;
-      const available = page.shares.availableTokens(account);
-      this.context.requestFromPeers(
-        account,
-        missingFor(tokens, available, awaitedBefore),
-      );
-      this.context.callAfter(PEER_WAIT + TIMER_TOLERANCE, () =>
-        this.serveWaitingRequests(),
-      );
+    this.peersAskedAt.set(account, now);
+    const wanted = requests.reduce((sum, {tokens}) => sum + tokens, 0);
+    this.context.requestFromPeers(account, wanted - Math.max(0, available));
+    for (const request of requests) {
+      request.peersAskedSince ??= now;
     }
-    if (storeHasTooFew && request.peersAsked && waitTime >= PEER_WAIT) {
-      return ReservationOutcome.Exhausted;
+  }
+
+  /** Asks the relay for tokens that a waiting request lacks. */
+  private askRelay(
+    request: WaitingRequest,
+    tokens: number,
+    prefetch: number,
+  ): void {
+    const {account, waitingSince, patience} = request;
+    const timeLeft = waitingSince + patience - this.clock.now();
+    const wait = Math.max(0, Math.floor(timeLeft * RELAY_ANSWER_FRACTION));
+    const isAsked = this.context.requestFromRelay(account, tokens, {
+      prefetch,
+      wait,
+    });
+    request.askedOfRelay = isAsked ? Math.ceil(tokens) : undefined;
+  }
+
+  /**
+   * Gives the relay what this instance holds of an account, and asks it for all
+   * that a request needs: pieces at several instances may cover it together.
+   */
+  private poolAtRelay(request: WaitingRequest): void {
+    const {account, tokens} = request;
+    const {shares} = this.pageOf(account);
+    const piece = Math.floor(shares.availableTokens(account));
+    if (piece > 0 && this.context.returnToRelay(account, piece)) {
+      shares.receiveFromPeer(account, -piece);
     }
-    return waitTime >= MAX_WAIT ? ReservationOutcome.Unavailable : undefined;
+    this.askRelay(request, tokens, 0);
   }
 
   private currentView(): ShareView {
     return {
       now: this.clock.now(),
       instances: this.context.drawingInstanceCount(),
+      drawers: this.context.supplierCount(),
       granted: account => this.context.grantedTokens(account),
     };
   }
@@ -570,6 +730,12 @@
   }
 }
 
+/** Outcomes of the decisions that end the wait of a request. */
+const OUTCOMES: Partial<Record<WaitDecision, ReservationOutcome>> = {
+  [WaitDecision.Exhausted]: ReservationOutcome.Exhausted,
+  [WaitDecision.Unavailable]: ReservationOutcome.Unavailable,
+};
+
 /**
  * Returns the tokens that a request lacks.
  * @param awaitedBefore tokens that earlier requests wait for; they get what is
--- a/packages/gateway/src/lib/budgets/token_exchange.ts
+++ b/packages/gateway/src/lib/budgets/token_exchange.ts
@@ -1,10 +1,15 @@
 /** Transfers of prepaid tokens between gateways. */
-import {randomSample} from '@citrontrestle/decisions';
+import {
+  MAX_MESH_INSTANCES,
+  MIN_PATIENCE,
+  randomSample,
+} from '@citrontrestle/decisions';
 import {ReservationOutcome} from './prepaid_budgets.js';
 import {PeerMessageKind} from '../fleet/peer_message.js';
 import type {PrepaidBudgets} from './prepaid_budgets.js';
 import type {PeerMessage} from '../fleet/peer_message.js';
 import type {PeerNetwork} from '../fleet/peer_network.js';
+import type {Clock, Millis} from '@citrontrestle/decisions';
 import type {Log} from '@citrontrestle/runtime';
 
 /** A peer's request for tokens of an account. */
@@ -13,20 +18,39 @@
 /** Maximum number of peers that are asked for the same tokens. */
 const MAX_PEERS_ASKED = 16;
 
+/** Maximum time for which a relay lets a follower wait for its answer. */
+const MAX_FOLLOWER_WAIT: Millis = 1_000;
+
+/** Highest age of a reading that is told; it stands for all higher ones. */
+const MAX_AGE: Millis = 3_600_000;
+
+/**
+ * Minimum time between two requests of a relay to its followers for what they
+ * hold unused of an account. Each costs a message to every follower.
+ */
+const COLLECT_INTERVAL: Millis = 250;
+
+/** Number of accounts whose last such request is remembered. */
+const MAX_COLLECTED_ACCOUNTS = 4_000;
+
 /**
  * Requests tokens from other gateways and answers their requests. Followers get
  * their tokens from their relay, which takes them from the store. Messages may
  * be lost, so a request may stay unanswered.
  */
 export class TokenExchange {
+  /** When the followers were last asked for tokens of each account. */
+  private readonly collectedAt = new Map<string, Millis>();
+
   constructor(
     private readonly budgets: PrepaidBudgets,
     private readonly peerNetwork: PeerNetwork,
+    private readonly clock: Clock,
     private readonly log: Log,
   ) {}
 
   /**
-   * Asks peers for tokens: a relay asks the other relays if it knows any, and
+   * Asks peers for tokens: a relay asks the other relays and its followers, and
    * any other instance asks a random selection of the live ones. Fractions are
    * rounded up.
    */
@@ -34,8 +58,9 @@
     const {peerNetwork} = this;
     const kind = PeerMessageKind.TokenRequest;
     const {followers, meshPeers} = peerNetwork.partners();
-    const isRelayWithMesh = followers.length > 0 && meshPeers.length > 0;
-    const recipients = isRelayWithMesh
+    const isRelay = followers.length > 0;
+    this.collectFromFollowers(account, tokens);
+    const recipients = isRelay
       ? meshPeers
       : randomSample(peerNetwork.livePeers(), MAX_PEERS_ASKED, Math.random);
     for (const [index, address] of recipients.entries()) {
@@ -63,12 +88,31 @@
       : this.peerNetwork.instanceCount();
   }
 
+  /**
+   * Returns how many instances take tokens from the store once each follower has
+   * a relay: all of a small fleet, and one of each zone of a large one. An
+   * instance that has lost its relay, or is to become one, counts like a relay.
+   */
+  supplierCount(): number {
+    const drawing = this.drawingInstanceCount();
+    if (drawing <= MAX_MESH_INSTANCES) {
+      return drawing;
+    }
+    const {members} = this.peerNetwork.fleetView();
+    return new Set(members.map(({zone}) => zone)).size;
+  }
+
   /**
    * Asks the relay for tokens. Fractions are rounded up.
-   * @param prefetch further tokens that are wanted for later requests.
+   * @param options.prefetch further tokens that are wanted for later requests.
+   * @param options.wait time within which the relay is to answer.
    * @returns whether there is a responsive relay to ask.
    */
-  requestFromRelay(account: string, tokens: number, prefetch: number): boolean {
+  requestFromRelay(
+    account: string,
+    tokens: number,
+    {prefetch, wait}: {prefetch: number; wait: Millis},
+  ): boolean {
     const {peerNetwork} = this;
     const relay = peerNetwork.responsiveRelay();
     if (relay === undefined) {
@@ -80,6 +124,7 @@
       tokens: Math.ceil(tokens),
       ahead: Math.ceil(prefetch),
       draw: true,
+      wait,
     });
     return true;
   }
@@ -126,24 +171,53 @@
    * gets what this instance can spare. If that is too little, `draw` is set and
    * the store is reachable, tokens are taken from the store as well.
    */
-  handleRequest(
-    requester: string,
-    {account, tokens, ahead, draw}: TokenRequest,
-  ): void {
+  handleRequest(requester: string, request: TokenRequest): void {
     const {budgets, peerNetwork} = this;
+    const {account, tokens, draw} = request;
     if (peerNetwork.partners().followers.includes(requester)) {
-      void this.supplyFollower(requester, account, tokens, ahead);
+      void this.supplyFollower(requester, request);
       return;
     }
     const given = budgets.giveToPeer(account, tokens);
     if (given > 0) {
       this.sendTokens(requester, account, given);
     }
+    if (given < tokens) {
+      this.collectFromFollowers(account, tokens - given);
+    }
     if (draw && given < tokens && budgets.reachesStore(account)) {
       void this.supplyFromStore(requester, account, tokens - given);
     }
   }
 
+  /**
+   * Asks all followers for tokens that they hold unused, unless they were just
+   * asked. What they send is kept here until somebody asks for it.
+   */
+  private collectFromFollowers(account: string, tokens: number): void {
+    const now = this.clock.now();
+    const collectedAt = this.collectedAt.get(account) ?? -Infinity;
+    const {followers} = this.peerNetwork.partners();
+    if (followers.length === 0 || now - collectedAt < COLLECT_INTERVAL) {
+      return;
+    }
+    this.collectedAt.delete(account);
+    this.collectedAt.set(account, now);
+    const [oldest] = this.collectedAt.keys();
+    if (this.collectedAt.size > MAX_COLLECTED_ACCOUNTS && oldest) {
+      this.collectedAt.delete(oldest);
+    }
+    for (const follower of followers) {
+      this.peerNetwork.send(follower, {
+        kind: PeerMessageKind.TokenRequest,
+        account,
+        tokens: Math.ceil(tokens),
+        ahead: 0,
+        draw: false,
+      });
+    }
+  }
+
   /** Takes tokens from the store for an instance that can't reach it. */
   private async supplyFromStore(
     requester: string,
@@ -163,15 +237,13 @@
   /** Sends a follower the tokens that it requested, or a refusal. */
   private async supplyFollower(
     follower: string,
-    account: string,
-    tokens: number,
-    prefetch: number,
+    {account, tokens, ahead, wait = MIN_PATIENCE}: TokenRequest,
   ): Promise<void> {
     const {budgets, peerNetwork} = this;
-    const mayAskPeers = true;
     const supplied = await budgets.supply(account, tokens, {
-      prefetch,
-      mayAskPeers,
+      prefetch: ahead,
+      mayAskPeers: true,
+      patience: Math.min(wait, MAX_FOLLOWER_WAIT),
     });
     if (supplied.given > 0) {
       this.sendTokens(follower, account, supplied.given);
@@ -179,7 +251,8 @@
     if (supplied.outcome !== ReservationOutcome.Reserved) {
       const exhausted = supplied.outcome === ReservationOutcome.Exhausted;
       const kind = PeerMessageKind.TokenRefusal;
-      peerNetwork.send(follower, {kind, account, tokens, exhausted});
+      const age = Math.round(Math.min(budgets.readingAge(account), MAX_AGE));
+      peerNetwork.send(follower, {kind, account, tokens, exhausted, age});
     }
   }
 
--- /dev/null
+++ b/packages/gateway/src/lib/budgets/token_queue.ts
@@ -0,0 +1,65 @@
+/** Requests that wait for tokens, by account, in the order of their arrival. */
+import type {ReservationOutcome} from './prepaid_budgets.js';
+import type {Millis, TokenWait} from '@citrontrestle/decisions';
+
+/** A request that waits for tokens. */
+export interface WaitingRequest extends Omit<TokenWait, 'awaitsRelay'> {
+  account: string;
+  /** Whether the relay and the peers may be asked for tokens. */
+  mayAskPeers: boolean;
+  /** Since when the peers have been asked; undefined if they were not. */
+  peersAskedSince: Millis | undefined;
+  /** Tokens for which the relay was asked and has not answered, if any. */
+  askedOfRelay: number | undefined;
+  /** Whether the relay has proved that the budget is exhausted. */
+  isRefusedByRelay: boolean;
+  resolve(outcome: ReservationOutcome): void;
+}
+
+/** Maximum number of requests that wait for tokens of one account, and of all. */
+const MAX_WAITING_OF_ACCOUNT = 1_000;
+const MAX_WAITING = 4_000;
+
+/** The waiting requests of one instance. */
+export class TokenQueue {
+  private readonly requests = new Map<string, WaitingRequest[]>();
+  private size = 0;
+
+  /** Whether a further request of an account must not wait. */
+  isFull(account: string): boolean {
+    const waiting = this.of(account).length;
+    return waiting >= MAX_WAITING_OF_ACCOUNT || this.size >= MAX_WAITING;
+  }
+
+  isEmpty(): boolean {
+    return this.size === 0;
+  }
+
+  /** Adds a request behind the others of its account. */
+  add(request: WaitingRequest): void {
+    const requests = this.requests.get(request.account) ?? [];
+    requests.push(request);
+    this.requests.set(request.account, requests);
+    this.size += 1;
+  }
+
+  /** Returns the accounts of which requests wait. */
+  accounts(): string[] {
+    return [...this.requests.keys()];
+  }
+
+  /** Returns the waiting requests of an account. */
+  of(account: string): readonly WaitingRequest[] {
+    return this.requests.get(account) ?? [];
+  }
+
+  /** Replaces the waiting requests of an account by those that wait further. */
+  replace(account: string, requests: WaitingRequest[]): void {
+    this.size += requests.length - this.of(account).length;
+    if (requests.length === 0) {
+      this.requests.delete(account);
+    } else {
+      this.requests.set(account, requests);
+    }
+  }
+}
--- a/packages/gateway/src/lib/fleet/peer_exchange.ts
+++ b/packages/gateway/src/lib/fleet/peer_exchange.ts
@@ -109,8 +109,11 @@
       this.dependencies.tokenExchange.handleRequest(from, message),
     [PeerMessageKind.TokenTransfer]: ({account, tokens}) =>
       this.dependencies.budgets.receiveFromPeer(account, tokens),
-    [PeerMessageKind.TokenRefusal]: ({account, tokens, exhausted}) =>
-      this.dependencies.budgets.recordRelayRefusal(account, tokens, exhausted),
+    [PeerMessageKind.TokenRefusal]: ({account, tokens, exhausted, age}) =>
+      this.dependencies.budgets.recordRelayRefusal(account, tokens, {
+        exhausted,
+        age,
+      }),
     [PeerMessageKind.SuspectReport]: (message, from) => {
       const {fingerprint, traits, upstream} = message;
       this.dependencies.crashWatch.recordCrash(
--- a/packages/gateway/src/lib/fleet/peer_message.ts
+++ b/packages/gateway/src/lib/fleet/peer_message.ts
@@ -185,6 +185,11 @@
     ahead: tokenCountSchema,
     /** Whether the receiver may take tokens from the store for the sender. */
     draw: z.boolean(),
+    /**
+     * Time in milliseconds within which a relay is to answer a follower; earlier
+     * versions state none.
+     */
+    wait: z.number().nonnegative().optional(),
   }),
   z.object({
     kind: z.literal(PeerMessageKind.TokenTransfer),
@@ -198,6 +203,11 @@
     tokens: tokenCountSchema,
     /** Whether the budget is exhausted; otherwise others may hold tokens. */
     exhausted: z.boolean(),
+    /**
+     * Age in milliseconds of the reading by which it was refused. Without it, as
+     * from earlier versions, `exhausted` is not proved.
+     */
+    age: z.number().nonnegative().optional(),
   }),
   z.object({
     kind: z.literal(PeerMessageKind.SuspectReport),
--- a/packages/gateway/src/lib/process/gateway.ts
+++ b/packages/gateway/src/lib/process/gateway.ts
@@ -197,8 +197,9 @@
         grantedTokens: account => this.routeTable.grantedTokens(account) ?? 0,
         budgetedAccounts: () => this.routeTable.budgetedAccounts(),
         drawingInstanceCount: () => this.tokenExchange.drawingInstanceCount(),
-        requestFromRelay: (account, tokens, prefetch) =>
-          this.tokenExchange.requestFromRelay(account, tokens, prefetch),
+        supplierCount: () => this.tokenExchange.supplierCount(),
+        requestFromRelay: (account, tokens, options) =>
+          this.tokenExchange.requestFromRelay(account, tokens, options),
         returnToRelay: (account, tokens) =>
           this.tokenExchange.returnToRelay(account, tokens),
         hasResponsiveRelay: () =>
@@ -251,7 +252,12 @@
     );
     this.streamRecords = this.createStreamRecords();
     this.streamTracker = this.createStreamTracker();
-    this.tokenExchange = new TokenExchange(this.budgets, this.peerNetwork, log);
+    this.tokenExchange = new TokenExchange(
+      this.budgets,
+      this.peerNetwork,
+      clock,
+      log,
+    );
     this.peerExchange = new PeerExchange({
       clock,
       log,
--- a/packages/gateway/src/lib/requests/forwarding_result.ts
+++ b/packages/gateway/src/lib/requests/forwarding_result.ts
@@ -22,6 +22,8 @@
   deliveredEvents: number;
   /** When the first byte was written; undefined if none was. */
   firstByteAt: Millis | undefined;
+  /** Time for which a refused request waited for tokens, if it did. */
+  waitedForTokens?: Millis | undefined;
 }
 
 /** Outcome of a request with a complete, successful upstream response. */
--- a/packages/gateway/src/lib/requests/refusal.ts
+++ b/packages/gateway/src/lib/requests/refusal.ts
@@ -64,7 +64,7 @@
   [RefusalReason.NoAccount]: {status: 401, retryAfter: undefined},
   [RefusalReason.AccountUnusable]: {status: 503, retryAfter: 5_000},
   [RefusalReason.BudgetExhausted]: {status: 402, retryAfter: undefined},
-  [RefusalReason.BudgetUnavailable]: {status: 503, retryAfter: 2_000},
+  [RefusalReason.BudgetUnavailable]: {status: 503, retryAfter: 500},
   [RefusalReason.NoUpstream]: {status: 503, retryAfter: 500},
   [RefusalReason.UnknownStream]: {status: 503, retryAfter: 1_000},
   [RefusalReason.Overloaded]: {status: 503, retryAfter: 500},
--- a/packages/gateway/src/lib/requests/request_recorder.ts
+++ b/packages/gateway/src/lib/requests/request_recorder.ts
@@ -5,6 +5,7 @@
 import type {ForwardingResult} from './forwarding_result.js';
 import type {GatewayMetrics} from '../process/gateway_metrics.js';
 import {RefusalReason} from './refusal.js';
+import {obtainableTokens} from '@citrontrestle/decisions';
 import type {Clock, Millis, RouteTable} from '@citrontrestle/decisions';
 import type {Log} from '@citrontrestle/runtime';
 
@@ -76,7 +77,7 @@
       available:
         account && Math.round(this.budgets.availableTokens(account.name)),
       untaken: account && this.budgets.untakenTokens(account.name),
-      takeable: this.takeableIfLacking(admitted, result),
+      ...this.refusalEvidence(admitted, result),
       version: this.routeTable.version(),
       wholeMs,
       firstMs,
@@ -84,17 +85,29 @@
   }
 
   /**
-   * Returns how many untaken tokens this instance may take, for a request that
-   * was refused for lack of tokens; undefined for others, which do not need it.
+   * Returns what shows that a refusal for lack of tokens is true; nothing for
+   * other results, which do not need it.
    */
-  private takeableIfLacking(
+  private refusalEvidence(
     {account}: AdmittedRequest,
-    {outcome}: ForwardingResult,
-  ): number | undefined {
-    const lacksTokens = TOKEN_REFUSALS.has(outcome);
-    return account !== undefined && lacksTokens
-      ? this.budgets.takeableTokens(account.name)
-      : undefined;
+    {outcome, waitedForTokens}: ForwardingResult,
+  ): Record<string, number | boolean | undefined> {
+    if (account === undefined || !TOKEN_REFUSALS.has(outcome)) {
+      return {};
+    }
+    const evidence = this.budgets.evidence(account.name);
+    return {
+      takeable: Math.round(evidence.takeable),
+      unclaimed: Math.round(evidence.unclaimed),
+      held: Math.round(evidence.heldHere),
+      heldByOthers: Math.round(evidence.heldByOthers),
+      reserved: Math.round(evidence.reservedHere),
+      knownUsed: Math.round(evidence.granted - obtainableTokens(evidence)),
+      readingAgeMs: roundedMillis(evidence.age),
+      supplied: evidence.isSupplied,
+      relayReadingAgeMs: roundedMillis(evidence.relayAge),
+      waitedMs: roundedMillis(waitedForTokens),
+    };
   }
 }
 
@@ -104,6 +117,10 @@
   RefusalReason.BudgetUnavailable,
 ]);
 
+function roundedMillis(time: Millis | undefined): Millis | undefined {
+  return time === undefined ? undefined : Math.round(time);
+}
+
 /** Returns the time from the arrival to `time` in whole milliseconds. */
 function timeSinceArrival(
   time: Millis | undefined,
--- a/packages/gateway/src/lib/requests/request_service.ts
+++ b/packages/gateway/src/lib/requests/request_service.ts
@@ -2,7 +2,7 @@
  * Serves requests: admits them, reserves prepaid tokens for them and forwards
  * them.
  */
-import {isResumableStream} from '@citrontrestle/decisions';
+import {isResumableStream, patienceFor} from '@citrontrestle/decisions';
 import {
   admit,
   deadlineOf,
@@ -21,7 +21,7 @@
 import type {RequestHandle, BufferedRequest} from './front_server.js';
 import type {RequestRecorder} from './request_recorder.js';
 import type {InstanceContext} from '../process/instance_context.js';
-import type {RouteTable} from '@citrontrestle/decisions';
+import type {Millis, RouteTable} from '@citrontrestle/decisions';
 
 /** What happens to a request while it is served. */
 interface ServingState {
@@ -184,14 +184,22 @@
   ): Promise<void> {
     const accountName = admitted.account?.name ?? '';
     const tokens = tokensToReserve(admitted);
-    const reservationOutcome = await this.budgets.reserve(accountName, tokens);
+    const startedAt = this.context.clock.now();
+    const reservationOutcome = await this.budgets.reserve(accountName, tokens, {
+      patience: patienceFor(
+        admitted.route.latencyTarget,
+        deadlineOf(admitted) - startedAt,
+      ),
+    });
     const {Reserved, Exhausted} = ReservationOutcome;
     if (reservationOutcome !== Reserved) {
       const {BudgetExhausted, BudgetUnavailable} = RefusalReason;
       const reason =
         reservationOutcome === Exhausted ? BudgetExhausted : BudgetUnavailable;
       if (!state.hasEnded) {
-        this.refuse(admitted, response, reason);
+        const waited = this.context.clock.now() - startedAt;
+        const retryDelay = this.budgets.retryDelay(accountName);
+        this.refuse(admitted, response, reason, {waited, retryDelay});
       }
       return;
     }
@@ -202,13 +210,18 @@
     startForwarding();
   }
 
-  /** Refuses an admitted request that has not been forwarded. */
+  /**
+   * Refuses an admitted request that has not been forwarded.
+   * @param tokenWait how long it waited for tokens, if it did, and when they may
+   *     be available.
+   */
   private refuse(
     admitted: AdmittedRequest,
     response: CallerResponse,
     reason: RefusalReason,
+    tokenWait?: {waited: Millis; retryDelay: Millis},
   ): void {
-    response.refuse(reason);
+    response.refuse(reason, tokenWait?.retryDelay);
     this.recorder.recordEnd(admitted, {
       outcome: reason,
       upstream: undefined,
@@ -217,6 +230,7 @@
       mayHaveRun: false,
       deliveredEvents: 0,
       firstByteAt: undefined,
+      waitedForTokens: tokenWait?.waited,
     });
   }
 
--- a/packages/gateway/src/test/budgets/prepaid_budgets_test.ts
+++ b/packages/gateway/src/test/budgets/prepaid_budgets_test.ts
@@ -42,6 +42,7 @@
       grantedTokens: () => 1_000_000,
       budgetedAccounts: () => [ACCOUNT],
       drawingInstanceCount: () => 1,
+      supplierCount: () => 1,
       hasResponsiveRelay: () => hasRelay,
       requestFromRelay: (_account, tokens) => {
         this.askedOfRelay.push(tokens);
