Fuzz: a request is refused for good only if nobody has the tokens

Cause: the fuzzer checked overspending only. Change: after a failed reservation the model judges by the reading of that instance and by what the others would give; the oracle knows what running processes hold and what the store's page leaves unclaimed. Two more planted bugs, forgotten-holders and stale-refusal. The older planted bugs must now be found by a message about overspending, as before this check existed.

--- a/packages/model/src/lib/prepaid_model.ts
+++ b/packages/model/src/lib/prepaid_model.ts
@@ -7,9 +7,12 @@
   applyUpdate,
   emptyPage,
   HeardTimes,
+  knownTaken,
   ManualClock,
   ManualMachineClock,
+  MAX_ENTRY_SILENCE,
   MAX_HISTORY_LOSS,
+  obtainableTokens,
   PrepaidShares,
   totalTaken,
   Witnesses,
@@ -53,6 +56,10 @@
   SingleStatement = 'single-statement',
   /** A copy of the page does not state the most that instances will take. */
   LostCeilings = 'lost-ceilings',
+  /** A refusal for good leaves out what others hold unused. */
+  ForgottenHolders = 'forgotten-holders',
+  /** A refusal for good relies on a page that is not the newest. */
+  StaleRefusal = 'stale-refusal',
 }
 
 /** Kinds of steps. */
@@ -263,6 +270,12 @@
   private readonly usedAtEnd = new Map<string, number>();
   /** Description of an entry that was closed with too few tokens. */
   private closedWithTooFew: string | undefined;
+  /** Description of a request that was refused for good without need. */
+  private untrueRefusal: string | undefined;
+  /** Revision of the page that each instance knows. */
+  private readonly knownRevisions = Array<number>(INSTANCE_COUNT).fill(0);
+  /** When each instance last wrote its entry and learned of it. */
+  private readonly confirmedAt = Array<Millis>(INSTANCE_COUNT).fill(0);
   /** Writes that the store may still execute. */
   private lateWrites: LateWrite[] = [];
   private runningRequests: RunningRequest[] = [];
@@ -328,6 +341,9 @@
     if (this.closedWithTooFew !== undefined) {
       return this.closedWithTooFew;
     }
+    if (this.untrueRefusal !== undefined) {
+      return this.untrueRefusal;
+    }
     const takenTokens = totalTaken(this.page, ACCOUNT, this.era);
     if (this.era === 1 && takenTokens > this.grantedTokens) {
       return `${takenTokens} tokens taken of ${this.grantedTokens} granted`;
@@ -401,6 +417,48 @@
     if (this.sharesOf(instance).reserve(ACCOUNT, tokens)) {
       const incarnation = this.incarnations[instance] ?? 0;
       this.runningRequests.push({instance, incarnation, tokens});
+    } else if (this.isProvedExhausted(instance, tokens)) {
+      this.checkRefusal(instance, tokens);
+    }
+  }
+
+  /**
+   * Whether the page of an instance is the newest one and proves, after all
+   * others have been asked, that nobody has the tokens of a request.
+   */
+  private isProvedExhausted(instance: number, tokens: number): boolean {
+    const isNewest =
+      this.knownRevisions[instance] === this.revision &&
+      this.knownEras[instance] === this.era;
+    const isStaleAllowed = this.plantedBug === PrepaidPlantedBug.StaleRefusal;
+    const reading = this.sharesOf(instance).reading(
+      ACCOUNT,
+      this.shareView(instance),
+    );
+    const isForgotten = this.plantedBug === PrepaidPlantedBug.ForgottenHolders;
+    const heldByOthers = isForgotten ? 0 : reading.heldByOthers;
+    const given = INSTANCES.filter(other => other !== instance)
+      .map(other => this.sharesOf(other).availableTokens(ACCOUNT))
+      .reduce((sum, available) => sum + Math.max(0, available), 0);
+    const obtainable = obtainableTokens({...reading, heldByOthers}) + given;
+    return (isNewest || isStaleAllowed) && obtainable < tokens;
+  }
+
+  /** Checks that running processes and the store have too few tokens. */
+  private checkRefusal(instance: number, tokens: number): void {
+    const now = this.clock.now();
+    const writers = INSTANCES.filter(
+      other =>
+        other === instance ||
+        now - (this.confirmedAt[other] ?? 0) <= MAX_ENTRY_SILENCE,
+    );
+    const held = writers
+      .map(other => this.sharesOf(other).heldTokens(ACCOUNT))
+      .reduce((sum, unused) => sum + Math.max(0, unused), 0);
+    const granted = this.knownGrants[instance] ?? 0;
+    const untaken = Math.max(0, granted - knownTaken(this.page, ACCOUNT));
+    if (untaken + held >= tokens) {
+      this.untrueRefusal = `${tokens} tokens refused for good, ${held} held and ${untaken} not taken`;
     }
   }
 
@@ -457,6 +515,9 @@
     const tookEffect = fate !== CallOutcome.Late && this.executeWrite(write);
     if (fate === CallOutcome.Served) {
       this.readPage(instance);
+      if (tookEffect) {
+        this.confirmedAt[instance] = this.clock.now();
+      }
     } else if (this.plantedBug === PrepaidPlantedBug.DiscardedReturn) {
       shares.discardWrite(write);
     } else if (
@@ -534,6 +595,7 @@
     const isBare = this.plantedBug === PrepaidPlantedBug.BareRevision;
     const era = isBare ? 1 : this.era;
     this.knownEras[instance] = era;
+    this.knownRevisions[instance] = revision;
     this.sharesOf(instance).recordPage({era, revision}, this.page);
   }
 
@@ -741,7 +803,8 @@
 
 /**
  * Applies random sequences of steps to the model and checks after each step that
- * the budget is not overspent.
+ * the budget is not overspent, and that requests are refused for good only if
+ * running processes and the store have too few tokens.
  * @param runs number of sequences to try.
  */
 export function fuzzPrepaid(
--- a/packages/model/src/test/prepaid_fuzz_test.ts
+++ b/packages/model/src/test/prepaid_fuzz_test.ts
@@ -1,6 +1,6 @@
 /**
- * Fuzzes shares of prepaid budgets: they never overspend, and the model detects
- * each planted bug.
+ * Fuzzes shares of prepaid budgets: they never overspend, requests are refused for
+ * good only if nobody has the tokens, and the model detects each planted bug.
  */
 import {expect} from 'chai';
 import {fuzzPrepaid, PrepaidPlantedBug} from '../lib/prepaid_model.js';
@@ -12,9 +12,17 @@
 /** Number of sequences within which seed 1 detects every planted bug. */
 const PLANTED_BUG_RUNS = 20_000;
 
+/** What the violation says; other bugs overspend the budget. */
+const VIOLATIONS: Partial<Record<PrepaidPlantedBug, RegExp>> = {
+  [PrepaidPlantedBug.ForgottenHolders]: /refused for good/,
+  [PrepaidPlantedBug.StaleRefusal]: /refused for good/,
+};
+
+const OVERSPENT = /tokens (taken of|consumed)/;
+
 describe('fuzzing shares of prepaid budgets', () => {
   for (const seed of SEEDS) {
-    it(`never overspends: seed ${seed}`, () => {
+    it(`never overspends, nor refuses for good without need: seed ${seed}`, () => {
       const {counterexample} = fuzzPrepaid(PrepaidPlantedBug.None, seed, RUNS);
       expect(counterexample).to.equal('');
     });
@@ -26,7 +34,7 @@
   for (const bug of plantedBugs) {
     it(`detects a planted bug: ${bug}`, () => {
       const {counterexample} = fuzzPrepaid(bug, 1, PLANTED_BUG_RUNS);
-      expect(counterexample).to.match(/taken|consumed/);
+      expect(counterexample).to.match(VIOLATIONS[bug] ?? OVERSPENT);
     });
   }
 });
