Ceilings: all that is left may be taken in a burst; ask another drawer each time

The only peer asked to draw was always the first one.

Change: ceilings state a relay's part of all that is left, not of half. What is taken stays covered by ceilings that the store has had for 10 s; if a process ends while the store goes back, more of the budget counts as spent. The peer that draws for another one is chosen at random each time.

--- a/packages/decisions/src/lib/budgets/share_policy.ts
+++ b/packages/decisions/src/lib/budgets/share_policy.ts
@@ -29,7 +29,8 @@
   /**
    * Fraction of the tokens that nobody holds that all instances together may
    * take beyond their demand within `MAX_HISTORY_LOSS`. That much counts as
-   * spent if all of them end while the store goes back to a copy.
+   * spent if all of them end while the store goes back to a copy. With less than
+   * 1, a burst after a calm time is refused tokens that nobody holds.
    */
   headroomFraction: number;
   /**
@@ -46,6 +47,6 @@
   maxHeldFraction: 0.4,
   lowBudgetTime: 20_000,
   idleFraction: 0.6,
-  headroomFraction: 0.5,
+  headroomFraction: 1,
   initialFraction: 1,
 };
--- a/packages/decisions/src/test/budgets/prepaid_shares_test.ts
+++ b/packages/decisions/src/test/budgets/prepaid_shares_test.ts
@@ -123,6 +123,22 @@
     expect(write?.change.get(ACCOUNT)).to.be.at.most(15 * REQUEST_TOKENS);
   });
 
+  it('may take its part of all that is left in a burst after a calm time', () => {
+    const clock = new ManualClock(100_000);
+    const shares = createShares(clock);
+    const granted = () => 60 * REQUEST_TOKENS;
+    const view = {now: clock.now(), instances: 4, granted};
+    const page = {...emptyPage(), isYoung: false};
+    shares.recordPage({era: 0, revision: 1}, page);
+    shares.reserve(ACCOUNT, 0);
+    const write = shares.planWrite([ACCOUNT], view);
+    shares.recordPage({era: 0, revision: 2}, write?.page ?? page);
+    clock.advance(10_000);
+    const untaken = shares.untakenTokens(ACCOUNT, view);
+    const takeable = shares.takeableTokens(ACCOUNT, view);
+    expect(takeable).to.be.at.least(untaken / view.instances);
+  });
+
   it('refills its share with the write for which requests wait', () => {
     const clock = new ManualClock(100_000);
     const shares = createShares(clock);
--- a/packages/gateway/src/lib/budgets/token_exchange.ts
+++ b/packages/gateway/src/lib/budgets/token_exchange.ts
@@ -63,10 +63,12 @@
     const recipients = isRelay
       ? meshPeers
       : randomSample(peerNetwork.livePeers(), MAX_PEERS_ASKED, Math.random);
+    const drawer = Math.floor(Math.random() * recipients.length);
     for (const [index, address] of recipients.entries()) {
       const wholeTokens = Math.ceil(tokens);
-      // Only one of them takes tokens from the store, if it can reach it.
-      const draw = index === 0;
+      // Only one of them takes tokens from the store, if it can reach it: another
+      // one each time, as some are at their ceilings.
+      const draw = index === drawer;
       peerNetwork.send(address, {
         kind,
         account,
