--- /dev/null
+++ b/packages/decisions/src/test/budgets/token_wait_test.ts
@@ -0,0 +1,84 @@
+/** How long requests wait for tokens, and what proves that there are none. */
+import {expect} from 'chai';
+import {
+  decideTokenWait,
+  patienceFor,
+  WaitDecision,
+} from '../../lib/budgets/token_wait.js';
+import type {WaitSituation} from '../../lib/budgets/token_wait.js';
+
+const PATIENCE_CASES = [
+  {name: 'no target', target: 0, timeLeft: 5_000, expected: 120},
+  {name: 'a target', target: 1_000, timeLeft: 5_000, expected: 500},
+  {name: 'a near deadline', target: 1_000, timeLeft: 70, expected: 70},
+  {name: 'a deadline that has passed', target: 400, timeLeft: -1, expected: 0},
+];
+
+describe('the time for which a request may wait for tokens', () => {
+  for (const {name, target, timeLeft, expected} of PATIENCE_CASES) {
+    it(`is ${expected} ms with ${name}`, () => {
+      expect(patienceFor(target, timeLeft)).to.equal(expected);
+    });
+  }
+});
+
+const WAIT = {
+  tokens: 100,
+  waitingSince: 10_000,
+  patience: 400,
+  awaitsRelay: false,
+};
+
+/** A spent budget whose page was just read, and whose peers were asked. */
+const SPENT: WaitSituation = {
+  now: 10_100,
+  reading: {
+    granted: 5_000,
+    unclaimed: 0,
+    heldHere: 60,
+    heldByOthers: 39,
+    reservedHere: 0,
+  },
+  readAt: 9_900,
+  isStoreFailing: false,
+  peersAskedSince: 10_000,
+};
+
+const {Exhausted, Unavailable, AskPeers, Wait} = WaitDecision;
+
+const DECISION_CASES = [
+  {name: 'nobody has the tokens', change: {}, expected: Exhausted},
+  {
+    name: 'the page is too old',
+    change: {readAt: 9_400},
+    expected: AskPeers,
+  },
+  {
+    name: 'the peers have not been asked long enough',
+    change: {peersAskedSince: 10_090},
+    expected: AskPeers,
+  },
+  {
+    name: 'all have them together',
+    change: {reading: {...SPENT.reading, heldByOthers: 40}},
+    expected: AskPeers,
+  },
+  {
+    name: 'the store has just been asked',
+    change: {now: 10_005, reading: {...SPENT.reading, unclaimed: 900}},
+    expected: Wait,
+  },
+  {
+    name: 'others had them until the end of its patience',
+    change: {now: 10_400, reading: {...SPENT.reading, heldByOthers: 40}},
+    expected: Unavailable,
+  },
+];
+
+describe('a request that waits for tokens', () => {
+  for (const {name, change, expected} of DECISION_CASES) {
+    it(`is to "${expected}" if ${name}`, () => {
+      expect(decideTokenWait(WAIT, {...SPENT, ...change})).to.equal(expected);
+    });
+  }
+});
--- a/packages/gateway/src/lib/budgets/prepaid_budgets.ts
+++ b/packages/gateway/src/lib/budgets/prepaid_budgets.ts
@@ -118,8 +118,8 @@
  */
 const RELAY_ANSWER_FRACTION = 0.8;
 
-/** When a caller whose budget is with an unreachable store should come back. */
-const STORE_RETRY_DELAY: Millis = 2_000;
+/** When a caller should come back whose tokens may be out of reach for longer. */
+const LONG_RETRY_DELAY: Millis = 2_000;
 
 /** When other callers that got no tokens in time should come back. */
 const USUAL_RETRY_DELAY: Millis = 700;
@@ -401,11 +401,18 @@
     }
   }
 
-  /** Returns when a caller that got no tokens in time should come back. */
-  retryDelay(account: string): Millis {
-    const isAway =
-      this.pageOf(account).isFailing() && !this.context.hasResponsiveRelay();
-    return isAway ? STORE_RETRY_DELAY : USUAL_RETRY_DELAY;
+  /**
+   * Returns when a caller that got no tokens in time should come back: later if
+   * the store is away, or if others hold them, of which some may have ended.
+   */
+  retryDelay(account: string, tokens: number): Millis {
+    if (this.context.hasResponsiveRelay()) {
+      return USUAL_RETRY_DELAY;
+    }
+    const page = this.pageOf(account);
+    const {reading} = this.situationOf(account, page);
+    const isNear = reading.unclaimed + reading.heldHere >= tokens;
+    return page.isFailing() || !isNear ? LONG_RETRY_DELAY : USUAL_RETRY_DELAY;
   }
 
   /** Returns the time since the store confirmed the page of an account. */
--- a/packages/gateway/src/lib/requests/request_service.ts
+++ b/packages/gateway/src/lib/requests/request_service.ts
@@ -198,7 +198,7 @@
         reservationOutcome === Exhausted ? BudgetExhausted : BudgetUnavailable;
       if (!state.hasEnded) {
         const waited = this.context.clock.now() - startedAt;
-        const retryDelay = this.budgets.retryDelay(accountName);
+        const retryDelay = this.budgets.retryDelay(accountName, tokens);
         this.refuse(admitted, response, reason, {waited, retryDelay});
       }
       return;
