--- a/packages/gateway/src/lib/requests/request_service.ts
+++ b/packages/gateway/src/lib/requests/request_service.ts
@@ -2,7 +2,7 @@
  * Serves requests: admits them, reserves prepaid tokens for them and forwards
  * them.
  */
-import {isResumableStream} from '@citrontrestle/decisions';
+import {isResumableStream, patienceFor} from '@citrontrestle/decisions';
 import {
   admit,
   deadlineOf,
@@ -225,14 +225,22 @@
   ): Promise<void> {
     const accountName = admitted.account?.name ?? '';
     const tokens = tokensToReserve(admitted);
-    const reservationOutcome = await this.budgets.reserve(accountName, tokens);
+    const startedAt = this.context.clock.now();
+    const reservationOutcome = await this.budgets.reserve(accountName, tokens, {
+      patience: patienceFor(
+        admitted.route.latencyTarget,
+        deadlineOf(admitted) - startedAt,
+      ),
+    });
     const {Reserved, Exhausted} = ReservationOutcome;
     if (reservationOutcome !== Reserved) {
       const {BudgetExhausted, BudgetUnavailable} = RefusalReason;
       const reason =
         reservationOutcome === Exhausted ? BudgetExhausted : BudgetUnavailable;
       if (!state.hasEnded) {
-        this.refuse(admitted, response, reason);
+        const waited = this.context.clock.now() - startedAt;
+        const retryDelay = this.budgets.retryDelay(accountName, tokens);
+        this.refuse(admitted, response, reason, {waited, retryDelay});
       }
       return;
     }
@@ -243,13 +251,18 @@
     startForwarding();
   }
 
-  /** Refuses an admitted request that has not been forwarded. */
+  /**
+   * Refuses an admitted request that has not been forwarded.
+   * @param tokenWait how long it waited for tokens, if it did, and when they may
+   *     be available.
+   */
   private refuse(
     admitted: AdmittedRequest,
     response: CallerResponse,
     reason: RefusalReason,
+    tokenWait?: {waited: Millis; retryDelay: Millis},
   ): void {
-    response.refuse(reason);
+    response.refuse(reason, tokenWait?.retryDelay);
     this.recorder.recordEnd(admitted, {
       outcome: reason,
       upstream: undefined,
@@ -258,6 +271,7 @@
       mayHaveRun: false,
       deliveredEvents: 0,
       firstByteAt: undefined,
+      waitedForTokens: tokenWait?.waited,
     });
   }
 
--- a/packages/gateway/src/test/requests/exception_guard_test.ts
+++ b/packages/gateway/src/test/requests/exception_guard_test.ts
@@ -125,6 +125,7 @@
         brittleWatch: stub({}, []),
         statementWatch: stub({}, []),
         evacuationWatch: stub({}, []),
+        coldWatch: stub({}, []),
         regions: stub({}),
         crashWatch: stub({}),
         repeatAllowance: stub({}),
--- a/packages/gateway/src/test/upstreams/candidates_test.ts
+++ b/packages/gateway/src/test/upstreams/candidates_test.ts
@@ -75,6 +75,7 @@
         },
         limitWatch: {withinLimits: pass},
         brittleWatch: {withRoom: pass},
+        coldWatch: {withinPermits: pass},
         statementWatch: {withoutResting: pass},
         evacuationWatch: {
           isAnyEvacuated: () => evacuated.length > 0,
