Place requests by the learned speed of each upstream

Cause: placement took the same speed of all upstreams of all services (100 prompt tokens a ms, 40 ms a queued request), did not read the work time that upstreams report and forgot what they really took. All instances compared all upstreams by a load that is late, so they chose the same one.

Change: `service_times.ts` learns the time of a service's answers over their work (a regression with a bounded influence of outliers), `upstream_speed.ts` the slowness of each upstream relative to its service, from the answers and the reported work time; evidence is a decaying sum, so that of all instances can be added. It travels as the optional field `speeds` of load messages, at most once a second, 64 upstreams at most, only those with news. `placement.ts` estimates the time to the first event with both, counts what an upstream reports as waiting with prompts of the usual length, and compares only the upstreams that are preferred for a shared part or hold some of it and four drawn at random; all if the best is full. Slow ones that did not answer for a second are measured by few requests. Urgency uses the expected reading time. `upstream.speed` is logged as an upstream turns slow or normal; `citrontrestle_slow_upstreams` counts them.

Prompts are stated to peers in nominal milliseconds as before, so instances of the build in production read the same load; they ignore `speeds`.

Tests: replays of 75 instances and 42 engines with views 200 and 400 ms late. `placement_test.ts` differs only by the random numbers that are handed in.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -53,6 +53,7 @@
 export * from './lib/upstreams/upstream_registry.js';
 export * from './lib/upstreams/upstream_rests.js';
 export * from './lib/upstreams/upstreams.js';
+export * from './lib/placement/upstream_speed.js';
 export * from './lib/placement/urgency.js';
 export * from './lib/admission/wait_queue.js';
 export * from './lib/budgets/wallet.js';
--- a/packages/decisions/src/lib/placement/placement.ts
+++ b/packages/decisions/src/lib/placement/placement.ts
@@ -1,10 +1,13 @@
 /**
- * Chooses an upstream for each request from the load of the upstreams and the
- * prompt parts that they are expected to have cached. Covers these load
- * patterns: many requests share a long prompt part; one prompt part becomes
- * popular; an upstream fails or becomes slow.
+ * Chooses an upstream for each request by the expected time to its first event:
+ * from the speed and the load of the upstreams, and the prompt parts that they
+ * are expected to have cached. Covers these load patterns: many requests share a
+ * long prompt part; one prompt part becomes popular; an upstream fails or becomes
+ * slow; many instances choose at once by what they knew a moment ago.
  */
-import {affinityRank} from './routing.js';
+import {affinityPrefix, affinityRankAfter} from './routing.js';
+import {ServiceTimes} from './service_times.js';
+import {UpstreamSpeeds} from './upstream_speed.js';
 import type {RunningRequests} from '../upstreams/brittle_upstreams.js';
 import type {Millis} from '../base/clock.js';
 import type {UpstreamListing} from '../upstreams/upstream_registry.js';
@@ -30,7 +33,10 @@
 export interface UpstreamLoad {
   /** Requests in flight. */
   running: number;
-  /** Total time to process the prompts of requests without a first token. */
+  /**
+   * Total nominal time to process the prompts of requests without a first
+   * token; see `estimatePrefillTime`.
+   */
   prefillTime: Millis;
 }
 
@@ -74,8 +80,14 @@
 /** Where a request was placed; needed to remove its load when it ends. */
 export interface PlacedRequest {
   upstream: UpstreamListing;
-  /** Expected time until the upstream has processed the prompt. */
+  /** Nominal time to process the prompt; see `estimatePrefillTime`. */
   prefillTime: Millis;
+  /** Expected time to process the prompt at the speed of this upstream. */
+  readingTime: Millis;
+  /** Nominal work up to the first event, that of other requests included. */
+  work: Millis;
+  /** Expected wait for a slot at an upstream of average speed. */
+  slotWait: Millis;
 }
 
 /** What this instance knows of one upstream. */
@@ -119,34 +131,61 @@
 /** One answer reduces the failure score by this much. */
 const SCORE_DROP_PER_ANSWER = 0.34;
 
-/** Prompt tokens that an engine processes in one millisecond. */
+/**
+ * Prompt tokens that a nominal engine processes in one millisecond. It is the
+ * unit in which instances state prompts to each other; what a service takes for
+ * a nominal millisecond is learned, see `ServiceTimes`.
+ */
 const PREFILL_TOKENS_PER_MS = 100;
 
 /**
- * Time that attention takes for one million pairs of a prompt token and a token
+ * Nominal time that attention takes for one million pairs of a prompt token and a token
  * before it. Because of it, the time for a prompt grows faster than its length.
  */
 const ATTENTION_COST_PER_MILLION_PAIRS: Millis = 0.2;
 
 const MILLION = 1e6;
 
-/** Delay caused by each request that runs at an engine. */
+/** Nominal work that each request that runs at an engine causes to others. */
 const ENGINE_REQUEST_COST: Millis = 0.5;
 
-/** Delay caused by each request that runs at any other upstream. */
-const PLAIN_REQUEST_COST: Millis = 3;
+/**
+ * Part of the time of a request for which another one is expected to wait if
+ * all slots but its own are in use: work shares the processors.
+ */
+const FULL_SLOTS_COST = 0.2;
 
-/** Delay caused by each request above the number of slots. */
-const QUEUED_REQUEST_COST: Millis = 40;
+/** Nominal work of a request without a prompt. */
+const PLAIN_WORK: Millis = 20;
 
-/** Delay added for an upstream in another zone. */
-const CROSS_ZONE_COST: Millis = 3;
+/** Part of the time without work by which that time is uncertain. */
+const BASE_TOLERANCE = 0.25;
+
+/** An answer counts as at most this much faster than expected. */
+const MIN_ANSWER_RATIO = 0.125;
+
+/** Time for which a request holds a slot; used until an answer has ended. */
+const INITIAL_WHOLE_TIME: Millis = 300;
+
+/** Time in which the weight of a reported work time falls to one half. */
+const WORK_TIME_HALF_LIFE: Millis = 200;
 
 /**
- * Weight of the request's own prompt processing in the cost: it also delays the
- * other requests that run at the engine.
+ * Upstreams of the own zone, and of all zones, that are drawn for a choice. What
+ * is known of the load is late, so instances that all compared all upstreams
+ * would choose the same one.
  */
-const PREFILL_WEIGHT = 2;
+const LOCAL_DRAWS = 2;
+const DRAWS = 2;
+
+/** Upstreams that are preferred for a shared prompt part, the first included. */
+const PREFERRED_UPSTREAMS = 2;
+
+/** Share of a request's time to the end that is a long wait for a slot. */
+const LONG_WAIT = 0.1;
+
+/** Delay added for an upstream in another zone. */
+const CROSS_ZONE_COST: Millis = 3;
 
 /**
  * Places requests at upstreams and tracks their load. The caller reports the
@@ -154,54 +193,186 @@
  */
 export class Placement {
   private readonly states = new Map<string, PlacementState>();
+  private readonly serviceTimes = new ServiceTimes();
+  /** How slow each upstream is; shared with the peers. */
+  readonly speeds = new UpstreamSpeeds();
+
+  /** @param random returns a uniformly distributed number in [0, 1). */
+  constructor(private readonly random: () => number) {}
 
   /**
-   * Returns the upstream with the lowest estimated cost, or undefined if all
-   * candidates are excluded. Upstreams in backoff are used only if there are no
-   * others. Records nothing: call `recordStart` once the request is sent.
+   * Returns the upstream with the lowest estimated cost of those compared, or
+   * undefined if all candidates are excluded. Compared are the upstreams that
+   * are preferred for the shared prompt part, those that have cached some of the
+   * prompt and a few drawn at random; all of them if the best is known to be
+   * full. Upstreams in backoff are used only if there are no others. Takes time
+   * linear in the candidates. Records nothing but probes: call `recordStart` once
+   * the request is sent.
    */
   choose(
     request: PlacementRequest,
     candidates: readonly UpstreamListing[],
     view: PlacementView,
   ): PlacedRequest | undefined {
-    const allowed = candidates.filter(
-      candidate => !view.excluded.has(candidate.id),
-    );
+    const eligible = this.eligible(candidates, view);
+    const preferred = preferredUpstreams(affinityKey(request), eligible);
+    const [first] = preferred;
+    const compared = new Set(preferred);
+    const firstPart = request.parts[0]?.id;
+    if (firstPart !== undefined) {
+      for (const upstream of eligible) {
+        if (this.states.get(upstream.id)?.partUsedAt.has(firstPart)) {
+          compared.add(upstream);
+        }
+      }
+    }
+    const local = eligible.filter(({zone}) => zone === view.zone);
+    this.draw(local, LOCAL_DRAWS, compared);
+    this.draw(eligible, DRAWS, compared);
+    const probed = this.speeds.chooseProbe(eligible, view.now, this.random);
+    if (probed !== undefined) {
+      return this.estimate(request, probed, false, view).placed;
+    }
+    const best = this.best(request, compared, first, view);
+    const isFull =
+      best !== undefined &&
+      best.slotWait > LONG_WAIT * this.wholeTime(best.upstream);
+    return isFull ? this.best(request, eligible, first, view) : best;
+  }
+
+  /** Returns the candidates that may be chosen. */
+  private eligible(
+    candidates: readonly UpstreamListing[],
+    {excluded, now}: PlacementView,
+  ): UpstreamListing[] {
+    const allowed = candidates.filter(({id}) => !excluded.has(id));
     const healthy = allowed.filter(
-      candidate => this.stateOf(candidate.id).backoffUntil <= view.now,
+      ({id}) => (this.states.get(id)?.backoffUntil ?? 0) <= now,
     );
-    const eligible = healthy.length > 0 ? healthy : allowed;
-    const key = affinityKey(request);
+    return healthy.length > 0 ? healthy : allowed;
+  }
+
+  /** Adds randomly drawn upstreams; all if there are few. */
+  private draw(
+    upstreams: readonly UpstreamListing[],
+    count: number,
+    drawn: Set<UpstreamListing>,
+  ): void {
+    const {length} = upstreams;
+    if (length <= count) {
+      upstreams.forEach(upstream => drawn.add(upstream));
+      return;
+    }
+    const start = Math.floor(this.random() * length);
+    for (let turn = 0; turn < count; turn++) {
+      // Each from a part of its own, so that hardly any is drawn twice.
+      const step = Math.floor((turn * length) / count);
+      const offset = Math.floor((this.random() * length) / count);
+      const upstream = upstreams[(start + step + offset) % length];
+      if (upstream !== undefined) {
+        drawn.add(upstream);
+      }
+    }
+  }
+
+  /** Returns the upstream with the lowest estimated cost. */
+  private best(
+    request: PlacementRequest,
+    compared: Iterable<UpstreamListing>,
+    preferred: UpstreamListing | undefined,
+    view: PlacementView,
+  ): PlacedRequest | undefined {
     let best: PlacedRequest | undefined;
     let bestCost = Infinity;
-    const ranks = eligible.map(upstream => affinityRank(key, upstream.id));
-    // All instances prefer the upstream that ranks highest for this key, so it
-    // is expected to have cached the shared parts even if this instance has sent
-    // it none of them.
-    const preferredIndex = key === '' ? -1 : ranks.indexOf(Math.max(...ranks));
-    for (const [index, upstream] of eligible.entries()) {
-      const uncachedTokens = this.uncachedTokens(
+    for (const upstream of compared) {
+      const isPreferred = upstream === preferred;
+      const {placed, cost} = this.estimate(
         request,
-        upstream.id,
-        view.now,
+        upstream,
+        isPreferred,
+        view,
       );
-      const maxUncachedTokens =
-        index === preferredIndex ? unsharedTokens(request) : Infinity;
-      const tokens = Math.min(uncachedTokens, maxUncachedTokens);
-      const prefillTime = estimatePrefillTime(tokens, request.promptTokens);
-      // Below 1 ms: it decides only between nearly equal costs.
-      const affinityBonus = (ranks[index] ?? 0) / 2 ** 32;
-      const cost =
-        this.estimatedCost(upstream, prefillTime, view) - affinityBonus;
       if (cost < bestCost) {
         bestCost = cost;
-        best = {upstream, prefillTime};
+        best = placed;
       }
     }
     return best;
   }
 
+  /**
+   * Estimates the delay of a request that is sent to an upstream now, with what
+   * it costs the others there.
+   * @param isPreferred whether all instances prefer it for the shared parts, so
+   *     that it is expected to have cached them even if this instance has sent
+   *     it none of them.
+   */
+  private estimate(
+    request: PlacementRequest,
+    upstream: UpstreamListing,
+    isPreferred: boolean,
+    view: PlacementView,
+  ): {placed: PlacedRequest; cost: Millis} {
+    const state = this.stateOf(upstream.id);
+    const load = this.estimatedLoad(state, upstream.service, view.now);
+    const uncachedTokens = this.uncachedTokens(request, state, view.now);
+    const tokens = isPreferred
+      ? Math.min(uncachedTokens, unsharedTokens(request))
+      : uncachedTokens;
+    const prefillTime = estimatePrefillTime(tokens, request.promptTokens);
+    const isEngineRequest = request.promptTokens > 0;
+    const work = isEngineRequest
+      ? prefillTime + load.prefillTime + load.running * ENGINE_REQUEST_COST
+      : PLAIN_WORK;
+    const wholeTime = this.wholeTime(upstream);
+    const slots = Math.max(1, upstream.slots);
+    const queued = Math.max(0, load.running + 1 - slots);
+    const slotWait = (queued * wholeTime) / slots;
+    const sharing = isEngineRequest
+      ? 0
+      : (FULL_SLOTS_COST * wholeTime * Math.min(load.running, slots)) / slots;
+    const {base, perWork} = this.serviceTimes.line(upstream.service);
+    const slowness =
+      this.speeds.slowness(upstream.id, view.now) *
+      this.currentDeviation(upstream.id, state, view.now);
+    const ownTime = perWork * prefillTime;
+    // The prompt delays the other requests of the engine as well as its own.
+    const time = perWork * work + slotWait + sharing + ownTime;
+    const zoneCost = upstream.zone === view.zone ? 0 : CROSS_ZONE_COST;
+    return {
+      placed: {
+        upstream,
+        prefillTime,
+        readingTime: slowness * ownTime,
+        work,
+        slotWait,
+      },
+      cost: base + slowness * time + zoneCost,
+    };
+  }
+
+  /**
+   * Factor by which work takes longer than usual at the moment, as the upstream
+   * reported last; nearer to 1 the older the report is.
+   */
+  private currentDeviation(
+    id: string,
+    {reportedLoad, reportedAt}: PlacementState,
+    now: Millis,
+  ): number {
+    const workTime = reportedLoad?.relativeWorkTime ?? 0;
+    if (!(workTime > 0) || now - reportedAt >= REPORT_TTL) {
+      return 1;
+    }
+    const weight = 0.5 ** (Math.max(0, now - reportedAt) / WORK_TIME_HALF_LIFE);
+    return this.speeds.deviation(id, workTime) ** weight;
+  }
+
+  /** Time for which a request holds a slot of an upstream of average speed. */
+  private wholeTime({service}: UpstreamListing): Millis {
+    return this.serviceTimes.wholeTime(service) ?? INITIAL_WHOLE_TIME;
+  }
+
   /** Adds a request to the load of its upstream. */
   recordStart(
     request: PlacementRequest,
@@ -211,6 +382,7 @@
     const state = this.stateOf(placed.upstream.id);
     state.ownLoad.running += 1;
     state.ownLoad.prefillTime += placed.prefillTime;
+    this.serviceTimes.recordStart(placed.upstream.service, placed.prefillTime);
     this.recordParts(state, request, now);
   }
 
@@ -220,6 +392,46 @@
     ownLoad.prefillTime = Math.max(0, ownLoad.prefillTime - placed.prefillTime);
   }
 
+  /**
+   * Learns from the time that an upstream took from the start of a request to
+   * the first event of its answer, or to the head of an answer without events.
+   */
+  recordFirstEventTime(
+    {upstream, prefillTime, work, slotWait}: PlacedRequest,
+    time: Millis,
+    now: Millis,
+  ): void {
+    const {base, perWork, certainty} = this.serviceTimes.line(upstream.service);
+    const expected = Math.max(1, perWork * work + slotWait);
+    const ownWork = prefillTime > 0 ? prefillTime : work;
+    // What others had placed there is known late, so it says less.
+    const ownPart = (perWork * ownWork) / (base + expected);
+    const tolerance = base * BASE_TOLERANCE;
+    const ratio = Math.max(
+      MIN_ANSWER_RATIO,
+      (time - base + tolerance) / (expected + tolerance),
+    );
+    const {reportedLoad, reportedAt} = this.stateOf(upstream.id);
+    const isReportNew = now - reportedAt < time;
+    this.speeds.recordAnswer(
+      upstream.id,
+      {
+        ratio,
+        weight: certainty * ownPart,
+        workTime: isReportNew ? reportedLoad?.relativeWorkTime : undefined,
+      },
+      now,
+    );
+    if (slotWait === 0) {
+      this.serviceTimes.recordFirstEvent(upstream.service, work, time);
+    }
+  }
+
+  /** Learns from the time from the start of a request to its answer's end. */
+  recordWholeTime({upstream}: PlacedRequest, time: Millis): void {
+    this.serviceTimes.recordEnd(upstream.service, time);
+  }
+
   /**
    * Removes a request from the load of its upstream and applies the outcome.
    * @param hadFirstToken whether `recordFirstToken` was called for it.
@@ -287,6 +499,7 @@
         this.states.delete(id);
       }
     }
+    this.speeds.prune(isListed);
   }
 
   /** Load of this instance and the counted peers, without idle upstreams. */
@@ -310,30 +523,22 @@
     return loads;
   }
 
-  /** Expected delay of a request that is sent to an upstream now. */
-  private estimatedCost(
-    upstream: UpstreamListing,
-    prefillTime: Millis,
-    view: PlacementView,
-  ): Millis {
-    const state = this.stateOf(upstream.id);
-    const load = this.estimatedLoad(state, view.now);
-    const prefillCost = PREFILL_WEIGHT * prefillTime + load.prefillTime;
-    const zoneCost = upstream.zone === view.zone ? 0 : CROSS_ZONE_COST;
-    const queueCost =
-      Math.max(0, load.running + 1 - upstream.slots) * QUEUED_REQUEST_COST;
-    const costPerRequest =
-      prefillTime > 0 ? ENGINE_REQUEST_COST : PLAIN_REQUEST_COST;
-    return prefillCost + load.running * costPerRequest + queueCost + zoneCost;
-  }
-
-  /** Load of all instances, with at least the reported number of requests. */
-  private estimatedLoad(state: PlacementState, now: Millis): UpstreamLoad {
+  /**
+   * Load of all instances, with at least the reported number of requests. Those
+   * that wait are taken to have prompts of the usual length.
+   */
+  private estimatedLoad(
+    state: PlacementState,
+    service: string,
+    now: Millis,
+  ): UpstreamLoad {
     const total = this.knownLoad(state, now);
     const {reportedLoad} = state;
     if (reportedLoad !== undefined && now - state.reportedAt < REPORT_TTL) {
-      const reportedRequests = reportedLoad.running + reportedLoad.waiting;
-      total.running = Math.max(total.running, reportedRequests);
+      const {running, waiting} = reportedLoad;
+      total.running = Math.max(total.running, running + waiting);
+      const waitingWork = waiting * this.serviceTimes.meanOwnWork(service);
+      total.prefillTime = Math.max(total.prefillTime, waitingWork);
     }
     return total;
   }
@@ -353,10 +558,9 @@
   /** Tokens of a prompt after the parts that an upstream has likely cached. */
   private uncachedTokens(
     request: PlacementRequest,
-    id: string,
+    {partUsedAt}: PlacementState,
     now: Millis,
   ): number {
-    const {partUsedAt} = this.stateOf(id);
     let cachedTokens = 0;
     for (const part of request.parts) {
       const usedAt = partUsedAt.get(part.id);
@@ -403,7 +607,10 @@
   }
 }
 
-/** Expected time to process the last `tokens` tokens of a prompt. */
+/**
+ * Nominal time to process the last `tokens` tokens of a prompt: that of an engine
+ * of a fixed speed, in which instances of all versions state their load.
+ */
 export function estimatePrefillTime(
   tokens: number,
   promptTokens: number,
@@ -413,6 +620,36 @@
   return tokens / PREFILL_TOKENS_PER_MS + attention;
 }
 
+/**
+ * Returns the upstreams that rank highest for a key, best first. All instances
+ * prefer the same ones.
+ */
+function preferredUpstreams(
+  key: string,
+  upstreams: readonly UpstreamListing[],
+): UpstreamListing[] {
+  const preferred: UpstreamListing[] = [];
+  const ranks: number[] = [];
+  if (key === '') {
+    return preferred;
+  }
+  const prefix = affinityPrefix(key);
+  for (const upstream of upstreams) {
+    const rank = affinityRankAfter(prefix, upstream.id);
+    let place = ranks.length;
+    while (place > 0 && rank > (ranks[place - 1] ?? 0)) {
+      place -= 1;
+    }
+    if (place < PREFERRED_UPSTREAMS) {
+      ranks.splice(place, 0, rank);
+      preferred.splice(place, 0, upstream);
+      ranks.length = Math.min(ranks.length, PREFERRED_UPSTREAMS);
+      preferred.length = Math.min(preferred.length, PREFERRED_UPSTREAMS);
+    }
+  }
+  return preferred;
+}
+
 /** Tokens of a prompt that no other request shares: those of its last part. */
 function unsharedTokens(request: PlacementRequest): number {
   const sharedParts = request.parts.slice(0, -1);
--- a/packages/decisions/src/lib/placement/routing.ts
+++ b/packages/decisions/src/lib/placement/routing.ts
@@ -149,14 +149,30 @@
  * identifier with the highest rank for a key.
  */
 export function affinityRank(key: string, id: string): number {
-  let hash = 0x811c9dc5;
-  for (const char of `${key}/${id}`) {
-    hash = Math.imul(hash ^ char.charCodeAt(0), 0x01000193) >>> 0;
-  }
+  return affinityRankAfter(affinityPrefix(key), id);
+}
+
+/** Hash of a key, from which its rank for many identifiers is determined. */
+export function affinityPrefix(key: string): number {
+  return hashed(hashed(0x811c9dc5, key), '/');
+}
+
+/** Rank of an identifier for the key that `prefix` is the hash of. */
+export function affinityRankAfter(prefix: number, id: string): number {
+  let hash = hashed(prefix, id);
   hash ^= hash >>> 15;
   return Math.imul(hash, 0x2c1b3c6d) >>> 0;
 }
 
+/** Continues an FNV-1a hash with the characters of a text. */
+function hashed(start: number, text: string): number {
+  let hash = start;
+  for (let index = 0; index < text.length; index++) {
+    hash = Math.imul(hash ^ text.charCodeAt(index), 0x01000193) >>> 0;
+  }
+  return hash;
+}
+
 /**
  * Expected time until the first token of a request that is sent now: network
  * latency, time in the queue, and processing that slows down with the load.
--- a/packages/decisions/src/test/placement/placement_test.ts
+++ b/packages/decisions/src/test/placement/placement_test.ts
@@ -5,6 +5,7 @@
   PlacementOutcome,
   estimatePrefillTime,
 } from '../../lib/placement/placement.js';
+import {randomNumbers} from './upstream_replay.js';
 import type {PlacementRequest} from '../../lib/placement/placement.js';
 import type {UpstreamListing} from '../../lib/upstreams/upstream_registry.js';
 
@@ -61,8 +62,18 @@
     const candidates = engines(8);
     for (let topic = 0; topic < 50; topic++) {
       const request = prompt(`topic ${topic}`, 'own');
-      const first = place(new Placement(), request, candidates, 0);
-      const second = place(new Placement(), request, candidates, 0);
+      const first = place(
+        new Placement(randomNumbers(1)),
+        request,
+        candidates,
+        0,
+      );
+      const second = place(
+        new Placement(randomNumbers(1)),
+        request,
+        candidates,
+        0,
+      );
       expect(first).to.equal(second);
     }
   });
@@ -70,14 +81,19 @@
   it('distributes topics over all engines', () => {
     const used = new Set(
       Array.from({length: 200}, (_, topic) =>
-        place(new Placement(), prompt(`t${topic}`, 'own'), engines(8), 0),
+        place(
+          new Placement(randomNumbers(1)),
+          prompt(`t${topic}`, 'own'),
+          engines(8),
+          0,
+        ),
       ),
     );
     expect(used.size).to.equal(8);
   });
 
   it('hot key: uses more engines for one topic once its engine has a queue', () => {
-    const placement = new Placement();
+    const placement = new Placement(randomNumbers(1));
     const used = new Set<string>();
     for (let count = 0; count < 40; count++) {
       used.add(place(placement, prompt('hot', `o${count}`), engines(8), 0));
@@ -86,7 +102,7 @@
   });
 
   it('shared parts: fewer than one request in ten misses the prompt cache', () => {
-    const placement = new Placement();
+    const placement = new Placement(randomNumbers(1));
     const candidates = engines(8);
     const seen = new Set<string>();
     let cacheMisses = 0;
@@ -111,9 +127,14 @@
   });
 
   it('includes the load that peers have placed', () => {
-    const placement = new Placement();
+    const placement = new Placement(randomNumbers(1));
     const candidates = engines(2);
-    const first = place(new Placement(), prompt('t', 'o'), candidates, 0);
+    const first = place(
+      new Placement(randomNumbers(1)),
+      prompt('t', 'o'),
+      candidates,
+      0,
+    );
     const load = new Map([[first, {running: 6, prefillTime: 2_000}]]);
     placement.setPeerLoad('peer', load, 0);
     const second = place(placement, prompt('t', 'o'), candidates, 0);
@@ -121,9 +142,14 @@
   });
 
   it('ignores the load of a peer that has sent no messages for a while', () => {
-    const placement = new Placement();
+    const placement = new Placement(randomNumbers(1));
     const candidates = engines(2);
-    const first = place(new Placement(), prompt('t', 'o'), candidates, 0);
+    const first = place(
+      new Placement(randomNumbers(1)),
+      prompt('t', 'o'),
+      candidates,
+      0,
+    );
     placement.setPeerLoad(
       'peer',
       new Map([[first, {running: 6, prefillTime: 2e3}]]),
@@ -135,7 +161,7 @@
   });
 
   it('failing upstream: backs off longer after each failure', () => {
-    const placement = new Placement();
+    const placement = new Placement(randomNumbers(1));
     const candidates = engines(2);
     const failing = 'e0';
     let now = 0;
@@ -159,7 +185,7 @@
   });
 
   it('uses an upstream in backoff if there is no other', () => {
-    const placement = new Placement();
+    const placement = new Placement(randomNumbers(1));
     const candidates = engines(1);
     const view = {now: 0, zone: 'north', excluded: NO_UPSTREAMS};
     const placed = placement.choose(PLAIN_REQUEST, candidates, view);
@@ -170,7 +196,7 @@
   });
 
   it('requests without a prompt: balances them over all upstreams', () => {
-    const placement = new Placement();
+    const placement = new Placement(randomNumbers(1));
     const candidates = engines(4);
     const counts = new Map<string, number>();
     for (let count = 0; count < 16; count++) {
--- a/packages/gateway/src/lib/fleet/peer_exchange.ts
+++ b/packages/gateway/src/lib/fleet/peer_exchange.ts
@@ -13,6 +13,7 @@
 import type {PeerMessage} from './peer_message.js';
 import type {PeerNetwork} from './peer_network.js';
 import type {SharedVerdicts} from '../crashes/shared_verdicts.js';
+import type {SpeedWatch, StatedSpeed} from '../upstreams/speed_watch.js';
 import type {StatementWatch} from '../upstreams/statement_watch.js';
 import type {StateSync} from './state_sync.js';
 import type {StreamTracker} from '../streams/stream_tracker.js';
@@ -54,6 +55,7 @@
   crashWatch: CrashWatch;
   limitWatch: LimitWatch;
   brittleWatch: BrittleWatch;
+  speedWatch: SpeedWatch;
   statementWatch: StatementWatch;
   sharedVerdicts: SharedVerdicts;
   streamTracker: StreamTracker;
@@ -215,6 +217,7 @@
   /** Forgets the load of a peer that is no longer a partner. */
   forgetPartner(address: string): void {
     this.sentLoads.delete(address);
+    this.dependencies.speedWatch.forgetPeer(address);
     this.dependencies.placement.setPeerLoad(
       address,
       new Map(),
@@ -228,17 +231,23 @@
    * instance and its followers; a follower gets all load but its own.
    */
   sendLoadPeriodically(): void {
-    const {placement, peerNetwork, clock} = this.dependencies;
+    const {placement, peerNetwork, clock, speedWatch} = this.dependencies;
+    speedWatch.beginRound();
     const {relay, followers, meshPeers} = peerNetwork.partners();
     const now = clock.now();
     const ownAndFollowerLoad = placement.loadIncludingPeers(followers, now);
     for (const address of relay === undefined ? meshPeers : [relay]) {
-      this.sendLoadIfChanged(address, ownAndFollowerLoad);
+      this.sendLoadIfChanged(
+        address,
+        ownAndFollowerLoad,
+        speedWatch.statementFor(address, peer => followers.includes(peer)),
+      );
     }
     for (const address of followers) {
       this.sendLoadIfChanged(
         address,
         placement.loadExcludingPeer(address, now),
+        speedWatch.statementFor(address, peer => peer !== address),
       );
     }
     const partnerCount = followers.length + meshPeers.length;
@@ -281,10 +290,14 @@
     }
   }
 
-  /** Sends a load if it has changed or is still to be repeated. */
+  /**
+   * Sends a load if it has changed, is still to be repeated or speeds of upstreams
+   * are to be told.
+   */
   private sendLoadIfChanged(
     address: string,
     load: ReadonlyMap<string, UpstreamLoad>,
+    speeds: StatedSpeed[] | undefined,
   ): void {
     const loads = [...load].map(
       ([id, {running, prefillTime}]): [string, number, number] => [
@@ -296,12 +309,15 @@
     const json = JSON.stringify(loads);
     const lastSent = this.sentLoads.get(address);
     const changed = json !== lastSent?.json;
-    if (changed || lastSent.repeatsLeft > 0) {
-      const repeatsLeft = changed ? LOAD_REPEATS : lastSent.repeatsLeft - 1;
+    if (changed || lastSent.repeatsLeft > 0 || speeds !== undefined) {
+      const repeatsLeft = changed
+        ? LOAD_REPEATS
+        : Math.max(0, lastSent.repeatsLeft - 1);
       this.sentLoads.set(address, {json, repeatsLeft});
       this.dependencies.peerNetwork.send(address, {
         kind: PeerMessageKind.Load,
         loads,
+        ...(speeds && {speeds}),
       });
     }
   }
@@ -338,6 +354,9 @@
       loads,
       this.dependencies.clock.now(),
     );
+    if (message.speeds !== undefined) {
+      this.dependencies.speedWatch.recordStatement(from, message.speeds);
+    }
   }
 
   /** Sends the configuration in force, if there is one. */
--- a/packages/gateway/src/lib/fleet/peer_message.ts
+++ b/packages/gateway/src/lib/fleet/peer_message.ts
@@ -43,6 +43,8 @@
 const MAX_TRAITS = 64;
 /** Maximum number of processes of one machine in a heartbeat. */
 const MAX_HEARD_PROCESSES = 64;
+/** Maximum number of upstreams whose speed a message may state. */
+const MAX_SPEEDS = 256;
 /** Maximum number of members in one heartbeat. */
 const MAX_MEMBERS = 2_000;
 
@@ -71,6 +73,15 @@
 /** A process and its newest time that was heard; see `HeardTime`. */
 const heardTimeSchema = z.object({holder: nameSchema, time: z.number()});
 
+/** An upstream with its recent sum and weight, and its usual ones. */
+const speedSchema = z.tuple([
+  nameSchema,
+  z.number(),
+  z.number(),
+  z.number(),
+  z.number(),
+]);
+
 /** An upstream's entry in the list; see `UpstreamListing`. */
 const listingSchema = z.object({
   id: nameSchema,
@@ -144,6 +155,12 @@
      * prompt processing time in milliseconds.
      */
     loads: z.array(z.tuple([nameSchema, z.number(), z.number()])),
+    /**
+     * What is known of the speed of some upstreams; see `SpeedEvidence`. Missing
+     * in most messages, and in those of earlier versions of the gateway, which
+     * ignore it; an odd value counts as missing.
+     */
+    speeds: z.array(speedSchema).max(MAX_SPEEDS).optional().catch(undefined),
   }),
   z.object({kind: z.literal(PeerMessageKind.ConfigurationRequest)}),
   z.object({
--- a/packages/gateway/src/lib/process/gateway.ts
+++ b/packages/gateway/src/lib/process/gateway.ts
@@ -19,6 +19,7 @@
   SystemMachineClock,
 } from '@citrontrestle/runtime';
 import {BrittleWatch} from '../upstreams/brittle_watch.js';
+import {SpeedWatch} from '../upstreams/speed_watch.js';
 import {BufferCollection, PROCESS_BUFFERS} from './buffer_collection.js';
 import {PrepaidBudgets} from '../budgets/prepaid_budgets.js';
 import {CrashWatch, partTraits} from '../crashes/crash_watch.js';
@@ -102,7 +103,7 @@
   private readonly clock: Clock = new MonotonicClock();
   private readonly routeTable = new RouteTable();
   private readonly upstreamRegistry = new UpstreamRegistry();
-  private readonly placement = new Placement();
+  private readonly placement = new Placement(Math.random);
   private readonly upstreamAgent = new UpstreamAgent();
   private readonly linkLoad: LinkLoad;
   private readonly reachability: ReachabilityWatch;
@@ -138,7 +139,11 @@
     // connects to peers; a restarted instance gets another one.
     const holder = `${instance}.${randomId(4)}`;
     store.setEraListener(this.createEraListener());
-    this.metrics = new GatewayMetrics(store, () => this.budgets.totals());
+    this.metrics = new GatewayMetrics(
+      store,
+      () => this.budgets.totals(),
+      () => this.placement.speeds.slowCount(),
+    );
     const timing = feedTiming(propagationBounds(settings));
     this.stateSync = new StateSync(
       this.routeTable,
@@ -264,6 +269,12 @@
       crashWatch: this.crashWatch,
       limitWatch: this.limitWatch,
       brittleWatch: this.brittleWatch,
+      speedWatch: new SpeedWatch(
+        this.placement.speeds,
+        this.upstreamRegistry,
+        clock,
+        log,
+      ),
       statementWatch: this.statementWatch,
       sharedVerdicts: this.sharedVerdicts,
       streamTracker: this.streamTracker,
--- a/packages/gateway/src/lib/process/gateway_metrics.ts
+++ b/packages/gateway/src/lib/process/gateway_metrics.ts
@@ -20,8 +20,15 @@
   private readonly timeToFirstByte: Histogram;
   private readonly server: Server;
 
-  /** @param budgetTotals returns the prepaid tokens of this process. */
-  constructor(store: Store, budgetTotals: () => TokenTotals) {
+  /**
+   * @param budgetTotals returns the prepaid tokens of this process.
+   * @param slowCount returns the number of upstreams that are slow.
+   */
+  constructor(
+    store: Store,
+    budgetTotals: () => TokenTotals,
+    slowCount: () => number,
+  ) {
     const registers = [this.registry];
     this.requests = new Counter({
       name: 'citrontrestle_requests_total',
@@ -65,6 +72,14 @@
         }
       },
     });
+    const slowUpstreams = new Gauge({
+      name: 'citrontrestle_slow_upstreams',
+      help: 'Upstreams that take twice as long as the mean of their service',
+      registers,
+      collect: () => {
+        slowUpstreams.set(slowCount());
+      },
+    });
     this.server = createServer((_incoming, response) => {
       void this.registry.metrics().then(text => {
         response.writeHead(200, {'Content-Type': this.registry.contentType});
--- a/packages/gateway/src/lib/requests/forwarding.ts
+++ b/packages/gateway/src/lib/requests/forwarding.ts
@@ -307,11 +307,11 @@
   }
 
   /** Returns the request's urgency at a model engine; undefined elsewhere. */
-  private urgency({prefillTime}: PlacedRequest): number | undefined {
+  private urgency({readingTime}: PlacedRequest): number | undefined {
     const {latencyTarget} = this.request.route;
     const isEngineRequest = this.placementRequest.promptTokens > 0;
     return isEngineRequest
-      ? urgencyOf({prefillTime, latencyTarget})
+      ? urgencyOf({prefillTime: readingTime, latencyTarget})
       : undefined;
   }
 
@@ -409,6 +409,12 @@
         now,
       );
     }
+    if (
+      this.placementRequest.promptTokens === 0 &&
+      receivedHead.status < MIN_ERROR_STATUS
+    ) {
+      this.recordFirstEventTime();
+    }
     if (!this.responseRelay.mayFollow()) {
       const {status, mediaType} = receivedHead;
       this.call?.cancel();
@@ -483,6 +489,21 @@
     if (isFirstEvent && this.placed !== undefined) {
       this.hasFirstToken = true;
       this.context.placement.recordFirstToken(this.placed);
+      if (this.placementRequest.promptTokens > 0) {
+        this.recordFirstEventTime();
+      }
+    }
+  }
+
+  /**
+   * Tells placement how long the upstream took to the first event of a prompt's
+   * answer, or to the head of any other. A peer in between takes time as well.
+   */
+  private recordFirstEventTime(): void {
+    if (this.placed !== undefined && this.path?.proxy === undefined) {
+      const now = this.context.clock.now();
+      const time = now - this.attemptStartedAt;
+      this.context.placement.recordFirstEventTime(this.placed, time, now);
     }
   }
 
@@ -727,6 +748,10 @@
         this.hasFirstToken,
         now,
       );
+      if (outcome === PlacementOutcome.Answered) {
+        const time = now - this.attemptStartedAt;
+        this.context.placement.recordWholeTime(placed, time);
+      }
       this.placed = undefined;
     }
   }
