--- a/packages/decisions/src/lib/placement/placement.ts
+++ b/packages/decisions/src/lib/placement/placement.ts
@@ -84,6 +84,8 @@
   prefillTime: Millis;
   /** Expected time to process the prompt at the speed of this upstream. */
   readingTime: Millis;
+  /** Expected time to the first event, or to the head of a plain answer. */
+  expectedTime: Millis;
   /** Nominal work up to the first event, that of other requests included. */
   work: Millis;
   /** Expected wait for a slot at an upstream of average speed. */
@@ -344,6 +346,7 @@
         upstream,
         prefillTime,
         readingTime: slowness * ownTime,
+        expectedTime: base + slowness * (time - ownTime),
         work,
         slotWait,
       },
--- a/packages/gateway/src/lib/requests/forwarding.ts
+++ b/packages/gateway/src/lib/requests/forwarding.ts
@@ -239,6 +239,7 @@
     this.result.attempts += 1;
     this.result.upstream = placed.upstream.id;
     this.result.upstreamVersion = placed.upstream.version;
+    this.result.expectedFirst = placed.expectedTime;
     context.placement.recordStart(this.placementRequest, placed, now);
     context.limitWatch.recordSent(placed.upstream.id);
     this.attemptStartedAt = now;
--- a/packages/gateway/src/lib/requests/forwarding_result.ts
+++ b/packages/gateway/src/lib/requests/forwarding_result.ts
@@ -15,6 +15,11 @@
   upstream: string | undefined;
   /** Version of that upstream's software. */
   upstreamVersion: string | undefined;
+  /**
+   * Time from the last attempt to the first event that placement expected;
+   * undefined if there was no attempt.
+   */
+  expectedFirst?: Millis;
   attempts: number;
   /** Whether an upstream may have begun to run the request. */
   mayHaveRun: boolean;
--- a/packages/gateway/src/lib/requests/request_recorder.ts
+++ b/packages/gateway/src/lib/requests/request_recorder.ts
@@ -67,6 +67,7 @@
       upstreamVersion: result.upstreamVersion,
       resumes: callerRequest.resumedRequestId,
       lastEventId: callerRequest.lastEventId,
+      expectedMs: result.expectedFirst && Math.round(result.expectedFirst),
       attempts: result.attempts,
       mayHaveRun: result.mayHaveRun,
       events: result.deliveredEvents,
