Count what reading a prompt costs the requests that come meanwhile

Change: the reading of a prompt counts with what it costs the others: those that come meanwhile, and each running one a little.

--- a/packages/decisions/src/lib/placement/placement.ts
+++ b/packages/decisions/src/lib/placement/placement.ts
@@ -157,6 +157,15 @@
  */
 const FULL_SLOTS_COST = 0.2;
 
+/**
+ * Requests that come while a prompt is read and wait for it, in a choice: an
+ * engine that reads what another one holds has that much less time for others.
+ */
+const LATER_REQUESTS_DELAYED = 2;
+
+/** Part of the time of reading a prompt by which each running request waits. */
+const DELAY_PER_RUNNING = 0.15;
+
 /** Nominal work of a request without a prompt. */
 const PLAIN_WORK: Millis = 20;
 
@@ -338,19 +347,20 @@
       this.speeds.slowness(upstream.id, view.now) *
       this.currentDeviation(upstream.id, state, view.now);
     const ownTime = perWork * prefillTime;
-    // The prompt delays the other requests of the engine as well as its own.
-    const time = perWork * work + slotWait + sharing + ownTime;
+    const costToOthers =
+      ownTime * (LATER_REQUESTS_DELAYED + DELAY_PER_RUNNING * load.running);
+    const time = perWork * work + slotWait + sharing;
     const zoneCost = upstream.zone === view.zone ? 0 : CROSS_ZONE_COST;
     return {
       placed: {
         upstream,
         prefillTime,
         readingTime: slowness * ownTime,
-        expectedTime: base + slowness * (time - ownTime),
+        expectedTime: base + slowness * time,
         work,
         slotWait,
       },
-      cost: base + slowness * time + zoneCost,
+      cost: base + slowness * (time + costToOthers) + zoneCost,
     };
   }
 
