--- a/packages/gateway/src/lib/fleet/peer_exchange.ts
+++ b/packages/gateway/src/lib/fleet/peer_exchange.ts
@@ -15,6 +15,7 @@
 import type {PeerMessage} from './peer_message.js';
 import type {PeerNetwork} from './peer_network.js';
 import type {SharedVerdicts} from '../crashes/shared_verdicts.js';
+import type {SpeedWatch, StatedSpeed} from '../upstreams/speed_watch.js';
 import type {StatementWatch} from '../upstreams/statement_watch.js';
 import type {StateSync} from './state_sync.js';
 import type {StreamTracker} from '../streams/stream_tracker.js';
@@ -58,6 +59,7 @@
   limitWatch: LimitWatch;
   brittleWatch: BrittleWatch;
   coldWatch: ColdWatch;
+  speedWatch: SpeedWatch;
   statementWatch: StatementWatch;
   sharedVerdicts: SharedVerdicts;
   streamTracker: StreamTracker;
@@ -253,6 +255,7 @@
   /** Forgets the load of a peer that is no longer a partner. */
   forgetPartner(address: string): void {
     this.sentLoads.delete(address);
+    this.dependencies.speedWatch.forgetPeer(address);
     this.dependencies.placement.setPeerLoad(
       address,
       new Map(),
@@ -266,17 +269,23 @@
    * instance and its followers; a follower gets all load but its own.
    */
   sendLoadPeriodically(): void {
-    const {placement, peerNetwork, clock} = this.dependencies;
+    const {placement, peerNetwork, clock, speedWatch} = this.dependencies;
+    speedWatch.beginRound();
     const {relay, followers, meshPeers} = peerNetwork.partners();
     const now = clock.now();
     const ownAndFollowerLoad = placement.loadIncludingPeers(followers, now);
     for (const address of relay === undefined ? meshPeers : [relay]) {
-      this.sendLoadIfChanged(address, ownAndFollowerLoad);
+      this.sendLoadIfChanged(
+        address,
+        ownAndFollowerLoad,
+        speedWatch.statementFor(address, {included: followers}),
+      );
     }
     for (const address of followers) {
       this.sendLoadIfChanged(
         address,
         placement.loadExcludingPeer(address, now),
+        speedWatch.statementFor(address, {excluded: address}),
       );
     }
     const partnerCount = followers.length + meshPeers.length;
@@ -319,10 +328,14 @@
     }
   }
 
-  /** Sends a load if it has changed or is still to be repeated. */
+  /**
+   * Sends a load if it has changed, is still to be repeated or speeds of upstreams
+   * are to be told.
+   */
   private sendLoadIfChanged(
     address: string,
     load: ReadonlyMap<string, UpstreamLoad>,
+    speeds: StatedSpeed[] | undefined,
   ): void {
     const loads = [...load].map(
       ([id, {running, prefillTime}]): [string, number, number] => [
@@ -334,12 +347,15 @@
     const json = JSON.stringify(loads);
     const lastSent = this.sentLoads.get(address);
     const changed = json !== lastSent?.json;
-    if (changed || lastSent.repeatsLeft > 0) {
-      const repeatsLeft = changed ? LOAD_REPEATS : lastSent.repeatsLeft - 1;
+    if (changed || lastSent.repeatsLeft > 0 || speeds !== undefined) {
+      const repeatsLeft = changed
+        ? LOAD_REPEATS
+        : Math.max(0, lastSent.repeatsLeft - 1);
       this.sentLoads.set(address, {json, repeatsLeft});
       this.dependencies.peerNetwork.send(address, {
         kind: PeerMessageKind.Load,
         loads,
+        ...(speeds && {speeds}),
       });
     }
   }
@@ -391,6 +407,9 @@
       loads,
       this.dependencies.clock.now(),
     );
+    if (message.speeds !== undefined) {
+      this.dependencies.speedWatch.recordStatement(from, message.speeds);
+    }
   }
 
   /** Sends the configuration in force, if there is one. */
--- a/packages/gateway/src/lib/process/gateway.ts
+++ b/packages/gateway/src/lib/process/gateway.ts
@@ -21,6 +21,7 @@
   SystemMachineClock,
 } from '@citrontrestle/runtime';
 import {BrittleWatch} from '../upstreams/brittle_watch.js';
+import {SpeedWatch} from '../upstreams/speed_watch.js';
 import {BufferCollection, PROCESS_BUFFERS} from './buffer_collection.js';
 import {PrepaidBudgets} from '../budgets/prepaid_budgets.js';
 import {ColdWatch} from '../upstreams/cold_watch.js';
@@ -106,7 +107,7 @@
   private readonly clock: Clock = new MonotonicClock();
   private readonly routeTable = new RouteTable();
   private readonly upstreamRegistry = new UpstreamRegistry();
-  private readonly placement = new Placement();
+  private readonly placement = new Placement(Math.random);
   private readonly upstreamAgent = new UpstreamAgent();
   private readonly linkLoad: LinkLoad;
   private readonly reachability: ReachabilityWatch;
@@ -144,11 +145,11 @@
     // connects to peers; a restarted instance gets another one.
     const holder = `${instance}.${randomId(4)}`;
     store.setEraListener(this.createEraListener());
-    this.metrics = new GatewayMetrics(
-      store,
-      () => this.budgets.totals(),
-      () => this.coldWatch.coldCounts(),
-    );
+    this.metrics = new GatewayMetrics(store, {
+      budgetTotals: () => this.budgets.totals(),
+      coldCounts: () => this.coldWatch.coldCounts(),
+      slowCount: () => this.placement.speeds.slowCount(),
+    });
     this.evacuationWatch = this.createEvacuationWatch();
     const timing = feedTiming(propagationBounds(settings));
     this.stateSync = new StateSync(
@@ -289,6 +290,12 @@
       limitWatch: this.limitWatch,
       brittleWatch: this.brittleWatch,
       coldWatch: this.coldWatch,
+      speedWatch: new SpeedWatch(
+        this.placement.speeds,
+        this.upstreamRegistry,
+        clock,
+        log,
+      ),
       statementWatch: this.statementWatch,
       sharedVerdicts: this.sharedVerdicts,
       streamTracker: this.streamTracker,
--- a/packages/gateway/src/lib/process/gateway_metrics.ts
+++ b/packages/gateway/src/lib/process/gateway_metrics.ts
@@ -22,6 +22,16 @@
 /** Label of all other zones; no zone has an empty name. */
 const OTHER_ZONES_LABEL = '';
 
+/** What the metrics read when they are collected. */
+export interface MetricSources {
+  /** Returns the prepaid tokens of this process. */
+  budgetTotals(): TokenTotals;
+  /** Returns the number of cold upstreams by service. */
+  coldCounts(): ReadonlyMap<string, number>;
+  /** Returns the number of upstreams that are slow. */
+  slowCount(): number;
+}
+
 /** Counts the requests of one gateway and its calls to the store. */
 export class GatewayMetrics {
   private readonly registry = new Registry();
@@ -35,14 +45,9 @@
   private readonly heldBack: Counter;
   private readonly server: Server;
 
-  /**
-   * @param budgetTotals returns the prepaid tokens of this process.
-   * @param coldCounts returns the number of cold upstreams by service.
-   */
   constructor(
     store: Store,
-    budgetTotals: () => TokenTotals,
-    coldCounts: () => ReadonlyMap<string, number>,
+    {budgetTotals, coldCounts, slowCount}: MetricSources,
   ) {
     const registers = [this.registry];
     this.requests = new Counter({
@@ -116,6 +121,14 @@
         }
       },
     });
+    const slowUpstreams = new Gauge({
+      name: 'citrontrestle_slow_upstreams',
+      help: 'Upstreams that take twice as long as the mean of their service',
+      registers,
+      collect: () => {
+        slowUpstreams.set(slowCount());
+      },
+    });
     this.server = createServer((_incoming, response) => {
       void this.registry.metrics().then(text => {
         response.writeHead(200, {'Content-Type': this.registry.contentType});
