Ask and wait for tokens only as long as it can help

Followers asked 16 peers every 30 ms, relays collected four times a second, and all waited on for tokens of ended processes.

Change: peers are asked for 80 ms, by a follower once; collections are a second apart; waiting requests are looked at every 20 ms. If the store has too few tokens and the peers gave none in that time, a request is told to come back at once; only for what the store has does it wait further. A follower ends with its relay's dated refusal of either kind.

--- a/packages/decisions/src/lib/budgets/token_wait.ts
+++ b/packages/decisions/src/lib/budgets/token_wait.ts
@@ -96,6 +96,12 @@
   }
   const isHere = reading.unclaimed + reading.heldHere >= tokens;
   const isTooFew = isReadingNew(wait, situation) && !isHere;
+  const {peersAskedSince = now} = situation;
+  if (now - peersAskedSince >= PROOF_WAIT) {
+    // The peers have given what they can. Only what the store has, and may not be
+    // taken yet, is worth waiting for.
+    return isTooFew ? WaitDecision.Unavailable : WaitDecision.Wait;
+  }
   return isTooFew || isStoreFailing || elapsed >= STORE_WAIT
     ? WaitDecision.AskPeers
     : WaitDecision.Wait;
--- a/packages/gateway/src/lib/budgets/prepaid_budgets.ts
+++ b/packages/gateway/src/lib/budgets/prepaid_budgets.ts
@@ -107,7 +107,7 @@
 const ROUTINE_WRITE_INTERVAL: Millis = 1_200;
 
 /** Interval at which waiting requests are looked at. */
-const WAIT_CHECK_INTERVAL: Millis = 10;
+const WAIT_CHECK_INTERVAL: Millis = 20;
 
 /** Minimum time between two requests to the peers for tokens of an account. */
 const ASK_INTERVAL: Millis = 30;
@@ -270,7 +270,7 @@
         mayAskPeers,
         peersAskedSince: undefined,
         askedOfRelay: undefined,
-        isRefusedByRelay: false,
+        relayRefusal: undefined,
         resolve,
       };
       this.queue.add(request);
@@ -347,10 +347,13 @@
       return;
     }
     request.askedOfRelay = undefined;
-    if (exhausted && age !== undefined) {
+    if (age !== undefined) {
       this.relayReadAt.set(account, this.clock.now() - age);
-      request.isRefusedByRelay = tokens >= request.tokens;
-      if (!request.isRefusedByRelay) {
+      if (!exhausted) {
+        request.relayRefusal = WaitDecision.Unavailable;
+      } else if (tokens >= request.tokens) {
+        request.relayRefusal = WaitDecision.Exhausted;
+      } else {
         this.poolAtRelay(request);
       }
     }
@@ -601,6 +604,7 @@
     const situation = this.situationOf(account, page);
     const waiting: WaitingRequest[] = [];
     const asking: WaitingRequest[] = [];
+    const isSupplied = this.context.hasResponsiveRelay();
     const served: Array<[WaitingRequest, ReservationOutcome]> = [];
     let available = shares.availableTokens(account);
     for (const request of requests) {
@@ -617,7 +621,12 @@
         continue;
       }
       waiting.push(request);
-      if (decision === WaitDecision.AskPeers && request.mayAskPeers) {
+      // A follower asks its peers once, since it relies on its relay: many of
+      // them ask at the same time when a budget is at its end.
+      const mayAsk =
+        request.mayAskPeers &&
+        !(isSupplied && request.peersAskedSince !== undefined);
+      if (decision === WaitDecision.AskPeers && mayAsk) {
         asking.push(request);
       }
     }
@@ -632,8 +641,8 @@
     request: WaitingRequest,
     situation: Omit<WaitSituation, 'peersAskedSince'>,
   ): WaitDecision {
-    if (request.isRefusedByRelay) {
-      return WaitDecision.Exhausted;
+    if (request.relayRefusal !== undefined) {
+      return request.relayRefusal;
     }
     const {peersAskedSince, askedOfRelay} = request;
     const awaitsRelay = askedOfRelay !== undefined;
@@ -652,9 +661,10 @@
     const {account, tokens} = request;
     this.pageOf(account).shares.adjustAwaitedTokens(account, -tokens);
     if (outcome === ReservationOutcome.Exhausted) {
-      const provedAt = request.isRefusedByRelay
-        ? (this.relayReadAt.get(account) ?? -Infinity)
-        : readAt;
+      const provedAt =
+        request.relayRefusal !== undefined
+          ? (this.relayReadAt.get(account) ?? -Infinity)
+          : readAt;
       this.proofs.record(account, tokens, {granted, provedAt});
     }
     request.resolve(outcome);
--- a/packages/gateway/src/lib/budgets/token_exchange.ts
+++ b/packages/gateway/src/lib/budgets/token_exchange.ts
@@ -28,7 +28,7 @@
  * Minimum time between two requests of a relay to its followers for what they
  * hold unused of an account. Each costs a message to every follower.
  */
-const COLLECT_INTERVAL: Millis = 250;
+const COLLECT_INTERVAL: Millis = 1_000;
 
 /** Number of accounts whose last such request is remembered. */
 const MAX_COLLECTED_ACCOUNTS = 4_000;
--- a/packages/gateway/src/lib/budgets/token_queue.ts
+++ b/packages/gateway/src/lib/budgets/token_queue.ts
@@ -1,6 +1,6 @@
 /** Requests that wait for tokens, by account, in the order of their arrival. */
 import type {ReservationOutcome} from './prepaid_budgets.js';
-import type {Millis, TokenWait} from '@citrontrestle/decisions';
+import type {Millis, TokenWait, WaitDecision} from '@citrontrestle/decisions';
 
 /** A request that waits for tokens. */
 export interface WaitingRequest extends Omit<TokenWait, 'awaitsRelay'> {
@@ -11,8 +11,8 @@
   peersAskedSince: Millis | undefined;
   /** Tokens for which the relay was asked and has not answered, if any. */
   askedOfRelay: number | undefined;
-  /** Whether the relay has proved that the budget is exhausted. */
-  isRefusedByRelay: boolean;
+  /** How the relay has finally refused it; undefined if it has not. */
+  relayRefusal: WaitDecision | undefined;
   resolve(outcome: ReservationOutcome): void;
 }
 
--- a/packages/gateway/src/test/budgets/true_refusals_test.ts
+++ b/packages/gateway/src/test/budgets/true_refusals_test.ts
@@ -214,11 +214,19 @@
   });
 
   it('comes after the patience of the request', async () => {
+    scene.others = {taken: 3_000, used: 3_000};
+    scene.budgets.start();
+    const {outcome, waited} = await scene.refusalOf(6_000, 400);
+    expect(outcome).to.equal(Unavailable);
+    expect(waited).to.be.within(390, 430);
+  });
+
+  it('comes sooner if others hold the tokens and give none', async () => {
     scene.others = {taken: GRANTED, used: 0};
     scene.budgets.start();
     const {outcome, waited} = await scene.refusalOf(600, 400);
     expect(outcome).to.equal(Unavailable);
-    expect(waited).to.be.within(390, 430);
+    expect(waited).to.be.within(80, 150);
   });
 
   it('is at once for more requests than may wait', async () => {
