--- a/packages/decisions/src/lib/admission/link_load.ts
+++ b/packages/decisions/src/lib/admission/link_load.ts
@@ -3,16 +3,17 @@
  * large account are sent to one small instance: each request then waits for the
  * link behind the others, while other instances of the zone are idle.
  */
+import {SlidingSum} from '../base/sliding_sum.js';
 import type {Millis} from '../base/clock.js';
 
 /** Time over which traffic is averaged. */
 const AVERAGING_WINDOW: Millis = 1_000;
 
-/** Time covered by one bucket of the average. */
-const BUCKET_LENGTH: Millis = 100;
+/** Time over which traffic is averaged where a burst must show at once. */
+const SHORT_WINDOW: Millis = 200;
 
 /** Utilisation above which callers are asked to connect to other instances. */
-const BUSY_UTILISATION = 0.5;
+export const BUSY_UTILISATION = 0.5;
 
 /** Utilisation above which large bodies wait, so that other requests have room. */
 const CROWDED_UTILISATION = 0.4;
@@ -27,7 +28,7 @@
  * Utilisation above which requests are refused, because other instances serve
  * them sooner.
  */
-const SATURATED_UTILISATION = 0.85;
+export const SATURATED_UTILISATION = 0.85;
 
 /**
  * Minimum time for which a machine stays busy after its utilisation was above
@@ -40,32 +41,25 @@
 /** Bits per millisecond at 1 Mbit/s. */
 const BITS_PER_MS_PER_MBPS = 1_000;
 
-/** Bytes transferred during one bucket. */
-interface Bucket {
-  startedAt: Millis;
-  received: number;
-  sent: number;
-}
-
 /**
  * Utilisation of one machine's link by requests; other traffic is not counted.
  */
 export class LinkLoad {
-  private buckets: Bucket[] = [];
+  private readonly received = new SlidingSum(AVERAGING_WINDOW);
+  private readonly receivedJustNow = new SlidingSum(SHORT_WINDOW);
+  private readonly sent = new SlidingSum(AVERAGING_WINDOW);
   private lastBusyAt: Millis | undefined;
+  /** Highest utilisation since the machine became busy; 0 if it is not. */
+  private busyPeak = 0;
 
   /** @param mbps bandwidth of the link in each direction, in Mbit/s. */
   constructor(private readonly mbps: number) {}
 
   /** Records bytes transferred over the link. */
   recordBytes(received: number, sent: number, now: Millis): void {
-    let bucket = this.buckets.at(-1);
-    if (bucket === undefined || now - bucket.startedAt >= BUCKET_LENGTH) {
-      bucket = {startedAt: now, received: 0, sent: 0};
-      this.buckets.push(bucket);
-    }
-    bucket.received += received;
-    bucket.sent += sent;
+    this.received.add(received, now);
+    this.receivedJustNow.add(received, now);
+    this.sent.add(sent, now);
   }
 
   /** Whether large bodies are to leave room on the link for other requests. */
@@ -75,16 +69,38 @@
 
   /** Returns the used fraction of the link in its busier direction. */
   utilisation(now: Millis): number {
-    this.buckets = this.buckets.filter(
-      bucket => now - bucket.startedAt < AVERAGING_WINDOW,
-    );
-    const received = this.buckets.reduce(
-      (sum, bucket) => sum + bucket.received,
-      0,
-    );
-    const sent = this.buckets.reduce((sum, bucket) => sum + bucket.sent, 0);
-    const bits = Math.max(received, sent) * BITS_PER_BYTE;
-    return bits / (this.mbps * BITS_PER_MS_PER_MBPS * AVERAGING_WINDOW);
+    const bytes = Math.max(this.received.total(now), this.sent.total(now));
+    return this.transferTime(bytes) / AVERAGING_WINDOW;
+  }
+
+  /** Returns the fraction of the link used by what was received just now. */
+  receivedRate(now: Millis): number {
+    return this.transferTime(this.receivedJustNow.total(now)) / SHORT_WINDOW;
+  }
+
+  /** Returns the time for which a number of bytes occupies the link. */
+  transferTime(bytes: number): Millis {
+    return (bytes * BITS_PER_BYTE) / (this.mbps * BITS_PER_MS_PER_MBPS);
+  }
+
+  /**
+   * Returns by how much a number of bytes, sent or received now, raises the
+   * utilisation.
+   */
+  utilisationOf(bytes: number): number {
+    return this.transferTime(bytes) / AVERAGING_WINDOW;
+  }
+
+  /**
+   * Returns the time until the utilisation is at most `target`, if as much
+   * traffic ends in each part of the window as in the others and no new one
+   * begins.
+   */
+  timeUntil(target: number, now: Millis): Millis {
+    const utilisation = this.utilisation(now);
+    return utilisation <= target
+      ? 0
+      : AVERAGING_WINDOW * (1 - target / utilisation);
   }
 
   /**
@@ -95,6 +111,7 @@
     const utilisation = this.utilisation(now);
     if (utilisation > BUSY_UTILISATION) {
       this.lastBusyAt = now;
+      this.busyPeak = Math.max(this.busyPeak, utilisation);
     } else if (
       utilisation < BUSY_END_UTILISATION &&
       this.lastBusyAt !== undefined
@@ -102,9 +119,20 @@
       const holdExpired = now - this.lastBusyAt >= BUSY_HOLD_TIME;
       this.lastBusyAt = holdExpired ? undefined : this.lastBusyAt;
     }
+    if (this.lastBusyAt === undefined) {
+      this.busyPeak = 0;
+    }
     return this.lastBusyAt !== undefined;
   }
 
+  /**
+   * Returns what other instances are told: the highest utilisation since the
+   * machine became busy, else the current one.
+   */
+  reportedUtilisation(now: Millis): number {
+    return this.isBusy(now) ? this.busyPeak : this.utilisation(now);
+  }
+
   /** Whether a request that arrives now would wait long for the link. */
   isSaturated(now: Millis): boolean {
     return this.utilisation(now) > SATURATED_UTILISATION;
--- /dev/null
+++ b/packages/decisions/src/lib/admission/readiness.ts
@@ -0,0 +1,65 @@
+/**
+ * Whether an instance with a busy link takes new connections. It matters when
+ * the callers of one account fill the links of a few small instances: the load
+ * balancer moves them to others once the instance says that it is not ready. An
+ * instance is not ready only while its zone has room, while it is among the
+ * fullest, and for a small part of the time, so that the callers that wander
+ * don't turn one instance after the other away.
+ */
+import {hasZoneRoom} from './zone_links.js';
+import type {ZoneLinks} from './zone_links.js';
+import type {Millis} from '../base/clock.js';
+
+/** Longest time for which an instance is not ready without a break. */
+export const MAX_UNREADY_TIME: Millis = 10_000;
+
+/** Time that an instance may be not ready, for each unit of time it is ready. */
+const UNREADY_PER_READY_TIME = 1 / 8;
+
+/** Saved time from which an instance may be not ready again. */
+const MIN_SAVED_TIME: Millis = 2_500;
+
+/** The state of an instance's link and of those of its zone. */
+export interface LinkState {
+  /** Whether callers should connect to other instances; see `LinkLoad`. */
+  isBusy: boolean;
+  /** Utilisation as it is reported to the other instances. */
+  utilisation: number;
+  /** The links of the zone; undefined if they are not known. */
+  zone: ZoneLinks | undefined;
+}
+
+/** Decides whether an instance is ready, as far as its link goes. */
+export class Readiness {
+  private isReadyNow = true;
+  /** Time for which the instance may still be not ready. */
+  private saved: Millis = MAX_UNREADY_TIME;
+  private updatedAt: Millis | undefined;
+
+  /** Whether the instance was ready at the last update. */
+  isReady(): boolean {
+    return this.isReadyNow;
+  }
+
+  /** Updates the decision and returns whether the instance is ready. */
+  update(link: LinkState, now: Millis): boolean {
+    const elapsed = now - (this.updatedAt ?? now);
+    this.updatedAt = now;
+    const saved = this.isReadyNow
+      ? this.saved + elapsed * UNREADY_PER_READY_TIME
+      : this.saved - elapsed;
+    this.saved = Math.max(0, Math.min(MAX_UNREADY_TIME, saved));
+    const needed = this.isReadyNow ? MIN_SAVED_TIME : 0;
+    const hasTime = this.saved > needed;
+    this.isReadyNow = !(hasTime && mayBeUnready(link));
+    return this.isReadyNow;
+  }
+}
+
+/** Whether callers are served better by other instances of the zone. */
+function mayBeUnready({isBusy, utilisation, zone}: LinkState): boolean {
+  if (zone === undefined) {
+    return isBusy;
+  }
+  return isBusy && hasZoneRoom(zone) && utilisation >= zone.unreadyFrom;
+}
--- /dev/null
+++ b/packages/decisions/src/lib/admission/return_times.ts
@@ -0,0 +1,95 @@
+/**
+ * When refused callers are to return. It matters when many are refused at once:
+ * callers that are all told the same short time return together, find no room
+ * again, and have then used up their retries. Each is told a time of its own, in
+ * the order in which room is expected, the most important first.
+ *
+ * Cost of a decision: one pass over the levels of priority. Memory: one time per
+ * level and resource; nothing is exchanged between instances.
+ */
+import type {Millis} from '../base/clock.js';
+
+/** When there will be room for requests that are refused now. */
+export interface RoomForecast {
+  /** Time until there is room for the first one. */
+  wait: Millis;
+  /** Time from then on until there is room for one more. */
+  interval: Millis;
+}
+
+/** A caller that is refused. */
+export interface RefusedCaller {
+  /** Rank of the request; 0 is served first. */
+  priority: number;
+  /** Time until the deadline of the request. */
+  remainingTime: Millis;
+}
+
+/** Number of priorities that are told apart; lower ones count as the last. */
+const LEVELS = 8;
+
+/** Longest delay that is told, however many callers have been told one. */
+export const MAX_RETURN_DELAY: Millis = 5_000;
+
+/** Shortest delay that is told. */
+const MIN_RETURN_DELAY: Millis = 10;
+
+/** Fraction of the remaining time up to which callers honour a delay. */
+const HONOURED_FRACTION = 1 / 3;
+
+/** Part of an interval over which callers are spread at random. */
+const SPREAD = 0.5;
+
+/** Time over which callers that find room elsewhere at once are spread. */
+const ELSEWHERE_SPREAD: Millis = 20;
+
+/** The times told to the callers that one resource refused. */
+export class ReturnTimes {
+  /** For each level, when there is room for one more caller of it. */
+  private readonly nextAt: Millis[] = Array.from({length: LEVELS}, () => 0);
+
+  /**
+   * Returns after which delay a caller is to return, and counts it as told.
+   * @param random uniformly distributed in [0, 1).
+   */
+  tell(
+    {priority, remainingTime}: RefusedCaller,
+    {wait, interval}: RoomForecast,
+    now: Millis,
+    random: number,
+  ): Millis {
+    const level = levelOf(priority);
+    const latest = now + MAX_RETURN_DELAY;
+    const at = Math.min(latest, Math.max(now + wait, this.nextAt[level] ?? 0));
+    // The room goes to this caller, so the less important ones return later.
+    for (let other = level; other < LEVELS; other++) {
+      const next = Math.max(at, this.nextAt[other] ?? 0) + interval;
+      this.nextAt[other] = Math.min(latest, next);
+    }
+    const delay = at - now + random * SPREAD * interval;
+    return withinHonoured(delay, remainingTime);
+  }
+}
+
+/**
+ * Returns the delay for a caller whose next attempt finds room at another
+ * instance.
+ * @param random uniformly distributed in [0, 1).
+ */
+export function returnElsewhere(
+  {remainingTime}: RefusedCaller,
+  random: number,
+): Millis {
+  const delay = MIN_RETURN_DELAY + random * ELSEWHERE_SPREAD;
+  return withinHonoured(delay, remainingTime);
+}
+
+function withinHonoured(delay: Millis, remainingTime: Millis): Millis {
+  const longest = Math.max(0, remainingTime) * HONOURED_FRACTION;
+  return Math.max(MIN_RETURN_DELAY, Math.min(delay, longest));
+}
+
+function levelOf(priority: number): number {
+  const whole = Number.isFinite(priority) ? Math.round(priority) : LEVELS;
+  return Math.max(0, Math.min(LEVELS - 1, whole));
+}
--- /dev/null
+++ b/packages/decisions/src/lib/admission/zone_links.ts
@@ -0,0 +1,62 @@
+/**
+ * How full the links of a zone's instances are, and which of them may ask the
+ * load balancer for no new connections. It matters when several instances are
+ * full at once: if each decided alone, the callers of one would fill the next,
+ * and in the end none would take connections.
+ *
+ * Each instance reports its utilisation in its heartbeats; in a large fleet the
+ * zone's relay sends the summary back in its own. That is two numbers in a
+ * heartbeat to a relay and three in one from it, so the traffic grows linearly
+ * with the fleet. A summary costs one sort of the zone's instances.
+ */
+
+/** The links of a zone, as one instance knows them. */
+export interface ZoneLinks {
+  /** Number of instances that are known. */
+  size: number;
+  /** Mean utilisation of their links. */
+  use: number;
+  /**
+   * Utilisation from which an instance may be not ready; so many reach it as
+   * may be not ready together.
+   */
+  unreadyFrom: number;
+}
+
+/** Fraction of a zone's instances that may be not ready together. */
+const MAX_UNREADY_FRACTION = 1 / 4;
+
+/** Utilisation that no instance reaches. */
+const NEVER = 1_000_000;
+
+/** Mean utilisation above which the zone as a whole has no room. */
+const FULL_ZONE_UTILISATION = 0.5;
+
+/** Returns how many instances of a zone may be not ready together. */
+export function maxUnready(size: number): number {
+  const isSpared = size >= 2;
+  return isSpared ? Math.max(1, Math.floor(size * MAX_UNREADY_FRACTION)) : 0;
+}
+
+/** Summarises the utilisation of all links of a zone, the own one included. */
+export function summariseLinks(utilisations: readonly number[]): ZoneLinks {
+  const size = utilisations.length;
+  const total = utilisations.reduce((sum, use) => sum + use, 0);
+  const heaviest = [...utilisations].sort((a, b) => b - a);
+  const allowed = maxUnready(size);
+  const last = heaviest[allowed - 1];
+  // With equal ones beyond the last that is allowed, all of these stay ready.
+  const isTied = last === heaviest[allowed];
+  const above = heaviest.filter(use => last !== undefined && use > last);
+  const from = isTied ? above.at(-1) : last;
+  return {
+    size,
+    use: size === 0 ? 0 : total / size,
+    unreadyFrom: from ?? NEVER,
+  };
+}
+
+/** Whether the other instances of the zone have room for more callers. */
+export function hasZoneRoom({size, use}: ZoneLinks): boolean {
+  return size >= 2 && use < FULL_ZONE_UTILISATION;
+}
