Refuse requests on their head and connections for moments while a link is full

The rest of a body was read before the refusal, and after it, and the caller was told to return after 20 ms whatever the load.

Change: the front server asks before it reads a body; a refused body is left unread for 200 ms, so that a caller that reads the answer stops sending. The listener is closed while the gate is; open connections stay. Bytes count as they arrive, so that refused ones count. Retry-After of machine-busy, no-upstream and overloaded comes from the expected time to room.

A request whose body has been read is no longer refused for the link: it has been paid for.

--- a/packages/gateway/src/lib/fleet/peer_message.ts
+++ b/packages/gateway/src/lib/fleet/peer_message.ts
@@ -43,11 +43,14 @@
 const MAX_TRAITS = 64;
 /** Maximum number of processes of one machine in a heartbeat. */
 const MAX_HEARD_PROCESSES = 64;
+/** Maximum utilisation of a link that is believed. */
+const MAX_UTILISATION = 1_000;
 /** Maximum number of members in one heartbeat. */
 const MAX_MEMBERS = 2_000;
 
 const nameSchema = z.string().max(MAX_NAME_LENGTH);
 const addressSchema = nameSchema.refine(isAddress);
+const utilisationSchema = z.number().nonnegative().max(MAX_UTILISATION);
 const tokenCountSchema = z.number().int().nonnegative();
 
 /**
@@ -117,6 +120,22 @@
     partitioned: z.boolean().optional(),
     /** Milliseconds since the store last answered the sender or its relay. */
     storeSilence: z.number(),
+    /**
+     * Utilisation of the sender's link. Missing in messages of earlier versions
+     * of the gateway.
+     */
+    linkUse: utilisationSchema.optional(),
+    /**
+     * Links of the zone, in heartbeats of its relay to its followers; see
+     * `ZoneLinks`. Missing in messages of earlier versions of the gateway.
+     */
+    zoneLinks: z
+      .object({
+        size: z.number().int().nonnegative(),
+        use: utilisationSchema,
+        unreadyFrom: z.number().nonnegative(),
+      })
+      .optional(),
     /**
      * Monotonic time of the sender's machine, in milliseconds. Missing in
      * messages of earlier versions of the gateway, as `heard` is.
--- a/packages/gateway/src/lib/fleet/peer_network.ts
+++ b/packages/gateway/src/lib/fleet/peer_network.ts
@@ -6,6 +6,7 @@
   HeardTimes,
   isRecorder,
   MEMBER_TIMEOUT,
+  summariseLinks,
   Topology,
 } from '@citrontrestle/decisions';
 import {FleetLinks} from '@citrontrestle/fleet';
@@ -23,6 +24,7 @@
   Millis,
   ProxyPeer,
   Witnesses,
+  ZoneLinks,
 } from '@citrontrestle/decisions';
 import type {Log} from '@citrontrestle/runtime';
 
@@ -41,6 +43,8 @@
   partitioned: boolean;
   /** Time since the store last answered the instance or its relay. */
   storeSilence: Millis;
+  /** Utilisation of the instance's link, as others are told. */
+  linkUse: number;
 }
 
 /** Callbacks of a `PeerNetwork`. */
@@ -95,6 +99,9 @@
 /** Minimum interval between attempts to reconnect to the same address. */
 const REDIAL_INTERVAL: Millis = 1_500;
 
+/** Interval at which the links of the zone are summarised. */
+const LINKS_INTERVAL: Millis = 100;
+
 /** What the last heartbeat of a peer says about the fleet and the store. */
 interface FleetReport {
   /** Number of running instances in the peer's view. */
@@ -103,6 +110,11 @@
   storeSilence: Millis;
   /** Whether the peer can record streams in the store. */
   recordsStreams: boolean;
+  zone: string;
+  /** Utilisation of the peer's link; 0 if it reports none. */
+  linkUse: number;
+  /** Links of the zone, if the peer is the zone's relay. */
+  zoneLinks: ZoneLinks | undefined;
   receivedAt: Millis;
 }
 
@@ -122,6 +134,9 @@
   private readonly fleetReports = new Map<string, FleetReport>();
   private readonly versions = new PeerVersions();
   private readonly heardTimes = new HeardTimes();
+  /** Links of the zone, if this instance follows no relay. */
+  private ownZoneLinks: ZoneLinks | undefined;
+  private linksSummarisedAt: Millis = -Infinity;
   private currentPartners: ExchangePartners = {
     relay: undefined,
     followers: [],
@@ -212,6 +227,34 @@
     return report && report.storeSilence + this.clock.now() - report.receivedAt;
   }
 
+  /**
+   * Returns how full the links of the zone are; undefined if that is not known.
+   * A follower takes it from its relay.
+   */
+  zoneLinks(): ZoneLinks | undefined {
+    const {relay} = this.currentPartners;
+    if (relay !== undefined) {
+      return this.relayReport()?.zoneLinks;
+    }
+    const now = this.clock.now();
+    if (now - this.linksSummarisedAt >= LINKS_INTERVAL) {
+      this.linksSummarisedAt = now;
+      this.ownZoneLinks = this.summariseZone(now);
+    }
+    return this.ownZoneLinks;
+  }
+
+  /** Summarises what the instances of the zone report of their links. */
+  private summariseZone(now: Millis): ZoneLinks {
+    const uses = [this.handler.heartbeatContent().linkUse];
+    for (const {zone, linkUse, receivedAt} of this.fleetReports.values()) {
+      if (zone === this.settings.zone && now - receivedAt < MEMBER_TIMEOUT) {
+        uses.push(linkUse);
+      }
+    }
+    return summariseLinks(uses);
+  }
+
   /**
    * Returns whether this instance records streams in the store.
    * @param storeSilence time since the store answered this instance.
@@ -385,10 +428,14 @@
     );
     this.versions.recordHeartbeat(address, heartbeat);
     const {count, storeSilence, recordsStreams = false} = heartbeat;
+    const {linkUse = 0, zoneLinks} = heartbeat;
     this.fleetReports.set(address, {
       count,
       storeSilence,
       recordsStreams,
+      zone,
+      linkUse,
+      zoneLinks,
       receivedAt: now,
     });
     if (isNew) {
@@ -486,7 +533,7 @@
     asksForMembers: boolean,
     reportedZone = this.settings.zone,
   ): void {
-    const {relay, meshPeers} = this.currentPartners;
+    const {relay, meshPeers, followers} = this.currentPartners;
     const includesMembers =
       now - (this.membersSentAt.get(address) ?? -Infinity) >=
       MEMBER_REPORT_INTERVAL;
@@ -506,6 +553,7 @@
       follows: address === relay,
       relays: meshPeers.includes(address),
       asks: asksForMembers,
+      zoneLinks: followers.includes(address) ? this.zoneLinks() : undefined,
       count: this.instanceCount(),
       members: includesMembers
         ? this.topology.membersToReport(now, reportedZone)
--- a/packages/gateway/src/lib/process/gateway.ts
+++ b/packages/gateway/src/lib/process/gateway.ts
@@ -31,9 +31,12 @@
 import {PeerNetwork} from '../fleet/peer_network.js';
 import {ProxyServer} from '../upstreams/proxy_server.js';
 import {ReachabilityWatch} from '../upstreams/reachability_watch.js';
+import {LinkAdmission} from '../requests/link_admission.js';
 import {ReadyServer} from '../requests/ready_server.js';
 import {RequestRecorder} from '../requests/request_recorder.js';
+import {RefusalReason} from '../requests/refusal.js';
 import {RequestService} from '../requests/request_service.js';
+import {ReturnPlanner} from '../requests/return_planner.js';
 import {SharedVerdicts} from '../crashes/shared_verdicts.js';
 import {Shutdown} from './shutdown.js';
 import {StatementWatch} from '../upstreams/statement_watch.js';
@@ -56,6 +59,7 @@
 import type {InstanceContext} from './instance_context.js';
 import type {Clock, Millis} from '@citrontrestle/decisions';
 import type {Log} from '@citrontrestle/runtime';
+import type {IncomingMessage} from 'node:http';
 
 /** Interval at which data about upstreams that are gone is deleted. */
 const PRUNE_INTERVAL: Millis = 1_000;
@@ -127,6 +131,8 @@
   private readonly frontServer: FrontServer;
   private readonly readyServer: ReadyServer;
   private readonly shutdown: Shutdown;
+  private readonly recorder: RequestRecorder;
+  private readonly linkAdmission: LinkAdmission;
 
   constructor(private readonly dependencies: GatewayDependencies) {
     const {settings, store, dialect, log} = dependencies;
@@ -302,6 +308,23 @@
       bufferCollection,
     );
     this.readyServer = new ReadyServer(() => this.isReady(), log);
+    const returnPlanner = new ReturnPlanner(this.linkLoad, clock, Math.random);
+    this.linkAdmission = new LinkAdmission({
+      linkLoad: this.linkLoad,
+      routeTable: this.routeTable,
+      dialect,
+      returnPlanner,
+      clock,
+      log,
+      zoneLinks: () => this.peerNetwork.zoneLinks(),
+    });
+    this.recorder = new RequestRecorder(
+      clock,
+      log,
+      this.metrics,
+      this.routeTable,
+      this.budgets,
+    );
     const context: InstanceContext = {
       zone,
       clock,
@@ -323,6 +346,7 @@
       streamTracker: this.streamTracker,
       heldResponses: new HeldBytes(maxHeldBytes),
       bufferCollection,
+      returnPlanner,
       linkLoad: this.linkLoad,
       admits: deadline => this.shutdown.admits(deadline),
       instanceCount: () => this.instanceCount(),
@@ -339,13 +363,7 @@
       context,
       this.routeTable,
       this.budgets,
-      new RequestRecorder(
-        clock,
-        log,
-        this.metrics,
-        this.routeTable,
-        this.budgets,
-      ),
+      this.recorder,
     );
   }
 
@@ -505,10 +523,30 @@
 
   /**
    * Whether connections are closed after their next response, so that callers
-   * connect to other instances: while this one stops or its link is busy.
+   * connect to other instances: while this one stops or is not ready, as its
+   * link is busy.
    */
   isClosing(): boolean {
-    return this.shutdown.hasBegun() || this.linkLoad.isBusy(this.clock.now());
+    return this.shutdown.hasBegun() || !this.linkAdmission.isReady();
+  }
+
+  /** Counts bytes that were received from callers. */
+  recordReceived(bytes: number): void {
+    this.linkLoad.recordBytes(bytes, 0, this.clock.now());
+  }
+
+  /** Whether connections of callers are accepted at this moment. */
+  acceptsConnections(): boolean {
+    return this.linkAdmission.acceptsConnections();
+  }
+
+  /** Refuses a request on its head, if the link is too full for its body. */
+  delayOfRefusedHead(incoming: IncomingMessage): Millis | undefined {
+    const refused = this.linkAdmission.refusalOf(incoming);
+    if (refused !== undefined) {
+      this.recorder.recordRefusal(RefusalReason.MachineBusy, refused.id);
+    }
+    return refused?.retryAfter;
   }
 
   /** Returns the maximum size of a request body in bytes. */
@@ -533,6 +571,7 @@
       leaving: this.shutdown.hasBegun(),
       partitioned: this.reachability.isPartitioned(),
       storeSilence: this.storeSilence(),
+      linkUse: this.linkLoad.reportedUtilisation(this.clock.now()),
     };
   }
 
--- a/packages/gateway/src/lib/process/instance_context.ts
+++ b/packages/gateway/src/lib/process/instance_context.ts
@@ -6,6 +6,7 @@
 import type {CrashWatch} from '../crashes/crash_watch.js';
 import type {LimitWatch} from '../upstreams/limit_watch.js';
 import type {ReachabilityWatch} from '../upstreams/reachability_watch.js';
+import type {ReturnPlanner} from '../requests/return_planner.js';
 import type {StatementWatch} from '../upstreams/statement_watch.js';
 import type {StreamTracker} from '../streams/stream_tracker.js';
 import type {UpstreamPaths} from '../upstreams/upstream_paths.js';
@@ -42,6 +43,8 @@
   heldResponses: HeldBytes;
   /** Is told of all bytes that are read from upstreams. */
   bufferCollection: BufferCollection;
+  /** Chooses when refused callers are to return. */
+  returnPlanner: ReturnPlanner;
   /** Traffic on the machine's network link. */
   linkLoad: LinkLoad;
   /**
--- a/packages/gateway/src/lib/requests/caller_response.ts
+++ b/packages/gateway/src/lib/requests/caller_response.ts
@@ -69,12 +69,32 @@
 
   /**
    * Sends a complete response that states why the request is refused.
-   * @param minRetryAfter time before which a retry would be refused as well.
+   * @param delay time after which to retry, if a retry helps at all; the usual
+   *     one if it is left out.
    */
-  refuse(reason: RefusalReason, minRetryAfter: Millis = 0): void {
-    const {status, retryAfter: usualRetryAfter} = REFUSAL_RESPONSES[reason];
-    const retryAfter =
-      usualRetryAfter && Math.max(usualRetryAfter, minRetryAfter);
+  refuse(reason: RefusalReason, delay?: Millis): void {
+    const {status, headers, body} = this.refusal(reason, delay);
+    this.send(status, headers, body);
+  }
+
+  /**
+   * Sends the same as `refuse` to a request whose body is not read, and leaves
+   * the connection open, as closing it would reset it: the caller might then not
+   * read the response. Its close is announced; `end` must follow.
+   */
+  refuseUnread(reason: RefusalReason, delay: Millis): void {
+    const {status, headers, body} = this.refusal(reason, delay);
+    this.response.writeHead(status, {...headers, Connection: 'close'});
+    this.response.write(body);
+  }
+
+  /** Returns the parts of a response that states why a request is refused. */
+  private refusal(
+    reason: RefusalReason,
+    delay: Millis | undefined,
+  ): {status: number; headers: OutgoingHttpHeaders; body: Buffer} {
+    const {status, retryAfter: usualDelay} = REFUSAL_RESPONSES[reason];
+    const retryAfter = usualDelay && (delay ?? usualDelay);
     const body = Buffer.from(JSON.stringify({error: reason}));
     const headers: OutgoingHttpHeaders = {
       'Content-Type': 'application/json',
@@ -83,7 +103,7 @@
         ? {}
         : this.dialect.retryAfterHeaders(retryAfter)),
     };
-    this.send(status, headers, body);
+    return {status, headers, body};
   }
 
   /** Resets the connection so that the response can't look complete. */
--- a/packages/gateway/src/lib/requests/forwarding.ts
+++ b/packages/gateway/src/lib/requests/forwarding.ts
@@ -522,6 +522,7 @@
       return;
     }
     this.result.mayHaveRun = true;
+    this.context.returnPlanner.recordAnswer(this.serviceName);
     this.result.firstByteAt ??= this.context.clock.now();
     this.endAttempt(
       isServerError
@@ -703,13 +704,26 @@
       this.finish(`${RESPONSE_ABORTED}:${reason}`);
       return;
     }
-    this.response.refuse(
-      reasonForCaller(reason, this.result.mayHaveRun),
-      this.candidates.restTime(this.context.clock.now()),
-    );
+    const statedReason = reasonForCaller(reason, this.result.mayHaveRun);
+    this.response.refuse(statedReason, this.returnDelay(statedReason));
     this.finish(reason);
   }
 
+  /** Returns after which delay a refused caller is to return. */
+  private returnDelay(reason: RefusalReason): Millis | undefined {
+    const now = this.context.clock.now();
+    const {route, account} = this.request;
+    return this.context.returnPlanner.delayOfService(
+      this.serviceName,
+      reason,
+      {
+        priority: account?.priority ?? route.priority,
+        remainingTime: this.deadline - now,
+      },
+      this.candidates.restTime(now),
+    );
+  }
+
   /** Ends the current attempt, if any, and reports its outcome to placement. */
   private endAttempt(outcome: PlacementOutcome): void {
     if (this.call?.isRunning() === true) {
--- a/packages/gateway/src/lib/requests/front_server.ts
+++ b/packages/gateway/src/lib/requests/front_server.ts
@@ -1,11 +1,14 @@
 /** The HTTP server that accepts the requests of callers. */
 import {createServer} from 'node:http';
+import {Server as NetServer} from 'node:net';
 import {
   BodyTooLargeError,
+  listenAt,
   listenPersistently,
   NoRoomError,
   readBody,
 } from '@citrontrestle/runtime';
+import {ESTIMATED_HEAD_BYTES} from './admission.js';
 import {CallerResponse} from './caller_response.js';
 import {exceptionFields} from '../process/exception_guard.js';
 import {HeldPart} from '../process/held_bytes.js';
@@ -32,6 +35,15 @@
   isClosing(): boolean;
   /** Returns the maximum size of a request body in bytes. */
   maxBodyBytes(): number;
+  /** Is told of bytes that were received from callers. */
+  recordReceived(bytes: number): void;
+  /** Whether connections are accepted at this moment. */
+  acceptsConnections(): boolean;
+  /**
+   * Returns after which delay a request is to return that is refused before its
+   * body is read, as the link is full; undefined if it is to be read.
+   */
+  delayOfRefusedHead(incoming: IncomingMessage): Millis | undefined;
 }
 
 /** Lets the server cancel a request that is being served. */
@@ -51,9 +63,18 @@
 /** Time for which a connection stays open whose body was refused. */
 const LINGER_TIME: Millis = 1_000;
 
+/**
+ * Time for which nothing of a body is read whose request was refused on its
+ * head: callers that read the response stop sending.
+ */
+const UNREAD_TIME: Millis = 200;
+
 /** Maximum size of the rest of such a body that is read. */
 const MAX_DISCARDED_BYTES = 512 * 1024;
 
+/** Interval at which it is decided whether connections are accepted again. */
+const GATE_INTERVAL: Millis = 20;
+
 /** Maximum number of connections that wait to be accepted. */
 const LISTEN_BACKLOG = 1_024;
 
@@ -61,6 +82,12 @@
 export class FrontServer {
   private readonly server: Server;
   private activeCount = 0;
+  private address = '';
+  /** Whether callers can connect, but for the moments without room for them. */
+  private isOpen = false;
+  /** Whether no connections are accepted, as the link is full at this moment. */
+  private isPaused = false;
+  private gateTimer: NodeJS.Timeout | undefined;
   private readonly handles = new Set<RequestHandle>();
 
   constructor(
@@ -80,13 +107,51 @@
   }
 
   /** Resolves when it listens on `ip:port`. */
-  listen(address: string): Promise<void> {
-    return listenPersistently(this.server, address, this.log, LISTEN_BACKLOG);
+  async listen(address: string): Promise<void> {
+    await listenPersistently(this.server, address, this.log, LISTEN_BACKLOG);
+    this.address = address;
+    this.isOpen = true;
   }
 
-  /** Whether callers can connect. */
+  /** Whether callers can connect, if not at this moment, then soon. */
   isListening(): boolean {
-    return this.server.listening;
+    return this.isOpen;
+  }
+
+  /** Stops accepting connections while the link is full, and starts again. */
+  private updateGate(): void {
+    if (!this.isOpen) {
+      return;
+    }
+    const accepts = this.handler.acceptsConnections();
+    if (!accepts && !this.isPaused && this.server.listening) {
+      this.isPaused = true;
+      // Unlike that of `http`, this method leaves the idle connections open.
+      NetServer.prototype.close.call(this.server);
+      this.updateGateSoon();
+    } else if (!accepts) {
+      this.updateGateSoon();
+    } else if (this.isPaused) {
+      void this.reopen();
+    }
+  }
+
+  private updateGateSoon(): void {
+    clearTimeout(this.gateTimer);
+    this.gateTimer = setTimeout(() => this.updateGate(), GATE_INTERVAL);
+  }
+
+  /** Accepts connections again; tries once more soon if that fails. */
+  private async reopen(): Promise<void> {
+    this.isPaused = false;
+    try {
+      await listenAt(this.server, this.address, LISTEN_BACKLOG);
+    } catch (error) {
+      this.isPaused = true;
+      const reason = error instanceof Error ? error.message : String(error);
+      this.log.warn('listen.failed', {address: this.address, reason});
+      this.updateGateSoon();
+    }
   }
 
   /** Applies the timeouts for callers to new connections. */
@@ -100,6 +165,8 @@
    * send on them from now on are not read. Running requests continue.
    */
   close(): void {
+    this.isOpen = false;
+    clearTimeout(this.gateTimer);
     this.server.close();
     this.server.closeIdleConnections();
   }
@@ -138,6 +205,9 @@
       this.handler.isClosing(),
     );
     try {
+      if (this.refuseOnHead(incoming, response)) {
+        return;
+      }
       const body = await this.readBodyOrRefuse(incoming, response, held);
       if (body === undefined || state.isClosed) {
         return;
@@ -151,6 +221,49 @@
     }
   }
 
+  /**
+   * Refuses a request before its body is read and returns true, if the link is
+   * too full for it.
+   */
+  private refuseOnHead(
+    incoming: IncomingMessage,
+    response: CallerResponse,
+  ): boolean {
+    this.handler.recordReceived(ESTIMATED_HEAD_BYTES);
+    this.updateGate();
+    const delay = this.handler.delayOfRefusedHead(incoming);
+    if (delay === undefined) {
+      return false;
+    }
+    response.refuseUnread(RefusalReason.MachineBusy, delay);
+    // A small body that came with the head has been received by then.
+    setImmediate(() => {
+      if (incoming.complete) {
+        response.end();
+      } else {
+        this.discardUnread(incoming, response);
+      }
+    });
+    return true;
+  }
+
+  /**
+   * Gives the caller time to read the response and to disconnect; then reads the
+   * rest of the body in case the caller sends all of it first.
+   */
+  private discardUnread(
+    incoming: IncomingMessage,
+    response: CallerResponse,
+  ): void {
+    const timer = setTimeout(() => {
+      incoming.once('end', () => response.end());
+      this.discardRest(incoming);
+    }, UNREAD_TIME);
+    incoming.once('close', () => {
+      clearTimeout(timer);
+    });
+  }
+
   /**
    * Reads the body of a request. Returns undefined if the body is too large or
    * there is no room for it, in which case the request is refused and the
@@ -172,6 +285,8 @@
       }
       return await readBody(incoming, maxBytes, bytes => {
         this.bufferCollection.recordRead(bytes);
+        this.handler.recordReceived(bytes);
+        this.updateGate();
         return held.tryGrow(bytes);
       });
     } catch (error) {
@@ -195,6 +310,7 @@
     let discarded = 0;
     incoming.on('data', (chunk: Buffer) => {
       this.bufferCollection.recordRead(chunk.length);
+      this.handler.recordReceived(chunk.length);
       discarded += chunk.length;
       if (discarded > MAX_DISCARDED_BYTES) {
         incoming.pause();
--- /dev/null
+++ b/packages/gateway/src/lib/requests/link_admission.ts
@@ -0,0 +1,147 @@
+/**
+ * What an instance does while its link is busy: whether it is ready for new
+ * connections, and which requests it refuses on their head alone.
+ */
+import {
+  admitsHead,
+  ConnectionGate,
+  hasZoneRoom,
+  MIN_REFUSING_UTILISATION,
+  Readiness,
+} from '@citrontrestle/decisions';
+import {ESTIMATED_HEAD_BYTES} from './admission.js';
+import type {CallerRequest, Dialect} from '../process/ports.js';
+import type {ReturnPlanner} from './return_planner.js';
+import type {
+  Clock,
+  LinkLoad,
+  Millis,
+  RouteTable,
+  ZoneLinks,
+} from '@citrontrestle/decisions';
+import type {Log} from '@citrontrestle/runtime';
+import type {IncomingMessage} from 'node:http';
+
+/** Interval at which the links of the zone are looked at. */
+const UPDATE_INTERVAL: Millis = 100;
+
+/** Components that a `LinkAdmission` uses. */
+export interface LinkAdmissionContext {
+  linkLoad: LinkLoad;
+  routeTable: RouteTable;
+  dialect: Dialect;
+  returnPlanner: ReturnPlanner;
+  clock: Clock;
+  log: Log;
+  /** Returns the links of the zone; undefined if they are not known. */
+  zoneLinks(): ZoneLinks | undefined;
+}
+
+/** A request that is refused on its head. */
+export interface RefusedHead {
+  /** Identifier of the request. */
+  id: string;
+  retryAfter: Millis;
+}
+
+/** Decides on new connections and on requests whose body is not read yet. */
+export class LinkAdmission {
+  private readonly readiness = new Readiness();
+  private readonly gate = new ConnectionGate();
+  private zone: ZoneLinks | undefined;
+  private updatedAt: Millis = -Infinity;
+
+  constructor(private readonly context: LinkAdmissionContext) {}
+
+  /** Whether the instance takes new connections, as far as its link goes. */
+  isReady(): boolean {
+    this.update();
+    return this.readiness.isReady();
+  }
+
+  /** Whether other instances of the zone have room on their links. */
+  othersHaveRoom(): boolean {
+    this.update();
+    return this.zone !== undefined && hasZoneRoom(this.zone);
+  }
+
+  /** Whether connections are accepted at this moment. */
+  acceptsConnections(): boolean {
+    const {linkLoad, clock} = this.context;
+    const now = clock.now();
+    const receivedRate = linkLoad.receivedRate(now);
+    const othersHaveRoom = this.othersHaveRoom();
+    return this.gate.update({receivedRate, othersHaveRoom}, now);
+  }
+
+  /**
+   * Returns how a request is refused before its body is read; undefined if it is
+   * to be read.
+   */
+  refusalOf(incoming: IncomingMessage): RefusedHead | undefined {
+    const {linkLoad, clock, dialect, returnPlanner} = this.context;
+    const utilisation = linkLoad.utilisation(clock.now());
+    if (utilisation < MIN_REFUSING_UTILISATION) {
+      return undefined;
+    }
+    const {method = '', url = '', headers} = incoming;
+    const callerRequest = dialect.parseCallerRequest(method, url, headers);
+    const caller = this.rankOf(callerRequest);
+    const length = Number(headers['content-length'] ?? 0);
+    const bytes = Number.isFinite(length) ? Math.max(0, length) : 0;
+    const othersHaveRoom = this.othersHaveRoom();
+    const isAdmitted = admitsHead({
+      utilisation,
+      bodyBytes: bytes,
+      bodyUtilisation: linkLoad.utilisationOf(bytes + ESTIMATED_HEAD_BYTES),
+      priority: caller.priority,
+      othersHaveRoom,
+    });
+    return isAdmitted
+      ? undefined
+      : {
+          id: callerRequest.id,
+          retryAfter: returnPlanner.delayOfLink(caller, othersHaveRoom),
+        };
+  }
+
+  /** Returns the priority of a request, and the time that it has. */
+  private rankOf({host, path, apiKey, timeout}: CallerRequest): {
+    priority: number;
+    remainingTime: Millis;
+  } {
+    const {routeTable} = this.context;
+    const route = routeTable.findRoute(host, path);
+    const account =
+      route?.isPublic === true
+        ? undefined
+        : routeTable.findAccount(apiKey ?? '');
+    const limits = [timeout ?? Infinity, route?.timeout ?? Infinity];
+    return {
+      priority: account?.priority ?? route?.priority ?? Infinity,
+      remainingTime: Math.min(...limits),
+    };
+  }
+
+  private update(): void {
+    const {linkLoad, clock, log} = this.context;
+    const now = clock.now();
+    if (now - this.updatedAt < UPDATE_INTERVAL) {
+      return;
+    }
+    this.updatedAt = now;
+    this.zone = this.context.zoneLinks();
+    const wasReady = this.readiness.isReady();
+    const utilisation = linkLoad.reportedUtilisation(now);
+    const isBusy = linkLoad.isBusy(now);
+    const {zone} = this;
+    const isReady = this.readiness.update({isBusy, utilisation, zone}, now);
+    if (isReady !== wasReady) {
+      log.info(isReady ? 'link.ready' : 'link.unready', {
+        utilisation: Number(utilisation.toFixed(2)),
+        zoneUse: zone && Number(zone.use.toFixed(2)),
+        zoneSize: zone?.size,
+      });
+    }
+  }
+}
--- a/packages/gateway/src/lib/requests/request_service.ts
+++ b/packages/gateway/src/lib/requests/request_service.ts
@@ -3,12 +3,7 @@
  * them.
  */
 import {isResumableStream} from '@citrontrestle/decisions';
-import {
-  admit,
-  deadlineOf,
-  ESTIMATED_HEAD_BYTES,
-  tokensToReserve,
-} from './admission.js';
+import {admit, deadlineOf, tokensToReserve} from './admission.js';
 import {ReservationOutcome} from '../budgets/prepaid_budgets.js';
 import {exceptionFields} from '../process/exception_guard.js';
 import {Forwarding} from './forwarding.js';
@@ -62,14 +57,10 @@
     admitted: AdmittedRequest,
     response: CallerResponse,
   ): RequestHandle {
-    const {clock, linkLoad, crashWatch} = this.context;
+    const {crashWatch} = this.context;
     const state: ServingState = {hasEnded: false, forwarding: undefined};
-    const now = clock.now();
-    linkLoad.recordBytes(admitted.body.length + ESTIMATED_HEAD_BYTES, 0, now);
     if (!this.context.admits(deadlineOf(admitted))) {
       this.refuse(admitted, response, RefusalReason.Stopping);
-    } else if (linkLoad.isSaturated(now)) {
-      this.refuse(admitted, response, RefusalReason.MachineBusy);
     } else if (
       crashWatch.isBlocked(admitted) &&
       !crashWatch.takeTrial(admitted)
