--- a/packages/gateway/src/lib/process/gateway.ts
+++ b/packages/gateway/src/lib/process/gateway.ts
@@ -318,6 +318,7 @@
       log,
       zoneLinks: () => this.peerNetwork.zoneLinks(),
     });
+    this.metrics.observeLink(() => this.linkAdmission.status());
     this.recorder = new RequestRecorder(
       clock,
       log,
@@ -618,10 +619,13 @@
     const {store, log} = this.dependencies;
     const {relay, followers, meshPeers} = this.peerNetwork.partners();
     const silence = this.reachability.silence();
+    const link = this.linkAdmission.status();
     log.info('gateway.counts', {
       storeCalls: JSON.stringify(store.callCounts()),
       active: this.activeRequests(),
-      linkUse: Number(this.linkLoad.utilisation(this.clock.now()).toFixed(2)),
+      linkUse: Number(link.use.toFixed(2)),
+      linkReady: link.isReady,
+      gateClosings: link.gateClosings,
       upstreamSilentMs: silence && Math.round(silence),
       instances: this.instanceCount(),
       relay,
--- a/packages/gateway/src/lib/process/gateway_metrics.ts
+++ b/packages/gateway/src/lib/process/gateway_metrics.ts
@@ -2,6 +2,7 @@
 import {createServer} from 'node:http';
 import {listenPersistently} from '@citrontrestle/runtime';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+import type {LinkStatus} from '../requests/link_admission.js';
 import type {Store} from './ports.js';
 import type {Server} from 'node:http';
 import type {Log} from '@citrontrestle/runtime';
@@ -73,6 +74,23 @@
     });
   }
 
+  /** Exposes the state of the machine's link. */
+  observeLink(status: () => LinkStatus): void {
+    const registers = [this.registry];
+    const link = new Gauge({
+      name: 'citrontrestle_link',
+      help: 'State of the network link: use, ready, gate_closings',
+      labelNames: ['state'],
+      registers,
+      collect: () => {
+        const {use, isReady, gateClosings} = status();
+        link.set({state: 'use'}, use);
+        link.set({state: 'ready'}, Number(isReady));
+        link.set({state: 'gate_closings'}, gateClosings);
+      },
+    });
+  }
+
   /** Serves the metrics on `ip:port`; does nothing without an address. */
   async listen(address: string | undefined, log: Log): Promise<void> {
     if (address !== undefined) {
--- a/packages/gateway/src/lib/requests/link_admission.ts
+++ b/packages/gateway/src/lib/requests/link_admission.ts
@@ -44,10 +44,22 @@
   retryAfter: Millis;
 }
 
+/** What operators are shown of the link. */
+export interface LinkStatus {
+  /** Used fraction of the link. */
+  use: number;
+  /** Whether the instance takes new connections, as far as its link goes. */
+  isReady: boolean;
+  /** How often connections were refused for a moment since the start. */
+  gateClosings: number;
+}
+
 /** Decides on new connections and on requests whose body is not read yet. */
 export class LinkAdmission {
   private readonly readiness = new Readiness();
   private readonly gate = new ConnectionGate();
+  private isGateOpen = true;
+  private gateClosings = 0;
   private zone: ZoneLinks | undefined;
   private updatedAt: Millis = -Infinity;
 
@@ -71,7 +83,20 @@
     const now = clock.now();
     const receivedRate = linkLoad.receivedRate(now);
     const othersHaveRoom = this.othersHaveRoom();
-    return this.gate.update({receivedRate, othersHaveRoom}, now);
+    const isOpen = this.gate.update({receivedRate, othersHaveRoom}, now);
+    this.gateClosings += this.isGateOpen && !isOpen ? 1 : 0;
+    this.isGateOpen = isOpen;
+    return isOpen;
+  }
+
+  /** Returns what operators are shown. */
+  status(): LinkStatus {
+    const {linkLoad, clock} = this.context;
+    return {
+      use: linkLoad.utilisation(clock.now()),
+      isReady: this.readiness.isReady(),
+      gateClosings: this.gateClosings,
+    };
   }
 
   /**
