Gate with longer cycles; return times that wait for the balancer

Change: the gate closes at 0.95 and opens at 0.6 of the link, for at most 800 ms, open for 200 ms at least; not ready from 0.7 on; refused callers are told to return when the balancer has taken the instance out, spread over half of that.

--- a/packages/decisions/src/lib/admission/connection_gate.ts
+++ b/packages/decisions/src/lib/admission/connection_gate.ts
@@ -2,8 +2,8 @@
  * When an instance accepts no connections for a moment. It matters when the
  * callers of one account send more to a small instance than its link carries:
  * the load balancer goes on sending it connections for seconds, and each brings
- * a body that waits in the link. Refusing a connection costs the link next to
- * nothing, and the caller's next attempt reaches another instance.
+ * a body that waits in the link, until all callers give up. Refusing a connection
+ * costs the link next to nothing.
  *
  * The gate is closed only while other instances have room, and never for long,
  * so that an instance that says it is ready takes connections. A decision costs
@@ -20,16 +20,19 @@
 }
 
 /** Received fraction of the link above which the gate closes. */
-const CLOSING_RATE = 0.8;
+const CLOSING_RATE = 0.95;
 
 /** Received fraction of the link below which it opens again. */
-const OPENING_RATE = 0.5;
+const OPENING_RATE = 0.6;
 
 /** Longest time for which the gate is closed without a break. */
-export const MAX_CLOSED_TIME: Millis = 300;
+export const MAX_CLOSED_TIME: Millis = 800;
 
-/** Shortest time for which it is open in between. */
-export const MIN_OPEN_TIME: Millis = 100;
+/**
+ * Shortest time for which it is open in between. Each closing resets connections
+ * that are not accepted yet, whose bytes are on the link for nothing.
+ */
+export const MIN_OPEN_TIME: Millis = 200;
 
 /** Decides whether connections are accepted. */
 export class ConnectionGate {
--- a/packages/decisions/src/lib/admission/readiness.ts
+++ b/packages/decisions/src/lib/admission/readiness.ts
@@ -10,6 +10,18 @@
 import type {ZoneLinks} from './zone_links.js';
 import type {Millis} from '../base/clock.js';
 
+/**
+ * Utilisation from which an instance is not ready. Its other callers move as
+ * well, so one that keeps up with its callers stays ready.
+ */
+const UNREADY_UTILISATION = 0.7;
+
+/**
+ * Time after which callers are sent elsewhere: the load balancer asks once a
+ * second, and takes an instance out of rotation after two misses.
+ */
+const ROTATION_TIME: Millis = 2_200;
+
 /** Longest time for which an instance is not ready without a break. */
 export const MAX_UNREADY_TIME: Millis = 10_000;
 
@@ -35,12 +47,23 @@
   /** Time for which the instance may still be not ready. */
   private saved: Millis = MAX_UNREADY_TIME;
   private updatedAt: Millis | undefined;
+  private unreadySince: Millis | undefined;
 
   /** Whether the instance was ready at the last update. */
   isReady(): boolean {
     return this.isReadyNow;
   }
 
+  /**
+   * Returns the time from which on callers that return reach another instance;
+   * undefined while the instance is ready.
+   */
+  timeUntilElsewhere(now: Millis): Millis | undefined {
+    return this.unreadySince === undefined
+      ? undefined
+      : Math.max(0, this.unreadySince + ROTATION_TIME - now);
+  }
+
   /** Updates the decision and returns whether the instance is ready. */
   update(link: LinkState, now: Millis): boolean {
     const elapsed = now - (this.updatedAt ?? now);
@@ -52,6 +75,9 @@
     const needed = this.isReadyNow ? MIN_SAVED_TIME : 0;
     const hasTime = this.saved > needed;
     this.isReadyNow = !(hasTime && mayBeUnready(link));
+    this.unreadySince = this.isReadyNow
+      ? undefined
+      : (this.unreadySince ?? now);
     return this.isReadyNow;
   }
 }
@@ -61,5 +87,10 @@
   if (zone === undefined) {
     return isBusy;
   }
-  return isBusy && hasZoneRoom(zone) && utilisation >= zone.unreadyFrom;
+  return (
+    isBusy &&
+    utilisation >= UNREADY_UTILISATION &&
+    hasZoneRoom(zone) &&
+    utilisation >= zone.unreadyFrom
+  );
 }
--- a/packages/decisions/src/lib/admission/return_times.ts
+++ b/packages/decisions/src/lib/admission/return_times.ts
@@ -43,6 +43,9 @@
 /** Time over which callers that find room elsewhere at once are spread. */
 const ELSEWHERE_SPREAD: Millis = 20;
 
+/** By how much of their wait those are spread that must wait for it. */
+const ELSEWHERE_SPREAD_FRACTION = 0.5;
+
 /** The times told to the callers that one resource refused. */
 export class ReturnTimes {
   /** For each level, when there is room for one more caller of it. */
@@ -72,15 +75,17 @@
 }
 
 /**
- * Returns the delay for a caller whose next attempt finds room at another
- * instance.
+ * Returns the delay for a caller that finds room at another instance.
+ * @param wait time from which on callers reach another instance.
  * @param random uniformly distributed in [0, 1).
  */
 export function returnElsewhere(
   {remainingTime}: RefusedCaller,
+  wait: Millis,
   random: number,
 ): Millis {
-  const delay = MIN_RETURN_DELAY + random * ELSEWHERE_SPREAD;
+  const spread = ELSEWHERE_SPREAD + wait * ELSEWHERE_SPREAD_FRACTION;
+  const delay = MIN_RETURN_DELAY + wait + random * spread;
   return withinHonoured(delay, remainingTime);
 }
 
--- a/packages/gateway/src/lib/requests/link_admission.ts
+++ b/packages/gateway/src/lib/requests/link_admission.ts
@@ -126,7 +126,10 @@
       ? undefined
       : {
           id: callerRequest.id,
-          retryAfter: returnPlanner.delayOfLink(caller, othersHaveRoom),
+          retryAfter: returnPlanner.delayOfLink(
+            caller,
+            this.readiness.timeUntilElsewhere(clock.now()),
+          ),
         };
   }
 
--- a/packages/gateway/src/lib/requests/return_planner.ts
+++ b/packages/gateway/src/lib/requests/return_planner.ts
@@ -71,13 +71,13 @@
 
   /**
    * Returns the delay for a request that is refused because the link is full.
-   * @param othersHaveRoom whether the next attempt, which reaches another
-   *     instance, finds room there.
+   * @param elsewhere time from which on callers reach another instance that has
+   *     room; undefined if they come back to this one.
    */
-  delayOfLink(caller: RefusedCaller, othersHaveRoom: boolean): Millis {
+  delayOfLink(caller: RefusedCaller, elsewhere: Millis | undefined): Millis {
     const {linkLoad} = this;
-    if (othersHaveRoom) {
-      return returnElsewhere(caller, this.random());
+    if (elsewhere !== undefined) {
+      return returnElsewhere(caller, elsewhere, this.random());
     }
     const now = this.clock.now();
     const interval = linkLoad.transferTime(EXPECTED_REQUEST_BYTES);
