Count the ending part of a window in proportion; leave the own link out of the zone's room

Cause: a window of ten parts dropped the oldest as a whole, so a full link showed 0.9 to 1.0 by turns and the limits near 1 were hardly reached. Of two instances one of which is full, the mean is a half, so the zone counted as full. Change: as the title says; the link's decisions have a test put together as an instance does.

--- a/packages/decisions/src/lib/admission/readiness.ts
+++ b/packages/decisions/src/lib/admission/readiness.ts
@@ -90,7 +90,7 @@
   return (
     isBusy &&
     utilisation >= UNREADY_UTILISATION &&
-    hasZoneRoom(zone) &&
+    hasZoneRoom(zone, utilisation) &&
     utilisation >= zone.unreadyFrom
   );
 }
--- a/packages/decisions/src/lib/admission/zone_links.ts
+++ b/packages/decisions/src/lib/admission/zone_links.ts
@@ -29,7 +29,7 @@
 /** Utilisation that no instance reaches. */
 const NEVER = 1_000_000;
 
-/** Mean utilisation above which the zone as a whole has no room. */
+/** Mean utilisation of the others above which the zone as a whole has no room. */
 const FULL_ZONE_UTILISATION = 0.5;
 
 /** Returns how many instances of a zone may be not ready together. */
@@ -56,7 +56,11 @@
   };
 }
 
-/** Whether the other instances of the zone have room for more callers. */
-export function hasZoneRoom({size, use}: ZoneLinks): boolean {
-  return size >= 2 && use < FULL_ZONE_UTILISATION;
+/**
+ * Whether the other instances of the zone have room for more callers.
+ * @param ownUse utilisation of the own link, which is part of the mean.
+ */
+export function hasZoneRoom({size, use}: ZoneLinks, ownUse: number): boolean {
+  const useOfOthers = (use * size - ownUse) / (size - 1);
+  return size >= 2 && useOfOthers < FULL_ZONE_UTILISATION;
 }
--- a/packages/decisions/src/lib/base/sliding_sum.ts
+++ b/packages/decisions/src/lib/base/sliding_sum.ts
@@ -31,18 +31,25 @@
     }
   }
 
-  /** Returns the sum of the values that were added within the window. */
+  /**
+   * Returns the sum of the values that were added within the window. Those of
+   * the part of the window that is ending count in proportion.
+   */
   total(now: Millis): number {
     this.removeExpired(now);
-    return this.buckets.reduce((total, {sum}) => total + sum, 0);
+    const bucketLength = this.window / BUCKETS_PER_WINDOW;
+    let total = 0;
+    for (const {startedAt, sum} of this.buckets) {
+      const expired = Math.max(0, now - startedAt - this.window);
+      total += sum * (1 - expired / bucketLength);
+    }
+    return total;
   }
 
   private removeExpired(now: Millis): void {
-    const {buckets} = this;
-    while (
-      buckets[0] !== undefined &&
-      now - buckets[0].startedAt >= this.window
-    ) {
+    const {buckets, window} = this;
+    const retention = window + window / BUCKETS_PER_WINDOW;
+    while (buckets[0] !== undefined && now - buckets[0].startedAt > retention) {
       buckets.shift();
     }
   }
--- a/packages/decisions/src/test/admission/busy_zone_test.ts
+++ b/packages/decisions/src/test/admission/busy_zone_test.ts
@@ -122,9 +122,12 @@
   });
 
   it('has room only beside another instance', () => {
-    expect(hasZoneRoom(summariseLinks([0.1]))).to.equal(false);
-    expect(hasZoneRoom(summariseLinks([1, 0.1, 0.1]))).to.equal(true);
-    expect(hasZoneRoom(summariseLinks([0.9, 0.7]))).to.equal(false);
+    const roomBeside = (own: number, ...others: number[]) =>
+      hasZoneRoom(summariseLinks([own, ...others]), own);
+    expect(roomBeside(0.1)).to.equal(false);
+    expect(roomBeside(1.1, 0.1)).to.equal(true);
+    expect(roomBeside(1, 0.1, 0.1)).to.equal(true);
+    expect(roomBeside(0.9, 0.7)).to.equal(false);
   });
 });
 
--- a/packages/gateway/src/lib/requests/link_admission.ts
+++ b/packages/gateway/src/lib/requests/link_admission.ts
@@ -74,7 +74,9 @@
   /** Whether other instances of the zone have room on their links. */
   othersHaveRoom(): boolean {
     this.update();
-    return this.zone !== undefined && hasZoneRoom(this.zone);
+    const {linkLoad, clock} = this.context;
+    const ownUse = linkLoad.reportedUtilisation(clock.now());
+    return this.zone !== undefined && hasZoneRoom(this.zone, ownUse);
   }
 
   /** Whether connections are accepted at this moment. */
