--- a/packages/gateway/src/lib/requests/return_planner.ts
+++ b/packages/gateway/src/lib/requests/return_planner.ts
@@ -65,7 +65,10 @@
     const {room, returns} = this.serviceState(service);
     room.recordRefusal(now);
     const {wait, interval} = room.forecast(retryAfter, now);
-    const forecast = {wait: Math.max(wait, restTime), interval};
+    // Answers of upstreams that are gone tell nothing about when others come.
+    const hasUpstreams = reason === RefusalReason.Overloaded;
+    const earliest = Math.max(hasUpstreams ? wait : retryAfter, restTime);
+    const forecast = {wait: earliest, interval};
     return returns.tell(caller, forecast, now, this.random());
   }
 
--- a/packages/gateway/src/test/requests/link_admission_test.ts
+++ b/packages/gateway/src/test/requests/link_admission_test.ts
@@ -115,6 +115,18 @@
     {reason: RefusalReason.Overloaded, rest: 0, delay: 1_000},
     {reason: RefusalReason.NoUpstream, rest: 3_000, delay: 3_000},
   ];
+  it('follows the load of the service while it has upstreams', () => {
+    const busy = new ReturnPlanner(linkLoad, {now: () => 0}, () => 0);
+    for (let i = 0; i < 400; i++) {
+      busy.recordAnswer('s');
+    }
+    const delayOf = (reason: RefusalReason, service: string) =>
+      Math.round(busy.delayOfService(service, reason, caller) ?? 0);
+    expect(delayOf(RefusalReason.Overloaded, 's')).to.equal(11);
+    expect(delayOf(RefusalReason.Overloaded, 'other')).to.equal(500);
+    expect(delayOf(RefusalReason.NoUpstream, 's')).to.equal(500);
+  });
+
   CASES.forEach(({reason, rest, delay}, index) => {
     it(`${index}: ${reason}, rest of ${rest} ms: ${delay}`, () => {
       const told = planner.delayOfService('s', reason, caller, rest);
