--- a/packages/gateway/src/lib/requests/forwarding.ts
+++ b/packages/gateway/src/lib/requests/forwarding.ts
@@ -363,7 +363,7 @@
       ownPermits,
       waitMs: Math.ceil(wait),
     });
-    this.giveUp(RefusalReason.ColdUpstreams, wait);
+    this.giveUp(RefusalReason.ColdUpstreams, wait > 0 ? wait : undefined);
   }
 
   /** Returns the request's urgency at a model engine; undefined elsewhere. */
@@ -604,6 +604,7 @@
       return;
     }
     this.result.mayHaveRun = true;
+    this.context.returnPlanner.recordAnswer(this.serviceName);
     this.result.firstByteAt ??= this.context.clock.now();
     this.endAttempt(
       isServerError
@@ -781,19 +782,35 @@
    * @param retryTime time before which a retry would be refused as well, if it
    *     is known.
    */
-  private giveUp(reason: RefusalReason, retryTime: Millis = 0): void {
+  private giveUp(reason: RefusalReason, retryTime?: Millis): void {
     if (this.response.hasBegun()) {
       this.response.abort();
       this.finish(`${RESPONSE_ABORTED}:${reason}`);
       return;
     }
+    const statedReason = reasonForCaller(reason, this.result.mayHaveRun);
     this.response.refuse(
-      reasonForCaller(reason, this.result.mayHaveRun),
-      this.candidates.restTime(this.context.clock.now()) ?? retryTime,
+      statedReason,
+      retryTime ?? this.returnDelay(statedReason),
     );
     this.finish(reason);
   }
 
+  /** Returns after which delay a refused caller is to return. */
+  private returnDelay(reason: RefusalReason): Millis | undefined {
+    const now = this.context.clock.now();
+    const {route, account} = this.request;
+    return this.context.returnPlanner.delayOfService(
+      this.serviceName,
+      reason,
+      {
+        priority: account?.priority ?? route.priority,
+        remainingTime: this.deadline - now,
+      },
+      this.candidates.restTime(now),
+    );
+  }
+
   /** Ends the current attempt, if any, and reports its outcome to placement. */
   private endAttempt(outcome: PlacementOutcome): void {
     if (this.call?.isRunning() === true) {
--- a/packages/gateway/src/lib/requests/front_server.ts
+++ b/packages/gateway/src/lib/requests/front_server.ts
@@ -6,6 +6,7 @@
   NoRoomError,
   readBody,
 } from '@citrontrestle/runtime';
+import {ESTIMATED_HEAD_BYTES} from './admission.js';
 import {CallerResponse} from './caller_response.js';
 import {exceptionFields} from '../process/exception_guard.js';
 import {HeldPart} from '../process/held_bytes.js';
@@ -32,6 +33,13 @@
   isClosing(): boolean;
   /** Returns the maximum size of a request body in bytes. */
   maxBodyBytes(): number;
+  /** Is told of bytes that were received from callers. */
+  recordReceived(bytes: number): void;
+  /**
+   * Returns after which delay a request is to return that is refused before its
+   * body is read, as the link is full; undefined if it is to be read.
+   */
+  delayOfRefusedHead(incoming: IncomingMessage): Millis | undefined;
 }
 
 /** Lets the server cancel a request that is being served. */
@@ -51,6 +59,12 @@
 /** Time for which a connection stays open whose body was refused. */
 const LINGER_TIME: Millis = 1_000;
 
+/**
+ * Time for which nothing of a body is read whose request was refused on its
+ * head: callers that read the response stop sending.
+ */
+const UNREAD_TIME: Millis = 200;
+
 /** Maximum size of the rest of such a body that is read. */
 const MAX_DISCARDED_BYTES = 512 * 1024;
 
@@ -138,6 +152,9 @@
       this.handler.isClosing(),
     );
     try {
+      if (this.refuseOnHead(incoming, response)) {
+        return;
+      }
       const body = await this.readBodyOrRefuse(incoming, response, held);
       if (body === undefined || state.isClosed) {
         return;
@@ -151,6 +168,48 @@
     }
   }
 
+  /**
+   * Refuses a request before its body is read and returns true, if the link is
+   * too full for it.
+   */
+  private refuseOnHead(
+    incoming: IncomingMessage,
+    response: CallerResponse,
+  ): boolean {
+    this.handler.recordReceived(ESTIMATED_HEAD_BYTES);
+    const delay = this.handler.delayOfRefusedHead(incoming);
+    if (delay === undefined) {
+      return false;
+    }
+    response.refuseUnread(RefusalReason.MachineBusy, delay);
+    // A small body that came with the head has been received by then.
+    setImmediate(() => {
+      if (incoming.complete) {
+        response.end();
+      } else {
+        this.discardUnread(incoming, response);
+      }
+    });
+    return true;
+  }
+
+  /**
+   * Gives the caller time to read the response and to disconnect; then reads the
+   * rest of the body in case the caller sends all of it first.
+   */
+  private discardUnread(
+    incoming: IncomingMessage,
+    response: CallerResponse,
+  ): void {
+    const timer = setTimeout(() => {
+      incoming.once('end', () => response.end());
+      this.discardRest(incoming);
+    }, UNREAD_TIME);
+    incoming.once('close', () => {
+      clearTimeout(timer);
+    });
+  }
+
   /**
    * Reads the body of a request. Returns undefined if the body is too large or
    * there is no room for it, in which case the request is refused and the
@@ -172,6 +231,7 @@
       }
       return await readBody(incoming, maxBytes, bytes => {
         this.bufferCollection.recordRead(bytes);
+        this.handler.recordReceived(bytes);
         return held.tryGrow(bytes);
       });
     } catch (error) {
@@ -195,6 +255,7 @@
     let discarded = 0;
     incoming.on('data', (chunk: Buffer) => {
       this.bufferCollection.recordRead(chunk.length);
+      this.handler.recordReceived(chunk.length);
       discarded += chunk.length;
       if (discarded > MAX_DISCARDED_BYTES) {
         incoming.pause();
--- a/packages/gateway/src/lib/requests/request_service.ts
+++ b/packages/gateway/src/lib/requests/request_service.ts
@@ -3,13 +3,7 @@
  * them.
  */
 import {isResumableStream, patienceFor} from '@citrontrestle/decisions';
-import {
-  admit,
-  deadlineOf,
-  ESTIMATED_HEAD_BYTES,
-  homesOf,
-  tokensToReserve,
-} from './admission.js';
+import {admit, deadlineOf, homesOf, tokensToReserve} from './admission.js';
 import {Candidates} from '../upstreams/candidates.js';
 import {ReservationOutcome} from '../budgets/prepaid_budgets.js';
 import {logBlocked} from './blocked_request.js';
@@ -65,21 +59,17 @@
     admitted: AdmittedRequest,
     response: CallerResponse,
   ): RequestHandle {
-    const {clock, linkLoad, crashWatch} = this.context;
+    const {crashWatch} = this.context;
     const state: ServingState = {hasEnded: false, forwarding: undefined};
-    const now = clock.now();
-    linkLoad.recordBytes(admitted.body.length + ESTIMATED_HEAD_BYTES, 0, now);
     if (!this.context.admits(deadlineOf(admitted))) {
       this.refuse(admitted, response, RefusalReason.Stopping);
-    } else if (linkLoad.isSaturated(now)) {
-      this.refuse(admitted, response, RefusalReason.MachineBusy);
     } else if (
       crashWatch.isBlocked(admitted) &&
       !crashWatch.takeTrial(admitted)
     ) {
       this.refuse(admitted, response, RefusalReason.CrashesUpstreams);
     } else {
-      this.startUnlessBlocked(admitted, response, state, now);
+      this.startUnlessBlocked(admitted, response, state);
     }
     return {
       cancel: () => {
@@ -118,8 +108,8 @@
     admitted: AdmittedRequest,
     response: CallerResponse,
     state: ServingState,
-    now: Millis,
   ): void {
+    const now = this.context.clock.now();
     const blockedReason = this.blockedReason(admitted, now);
     if (blockedReason !== undefined) {
       this.refuse(admitted, response, blockedReason);
