--- a/packages/decisions/src/lib/budgets/budget_reading.ts
+++ b/packages/decisions/src/lib/budgets/budget_reading.ts
@@ -32,7 +32,7 @@
  * it holds unused can't be asked for, and its machine has had the time to start
  * the next process and return it.
  */
-export const MAX_ENTRY_SILENCE: Millis = 15_000;
+export const MAX_ENTRY_SILENCE: Millis = 8_000;
 
 /** Returns the tokens that could still be reserved for a request somewhere. */
 export function obtainableTokens(reading: BudgetReading): number {
