Proofs of 402 by grant and time; refused heads end their connections; readiness saves less

Cause (review): a relay without a configuration, or with an older grant, made its followers answer 402; a follower was refused for good while it held tokens, or had just returned them; a pass over waiting requests spread two objects for each; asks for more than a peer could take got nothing; a connection stayed open after a refused body of 524 to 640 KB, and a pipelined request after a refused head was served without a response; an instance in a zone of two was not ready for more than an eighth of the time.

--- a/packages/decisions/src/lib/admission/readiness.ts
+++ b/packages/decisions/src/lib/admission/readiness.ts
@@ -39,7 +39,7 @@
 export class Readiness {
   private isReadyNow = true;
   /** Time for which the instance may still be not ready. */
-  private saved: Millis = MAX_UNREADY_TIME;
+  private saved: Millis = MAX_UNREADY_TIME / 2;
   private updatedAt: Millis | undefined;
   private unreadySince: Millis | undefined;
 
--- a/packages/decisions/src/lib/budgets/exhaustion_proofs.ts
+++ b/packages/decisions/src/lib/budgets/exhaustion_proofs.ts
@@ -42,6 +42,11 @@
     );
   }
 
+  /** Returns when the newest proof of an account was read, if there is one. */
+  provedAt(account: string): Millis | undefined {
+    return this.proofs.get(account)?.provedAt;
+  }
+
   /** Forgets old proofs. */
   prune(now: Millis): void {
     for (const [account, {provedAt}] of this.proofs) {
--- a/packages/decisions/src/lib/budgets/prepaid_shares.ts
+++ b/packages/decisions/src/lib/budgets/prepaid_shares.ts
@@ -270,7 +270,9 @@
     return {
       granted: view.granted(account),
       unclaimed: this.unclaimedTokens(account, view),
-      heldHere: this.heldTokens(account),
+      // As on the known page: a return that may not have taken effect yet is
+      // not among the unclaimed tokens either.
+      heldHere: this.ownTaken(account) - this.shareOf(account).usedTokens(),
       heldByOthers: this.entries.unusedByOthers(account),
       reservedHere: this.shareOf(account).reservedTokens(),
     };
--- a/packages/gateway/src/lib/budgets/prepaid_budgets.ts
+++ b/packages/gateway/src/lib/budgets/prepaid_budgets.ts
@@ -271,6 +271,7 @@
         peersAskedSince: undefined,
         askedOfRelay: undefined,
         relayRefusal: undefined,
+        askedBeforePooling: false,
         resolve,
       };
       this.queue.add(request);
@@ -334,11 +335,20 @@
    *     relay could not obtain the tokens in time.
    * @param refusal.age age of the reading that proves it. Relays of earlier
    *     versions state none; what they call exhausted is not proved.
+   * @param refusal.granted tokens granted so far, as the relay knows them.
    */
   recordRelayRefusal(
     account: string,
     tokens: number,
-    {exhausted, age}: {exhausted: boolean; age: Millis | undefined},
+    {
+      exhausted,
+      age,
+      granted = -1,
+    }: {
+      exhausted: boolean;
+      age: Millis | undefined;
+      granted: number | undefined;
+    },
   ): void {
     const request = this.queue
       .of(account)
@@ -348,10 +358,15 @@
     }
     request.askedOfRelay = undefined;
     if (age !== undefined) {
-      this.relayReadAt.set(account, this.clock.now() - age);
-      if (!exhausted) {
+      const readAt = this.clock.now() - age;
+      this.relayReadAt.set(account, readAt);
+      const isProved =
+        exhausted &&
+        granted >= this.context.grantedTokens(account) &&
+        request.waitingSince - readAt < MAX_READING_AGE;
+      if (!isProved) {
         request.relayRefusal = WaitDecision.Unavailable;
-      } else if (tokens >= request.tokens) {
+      } else if (this.isWholeRefused(request, tokens)) {
         request.relayRefusal = WaitDecision.Exhausted;
       } else {
         this.poolAtRelay(request);
@@ -360,6 +375,18 @@
     this.serveAccount(account);
   }
 
+  /**
+   * Whether the relay has refused all that a request needs, and this instance
+   * has nothing, here or on its way to the relay, that the relay did not count.
+   */
+  private isWholeRefused(request: WaitingRequest, tokens: number): boolean {
+    return (
+      tokens >= request.tokens &&
+      !request.askedBeforePooling &&
+      this.availableTokens(request.account) < 1
+    );
+  }
+
   /** Ends a reservation of which `used` tokens were consumed. */
   settle(account: string, reserved: number, used: number): void {
     this.pageOf(account).shares.settle(account, reserved, used);
@@ -418,9 +445,29 @@
     return page.isFailing() || !isNear ? LONG_RETRY_DELAY : USUAL_RETRY_DELAY;
   }
 
-  /** Returns the time since the store confirmed the page of an account. */
+  /**
+   * Returns the age of the reading that proved last that an account is
+   * exhausted; that of its page if none did lately.
+   */
   readingAge(account: string): Millis {
-    return this.pageOf(account).ageAt(this.clock.now());
+    const now = this.clock.now();
+    const provedAt = this.proofs.provedAt(account);
+    return provedAt === undefined
+      ? this.pageOf(account).ageAt(now)
+      : now - provedAt;
+  }
+
+  /** Returns the tokens granted to an account, as this instance knows them. */
+  grantedTokens(account: string): number {
+    return this.context.grantedTokens(account);
+  }
+
+  /** Returns the untaken tokens of an account that this instance may take. */
+  takeableTokens(account: string): number {
+    return this.pageOf(account).shares.takeableTokens(
+      account,
+      this.currentView(),
+    );
   }
 
   /** Returns the tokens of an account that may be reserved now. For logs. */
@@ -644,11 +691,13 @@
     if (request.relayRefusal !== undefined) {
       return request.relayRefusal;
     }
-    const {peersAskedSince, askedOfRelay} = request;
-    const awaitsRelay = askedOfRelay !== undefined;
+    // Called for each waiting request, so the objects are not spread.
+    const {tokens, waitingSince, patience, peersAskedSince} = request;
+    const {now, reading, readAt, isStoreFailing} = situation;
+    const awaitsRelay = request.askedOfRelay !== undefined;
     return decideTokenWait(
-      {...request, awaitsRelay},
-      {...situation, peersAskedSince},
+      {tokens, waitingSince, patience, awaitsRelay},
+      {now, reading, readAt, isStoreFailing, peersAskedSince},
     );
   }
 
@@ -717,6 +766,7 @@
       wait,
     });
     request.askedOfRelay = isAsked ? Math.ceil(tokens) : undefined;
+    request.askedBeforePooling = false;
   }
 
   /**
@@ -729,6 +779,9 @@
     const piece = Math.floor(shares.availableTokens(account));
     if (piece > 0 && this.context.returnToRelay(account, piece)) {
       shares.receiveFromPeer(account, -piece);
+      for (const other of this.queue.of(account)) {
+        other.askedBeforePooling = other.askedOfRelay !== undefined;
+      }
     }
     this.askRelay(request, tokens, 0);
   }
--- a/packages/gateway/src/lib/budgets/token_exchange.ts
+++ b/packages/gateway/src/lib/budgets/token_exchange.ts
@@ -187,8 +187,11 @@
     if (given < tokens) {
       this.collectFromFollowers(account, tokens - given);
     }
-    if (draw && given < tokens && budgets.reachesStore(account)) {
-      void this.supplyFromStore(requester, account, tokens - given);
+    // What can't be taken now is not waited for, as it would be held back here.
+    const takeable = Math.floor(budgets.takeableTokens(account));
+    const drawn = Math.min(tokens - given, takeable);
+    if (draw && drawn > 0 && budgets.reachesStore(account)) {
+      void this.supplyFromStore(requester, account, drawn);
     }
   }
 
@@ -254,7 +257,15 @@
       const exhausted = supplied.outcome === ReservationOutcome.Exhausted;
       const kind = PeerMessageKind.TokenRefusal;
       const age = Math.round(Math.min(budgets.readingAge(account), MAX_AGE));
-      peerNetwork.send(follower, {kind, account, tokens, exhausted, age});
+      const granted = Math.floor(budgets.grantedTokens(account));
+      peerNetwork.send(follower, {
+        kind,
+        account,
+        tokens,
+        exhausted,
+        age,
+        granted,
+      });
     }
   }
 
--- a/packages/gateway/src/lib/budgets/token_queue.ts
+++ b/packages/gateway/src/lib/budgets/token_queue.ts
@@ -11,6 +11,8 @@
   peersAskedSince: Millis | undefined;
   /** Tokens for which the relay was asked and has not answered, if any. */
   askedOfRelay: number | undefined;
+  /** Whether tokens of this instance went to the relay after it was asked. */
+  askedBeforePooling: boolean;
   /** How the relay has finally refused it; undefined if it has not. */
   relayRefusal: WaitDecision | undefined;
   resolve(outcome: ReservationOutcome): void;
--- a/packages/gateway/src/lib/fleet/peer_exchange.ts
+++ b/packages/gateway/src/lib/fleet/peer_exchange.ts
@@ -122,10 +122,17 @@
       this.dependencies.tokenExchange.handleRequest(from, message),
     [PeerMessageKind.TokenTransfer]: ({account, tokens}) =>
       this.dependencies.budgets.receiveFromPeer(account, tokens),
-    [PeerMessageKind.TokenRefusal]: ({account, tokens, exhausted, age}) =>
+    [PeerMessageKind.TokenRefusal]: ({
+      account,
+      tokens,
+      exhausted,
+      age,
+      granted,
+    }) =>
       this.dependencies.budgets.recordRelayRefusal(account, tokens, {
         exhausted,
         age,
+        granted,
       }),
     [PeerMessageKind.SuspectReport]: (message, from) => {
       const {fingerprint, traits, upstream} = message;
--- a/packages/gateway/src/lib/fleet/peer_message.ts
+++ b/packages/gateway/src/lib/fleet/peer_message.ts
@@ -278,6 +278,8 @@
      * from earlier versions, `exhausted` is not proved.
      */
     age: z.number().nonnegative().optional(),
+    /** Tokens granted so far, as the sender knows them; missing like `age`. */
+    granted: tokenCountSchema.optional(),
   }),
   z.object({
     kind: z.literal(PeerMessageKind.SuspectReport),
--- a/packages/gateway/src/lib/requests/front_server.ts
+++ b/packages/gateway/src/lib/requests/front_server.ts
@@ -76,6 +76,8 @@
   private readonly server: Server;
   private activeCount = 0;
   private readonly handles = new Set<RequestHandle>();
+  /** Connections that end with the refusal of a request whose body is unread. */
+  private readonly closingSockets = new WeakSet<Duplex>();
 
   constructor(
     private readonly dialect: Dialect,
@@ -90,7 +92,13 @@
       {maxHeaderSize: MAX_HEAD_BYTES, noDelay: true},
       (incoming, response) => void this.handleRequest(incoming, response),
     );
-    this.server.on('clientError', rejectMalformedRequest);
+    this.server.on('clientError', (error, socket) => {
+      if (this.closingSockets.has(socket)) {
+        socket.destroy();
+      } else {
+        rejectMalformedRequest(error, socket);
+      }
+    });
   }
 
   /** Resolves when it listens on `ip:port`. */
@@ -132,6 +140,11 @@
     incoming: IncomingMessage,
     serverResponse: ServerResponse,
   ): Promise<void> {
+    if (this.closingSockets.has(incoming.socket)) {
+      // It follows one that was refused on its head, so it gets no response.
+      incoming.resume();
+      return;
+    }
     this.activeCount += 1;
     const state: {isClosed: boolean; handle?: RequestHandle} = {
       isClosed: false,
@@ -181,6 +194,7 @@
     if (delay === undefined) {
       return false;
     }
+    this.closingSockets.add(incoming.socket);
     response.refuseUnread(RefusalReason.MachineBusy, delay);
     // A small body that came with the head has been received by then.
     setImmediate(() => {
@@ -263,7 +277,7 @@
     });
     incoming.resume();
     setTimeout(() => {
-      if (!incoming.complete) {
+      if (!incoming.readableEnded) {
         incoming.socket.destroy();
       }
     }, LINGER_TIME);
--- a/packages/gateway/src/test/requests/front_server_test.ts
+++ b/packages/gateway/src/test/requests/front_server_test.ts
@@ -97,6 +97,7 @@
     {name: 'without a body', size: 0},
     {name: 'with a body that came along', size: 9_000},
     {name: 'with a large body', size: 400_000},
+    {name: 'with a body that is read but for its end', size: 560_000},
     {name: 'with a body that is never sent whole', size: LARGE_BYTES},
   ];
   for (const {name, size} of CASES) {
