--- a/packages/decisions/src/lib/placement/placement.ts
+++ b/packages/decisions/src/lib/placement/placement.ts
@@ -189,6 +189,9 @@
 const LOCAL_DRAWS = 2;
 const DRAWS = 2;
 
+/** Upstreams that are drawn of those that hold the last shared prompt part. */
+const HOLDER_DRAWS = 2;
+
 /** Upstreams that are preferred for a shared prompt part, the first included. */
 const PREFERRED_UPSTREAMS = 2;
 
@@ -229,20 +232,13 @@
     const preferred = preferredUpstreams(affinityKey(request), eligible);
     const [first] = preferred;
     const compared = new Set(preferred);
-    const firstPart = request.parts[0]?.id;
-    if (firstPart !== undefined) {
-      for (const upstream of eligible) {
-        if (this.states.get(upstream.id)?.partUsedAt.has(firstPart)) {
-          compared.add(upstream);
-        }
-      }
-    }
+    this.addHolders(request, eligible, compared);
     const local = eligible.filter(({zone}) => zone === view.zone);
     this.draw(local, LOCAL_DRAWS, compared);
     this.draw(eligible, DRAWS, compared);
-    const probed = this.speeds.chooseProbe(eligible, view.now, this.random);
-    if (probed !== undefined) {
-      return this.estimate(request, probed, false, view).placed;
+    const probe = this.probe(request, eligible, view);
+    if (probe !== undefined) {
+      return probe;
     }
     const best = this.best(request, compared, first, view);
     const isFull =
@@ -251,6 +247,49 @@
     return isFull ? this.best(request, eligible, first, view) : best;
   }
 
+  /**
+   * Adds the upstreams that hold the own part of the request, that of its
+   * session, and some that hold the last shared part. Not all of these: where
+   * many requests share a part, all instances would compare all upstreams.
+   */
+  private addHolders(
+    request: PlacementRequest,
+    eligible: readonly UpstreamListing[],
+    compared: Set<UpstreamListing>,
+  ): void {
+    const {parts} = request;
+    const sharedPart = affinityKey(request);
+    const ownPart = parts.length > 1 ? parts.at(-1)?.id : undefined;
+    const holders: UpstreamListing[] = [];
+    for (const upstream of eligible) {
+      const partUsedAt = this.states.get(upstream.id)?.partUsedAt;
+      if (ownPart !== undefined && partUsedAt?.has(ownPart)) {
+        compared.add(upstream);
+      } else if (partUsedAt?.has(sharedPart)) {
+        holders.push(upstream);
+      }
+    }
+    this.draw(holders, HOLDER_DRAWS, compared);
+  }
+
+  /**
+   * Returns the placement of a request that measures an upstream which was slow;
+   * undefined in nearly all cases. A repeat, which has little time left, is no
+   * probe, and none is sent to wait for a slot.
+   */
+  private probe(
+    request: PlacementRequest,
+    eligible: readonly UpstreamListing[],
+    view: PlacementView,
+  ): PlacedRequest | undefined {
+    const probed =
+      view.excluded.size === 0
+        ? this.speeds.chooseProbe(eligible, view.now, this.random)
+        : undefined;
+    const placed = probed && this.estimate(request, probed, false, view).placed;
+    return placed?.slotWait === 0 ? placed : undefined;
+  }
+
   /** Returns the candidates that may be chosen. */
   private eligible(
     candidates: readonly UpstreamListing[],
--- a/packages/decisions/src/lib/upstreams/cold_upstreams.ts
+++ b/packages/decisions/src/lib/upstreams/cold_upstreams.ts
@@ -109,7 +109,7 @@
     }
     const {startedAt, cold} = listing;
     const isKnownProcess = known?.startedAt === startedAt;
-    const wasListed = isKnownProcess && known.isListed;
+    const wasListed = known?.isListed === true;
     const wasCold = this.isCold(id, now);
     const state = isKnownProcess ? known : createState(startedAt);
     this.states.set(id, state);
@@ -121,7 +121,8 @@
       this.assume(state, profile?.coldTime ?? 0, now);
     }
     const isNew = !wasCold && this.isCold(id, now);
-    if (isNew && wasListed) {
+    // Those who have not read the entry may still send, also to a new process.
+    if (wasListed && this.isCold(id, now) && (isNew || !isKnownProcess)) {
       state.heldUntil = now + PERMIT_PERIOD;
     }
     return isNew;
--- a/packages/decisions/src/test/fleet/feed_timing_test.ts
+++ b/packages/decisions/src/test/fleet/feed_timing_test.ts
@@ -12,6 +12,9 @@
 /** Interval at which an instance looks at what its relay reports. */
 const REPORT_INTERVAL: Millis = 300;
 
+/** Bounds of which the strictest determines how often the store is asked. */
+const BOUNDS = ['drain', 'configuration', 'revocation', 'evacuation'] as const;
+
 describe('the times by which the store is followed', () => {
   const cases: {contact: Millis; strictest: Millis}[] = [
     {contact: 3_400, strictest: 2_000},
@@ -29,6 +32,17 @@
       evacuation: strictest + 2_000,
     });
 
+    for (const bound of BOUNDS) {
+      it(`follow the strictest bound of ${strictest} ms: ${bound}`, () => {
+        const others = Object.fromEntries(
+          BOUNDS.map(name => [name, strictest + 2_000]),
+        ) as Record<(typeof BOUNDS)[number], Millis>;
+        expect(
+          feedTiming({contact, ...others, [bound]: strictest}),
+        ).to.deep.equal(timing);
+      });
+    }
+
     it(`keep a contact time of ${contact} ms after an outage`, () => {
       expect(longestFallback(timing)).to.be.at.most(contact);
     });
--- a/packages/decisions/src/test/placement/placement_test.ts
+++ b/packages/decisions/src/test/placement/placement_test.ts
@@ -69,7 +69,7 @@
         0,
       );
       const second = place(
-        new Placement(randomNumbers(1)),
+        new Placement(randomNumbers(2)),
         request,
         candidates,
         0,
