Take no permits for cold upstreams before another instance has been seen

Change: with other instances in the settings, an instance that has seen none takes none, and it learns of the fleet anew from the first on; the wait that is told for a cold upstream is at least 20 ms.

--- a/packages/decisions/src/lib/upstreams/fleet_share.ts
+++ b/packages/decisions/src/lib/upstreams/fleet_share.ts
@@ -81,9 +81,17 @@
   private readonly members = new Map<string, Millis>();
   /** When a member of each zone was last seen. */
   private readonly zones = new Map<string, Millis>();
+  /** Whether another instance has been seen since the start. */
+  private hasSeenPeer = false;
   private settledAt: Millis = Infinity;
   private updatedAt: Millis = -Infinity;
 
+  /**
+   * @param expectsPeers whether there are other instances, by the settings. One
+   *     that has seen none is cut off, and not the only one.
+   */
+  constructor(private readonly expectsPeers: boolean) {}
+
   /**
    * Records the running instances; returns those among which parts are chosen,
    * undefined while the instance has not learned of them. To be called each
@@ -95,11 +103,16 @@
     }
     this.updatedAt = now;
     const {self, members} = view;
+    if (!this.hasSeenPeer && members.length > 1) {
+      this.hasSeenPeer = true;
+      this.settledAt = now + SETTLE_TIME;
+    }
     const ownZone = members.filter(({zone}) => zone === self.zone);
     const zones = new Set(members.map(({zone}) => zone));
     ownZone.forEach(({address}) => remember(this.members, address, now));
     zones.forEach(zone => remember(this.zones, zone, now));
-    if (now < this.settledAt) {
+    const isAlone = this.expectsPeers && !this.hasSeenPeer;
+    if (isAlone || now < this.settledAt) {
       return undefined;
     }
     const seesMost =
--- a/packages/gateway/src/lib/process/gateway.ts
+++ b/packages/gateway/src/lib/process/gateway.ts
@@ -469,6 +469,7 @@
       this.clock,
       log,
       {
+        expectsPeers: this.expectsPeers(),
         fleetView: () => this.peerNetwork.fleetView(),
         profileOf: service => this.routeTable.findService(service),
         reportCold: ({id, startedAt}, remaining) => {
@@ -484,6 +485,16 @@
     );
   }
 
+  /** Whether the settings name other instances than this one. */
+  private expectsPeers(): boolean {
+    const {
+      listen,
+      advertise = listen,
+      seeds,
+    } = this.dependencies.settings.peers;
+    return parseAddressList(seeds).some(address => address !== advertise);
+  }
+
   /** Connects the planned stop to the other components. */
   private createShutdown(): Shutdown {
     const {settings, log} = this.dependencies;
--- a/packages/gateway/src/lib/requests/forwarding.ts
+++ b/packages/gateway/src/lib/requests/forwarding.ts
@@ -52,6 +52,9 @@
   UpstreamListing,
 } from '@citrontrestle/decisions';
 
+/** Shortest time after which a caller is told to come back. */
+const MIN_RETURN_DELAY: Millis = 20;
+
 /** Maximum delay of a timer; a longer one would end at once. */
 const MAX_TIMER_DELAY: Millis = 2 ** 31 - 1;
 
@@ -363,7 +366,7 @@
       ownPermits,
       waitMs: Math.ceil(wait),
     });
-    this.giveUp(RefusalReason.ColdUpstreams, wait > 0 ? wait : undefined);
+    this.giveUp(RefusalReason.ColdUpstreams, Math.max(wait, MIN_RETURN_DELAY));
   }
 
   /** Returns the request's urgency at a model engine; undefined elsewhere. */
--- a/packages/gateway/src/lib/upstreams/cold_watch.ts
+++ b/packages/gateway/src/lib/upstreams/cold_watch.ts
@@ -19,6 +19,8 @@
 
 /** What a `ColdWatch` needs from the other components of its instance. */
 export interface ColdWatchContext {
+  /** Whether the settings name other instances. */
+  expectsPeers: boolean;
   /** Returns the running instances that are not stopping. */
   fleetView(): FleetView;
   /** Returns what is configured of a service; undefined if nothing is. */
@@ -43,7 +45,7 @@
 /** The cold upstreams, as this instance treats them. */
 export class ColdWatch {
   private readonly upstreams: ColdUpstreams;
-  private readonly memory = new FleetMemory();
+  private readonly memory: FleetMemory;
   private fleet: FleetView | undefined;
   private fleetAt: Millis = -Infinity;
   /** Whether a list has been received since the start of this process. */
@@ -57,6 +59,7 @@
     private readonly context: ColdWatchContext,
   ) {
     this.upstreams = new ColdUpstreams(tolerance);
+    this.memory = new FleetMemory(context.expectsPeers);
   }
 
   /** Returns the upstreams to which this instance may send a request now. */
