--- a/packages/decisions/src/test/admission/return_times_test.ts
+++ b/packages/decisions/src/test/admission/return_times_test.ts
@@ -12,6 +12,9 @@
 import {ServiceRoom} from '../../lib/admission/room_forecast.js';
 import type {RefusedCaller} from '../../lib/admission/return_times.js';
 
+/** Seed of the random sequences. */
+const FUZZ_SEED = 1;
+
 const INTERVAL = 20;
 const FORECAST = {wait: 100, interval: INTERVAL};
 const PATIENT: RefusedCaller = {priority: 1, remainingTime: 60_000};
@@ -85,6 +88,7 @@
           expect(urgent).to.be.at.most(Math.min(...delays, Infinity) + 1e-6);
         },
       ),
+      {seed: FUZZ_SEED},
     );
   });
 
--- a/packages/decisions/src/test/fleet/evacuations_test.ts
+++ b/packages/decisions/src/test/fleet/evacuations_test.ts
@@ -12,6 +12,9 @@
 import {isNewer} from '../../lib/fleet/store_position.js';
 import type {EvacuationSnapshot} from '../../lib/fleet/evacuations.js';
 
+/** Seed of the random sequences. */
+const FUZZ_SEED = 1;
+
 /** One step: a snapshot, or a change of one zone (`+` evacuates, `-` opens). */
 type Step = [era: number, revision: number, news: string[] | string];
 
@@ -184,6 +187,7 @@
           );
         }
       }),
+      {seed: FUZZ_SEED},
     );
   });
 
--- a/packages/decisions/src/test/placement/upstream_speed_test.ts
+++ b/packages/decisions/src/test/placement/upstream_speed_test.ts
@@ -10,6 +10,9 @@
 import {randomNumbers} from './upstream_replay.js';
 import type {SpeedEvidence} from '../../lib/placement/upstream_speed.js';
 
+/** Seed of the random sequences. */
+const FUZZ_SEED = 1;
+
 /** Records answers 100 ms apart and returns the time after the last. */
 function record(
   speeds: UpstreamSpeeds,
@@ -134,6 +137,7 @@
           expect(whole?.[field] ?? 0).to.be.closeTo(added?.[field] ?? 0, 1e-6);
         }
       }),
+      {seed: FUZZ_SEED},
     );
   });
 
@@ -154,6 +158,7 @@
           );
         },
       ),
+      {seed: FUZZ_SEED},
     );
   });
 
