Admission: reasons instead of stories in comments; an allowance of unready time

Comments of the new admission modules told how callers wander, and called raw priorities ranks. They state the load pattern, the unit and the reason; private names follow (allowance, SATURATED_HOLD_TIME). No change of behaviour.

--- a/packages/decisions/src/lib/admission/head_admission.ts
+++ b/packages/decisions/src/lib/admission/head_admission.ts
@@ -1,8 +1,7 @@
 /**
- * Whether a request is refused on its head alone, before its body is read. It
- * matters when a small link is full: a body that is read and then refused has
- * cost the link as much as one that is served, and has kept its caller waiting
- * behind all others.
+ * Whether a request is refused on its head alone, before its body is read. Covers
+ * this load pattern: a small link is full, and a body that is read and then
+ * refused takes as much of it as one that is served.
  */
 
 /** What is known of a request and of the link when its head has been read. */
@@ -13,7 +12,7 @@
   bodyBytes: number;
   /** By how much the body raises the utilisation. */
   bodyUtilisation: number;
-  /** Rank of the request; 0 is served first. */
+  /** Priority of the request; 0 is the most important. */
   priority: number;
   /** Whether other instances of the zone have room on their links. */
   othersHaveRoom: boolean;
@@ -22,15 +21,15 @@
 /** Utilisation up to which requests of the highest priority are read. */
 const MAX_UTILISATION = 0.98;
 
-/** By how much each lower priority gives way, so that more important ones fit. */
+/** Reduction of the limit for each lower priority. */
 const PRIORITY_STEP = 0.04;
 
 /** Utilisation up to which requests of any priority are read. */
 const MIN_LIMIT = 0.86;
 
 /**
- * Size in bytes from which a body has not arrived, for the most part, when its
- * head has: callers send that much without waiting for the other side.
+ * Minimum size in bytes of a large body. Smaller ones mostly arrive with the head,
+ * because callers send that much before the first acknowledgement.
  */
 const LARGE_BODY_BYTES = 16_384;
 
@@ -52,7 +51,7 @@
   othersHaveRoom,
 }: HeadFacts): boolean {
   if (utilisation < MIN_REFUSING_UTILISATION) {
-    // A single body that is larger than the link's room must pass some time.
+    // Otherwise a body that exceeds the limit by itself would never be read.
     return true;
   }
   const ownLimit = Math.max(
--- a/packages/decisions/src/lib/admission/link_load.ts
+++ b/packages/decisions/src/lib/admission/link_load.ts
@@ -34,11 +34,11 @@
 const BUSY_HOLD_TIME: Millis = 10_000;
 
 /**
- * The same for a machine that was full: its callers alone send more than it
- * carries. The load balancer prefers the instances of a caller in a fixed order,
- * so they come back as soon as it is ready, also from a larger one.
+ * The same if the utilisation was above `SATURATED_UTILISATION`. The load balancer
+ * sends callers back as soon as the machine is ready, and they alone would
+ * saturate its link again.
  */
-const FULL_HOLD_TIME: Millis = 30_000;
+const SATURATED_HOLD_TIME: Millis = 30_000;
 
 const BITS_PER_BYTE = 8;
 
@@ -89,9 +89,8 @@
   }
 
   /**
-   * Returns the time until the utilisation is at most `target`, if as much
-   * traffic ends in each part of the window as in the others and no new one
-   * begins.
+   * Returns the time until the utilisation is at most `target`, assuming that
+   * the traffic in the window was even and that none is added.
    */
   timeUntil(target: number, now: Millis): Millis {
     const utilisation = this.utilisation(now);
@@ -114,7 +113,9 @@
       this.lastBusyAt !== undefined
     ) {
       const holdTime =
-        this.busyPeak > SATURATED_UTILISATION ? FULL_HOLD_TIME : BUSY_HOLD_TIME;
+        this.busyPeak > SATURATED_UTILISATION
+          ? SATURATED_HOLD_TIME
+          : BUSY_HOLD_TIME;
       const holdExpired = now - this.lastBusyAt >= holdTime;
       this.lastBusyAt = holdExpired ? undefined : this.lastBusyAt;
     }
--- a/packages/decisions/src/lib/admission/readiness.ts
+++ b/packages/decisions/src/lib/admission/readiness.ts
@@ -1,10 +1,10 @@
 /**
- * Whether an instance with a busy link takes new connections. It matters when
- * the callers of one account fill the links of a few small instances: the load
- * balancer moves them to others once the instance says that it is not ready. An
+ * Whether an instance with a busy link takes new connections. Covers this load
+ * pattern: the callers of one account fill the links of a few small instances,
+ * and the load balancer moves them to others while an instance is not ready. An
  * instance is not ready only while its zone has room, while it is among the
- * fullest, and for a small part of the time, so that the callers that wander
- * don't turn one instance after the other away.
+ * fullest, and for a small part of the time, so that moved callers do not take
+ * many instances out of rotation.
  */
 import {hasZoneRoom} from './zone_links.js';
 import type {ZoneLinks} from './zone_links.js';
@@ -22,8 +22,8 @@
 /** Time that an instance may be not ready, for each unit of time it is ready. */
 const UNREADY_PER_READY_TIME = 1 / 8;
 
-/** Saved time from which an instance may be not ready again. */
-const MIN_SAVED_TIME: Millis = 2_500;
+/** Allowance from which an instance may be not ready again. */
+const MIN_ALLOWANCE: Millis = 2_500;
 
 /** The state of an instance's link and of those of its zone. */
 export interface LinkState {
@@ -39,7 +39,7 @@
 export class Readiness {
   private isReadyNow = true;
   /** Time for which the instance may still be not ready. */
-  private saved: Millis = MAX_UNREADY_TIME;
+  private allowance: Millis = MAX_UNREADY_TIME;
   private updatedAt: Millis | undefined;
   private unreadySince: Millis | undefined;
 
@@ -49,8 +49,8 @@
   }
 
   /**
-   * Returns the time from which on callers that return reach another instance;
-   * undefined while the instance is ready.
+   * Returns the time until returning callers reach another instance; undefined
+   * while this one is ready.
    */
   timeUntilElsewhere(now: Millis): Millis | undefined {
     return this.unreadySince === undefined
@@ -62,13 +62,13 @@
   update(link: LinkState, now: Millis): boolean {
     const elapsed = now - (this.updatedAt ?? now);
     this.updatedAt = now;
-    const saved = this.isReadyNow
-      ? this.saved + elapsed * UNREADY_PER_READY_TIME
-      : this.saved - elapsed;
-    this.saved = Math.max(0, Math.min(MAX_UNREADY_TIME, saved));
-    const needed = this.isReadyNow ? MIN_SAVED_TIME : 0;
-    const hasTime = this.saved > needed;
-    this.isReadyNow = !(hasTime && mayBeUnready(link));
+    const allowance = this.isReadyNow
+      ? this.allowance + elapsed * UNREADY_PER_READY_TIME
+      : this.allowance - elapsed;
+    this.allowance = Math.max(0, Math.min(MAX_UNREADY_TIME, allowance));
+    const needed = this.isReadyNow ? MIN_ALLOWANCE : 0;
+    const hasAllowance = this.allowance > needed;
+    this.isReadyNow = !(hasAllowance && mayBeUnready(link));
     this.unreadySince = this.isReadyNow
       ? undefined
       : (this.unreadySince ?? now);
--- a/packages/decisions/src/lib/admission/return_times.ts
+++ b/packages/decisions/src/lib/admission/return_times.ts
@@ -1,8 +1,8 @@
 /**
- * When refused callers are to return. It matters when many are refused at once:
- * callers that are all told the same short time return together, find no room
- * again, and have then used up their retries. Each is told a time of its own, in
- * the order in which room is expected, the most important first.
+ * When refused callers are to return. Covers this load pattern: many are refused
+ * at once, and those that are told the same delay return together, find no room
+ * and use up their retries. Each is told a time of its own, in the order in which
+ * room is expected, the most important first.
  *
  * Cost of a decision: one pass over the levels of priority. Memory: one time per
  * level and resource; nothing is exchanged between instances.
@@ -19,13 +19,13 @@
 
 /** A caller that is refused. */
 export interface RefusedCaller {
-  /** Rank of the request; 0 is served first. */
+  /** Priority of the request; 0 is the most important. */
   priority: number;
   /** Time until the deadline of the request. */
   remainingTime: Millis;
 }
 
-/** Number of priorities that are told apart; lower ones count as the last. */
+/** Number of levels of priority; all lower priorities share the last one. */
 const LEVELS = 8;
 
 /** Longest delay that is told, however many callers have been told one. */
@@ -40,19 +40,19 @@
 /** Part of an interval over which callers are spread at random. */
 const SPREAD = 0.5;
 
-/** Time over which callers that find room elsewhere at once are spread. */
+/** Time over which callers are spread that return to another instance. */
 const ELSEWHERE_SPREAD: Millis = 20;
 
-/** By how much of their wait those are spread that must wait for it. */
+/** Added to that spread, as a fraction of the wait for another instance. */
 const ELSEWHERE_SPREAD_FRACTION = 0.5;
 
 /** The times told to the callers that one resource refused. */
 export class ReturnTimes {
-  /** For each level, when there is room for one more caller of it. */
+  /** Earliest time of return of the next caller, by level. */
   private readonly nextAt: Millis[] = Array.from({length: LEVELS}, () => 0);
 
   /**
-   * Returns after which delay a caller is to return, and counts it as told.
+   * Returns the delay after which a caller is to return, and reserves its time.
    * @param random uniformly distributed in [0, 1).
    */
   tell(
@@ -76,7 +76,7 @@
 
 /**
  * Returns the delay for a caller that finds room at another instance.
- * @param wait time from which on callers reach another instance.
+ * @param wait time until callers reach another instance.
  * @param random uniformly distributed in [0, 1).
  */
 export function returnElsewhere(
--- a/packages/decisions/src/lib/admission/room_forecast.ts
+++ b/packages/decisions/src/lib/admission/room_forecast.ts
@@ -1,10 +1,10 @@
 /**
- * When the upstreams of a service will have room again. It matters in overload:
- * a caller that returns while most others are still refused is refused as well,
- * and one that waits long after the overload has ended misses its target.
+ * When the upstreams of a service will have room again. Covers overload: a caller
+ * that returns while most others are still refused is refused as well, and one
+ * that waits long after the overload misses its latency target.
  *
- * Each instance knows the requests that it has had answered and refused itself;
- * that is its part of the service's capacity and of its overload.
+ * Each instance counts only its own answers and refusals: its part of the
+ * service's capacity and of its overload.
  */
 import {SlidingSum} from '../base/sliding_sum.js';
 import type {Millis} from '../base/clock.js';
@@ -13,10 +13,7 @@
 /** Time over which answers and refusals are counted. */
 const COUNTING_WINDOW: Millis = 2_000;
 
-/**
- * Fraction of the room that becomes free which is left to callers that return;
- * new requests take the rest.
- */
+/** Fraction of freed room for returning callers; new requests take the rest. */
 const RETURN_SHARE = 0.5;
 
 /** Answers and refusals of one service at one instance. */
--- a/packages/decisions/src/lib/admission/zone_links.ts
+++ b/packages/decisions/src/lib/admission/zone_links.ts
@@ -1,12 +1,10 @@
 /**
- * How full the links of a zone's instances are, and which of them may ask the
- * load balancer for no new connections. It matters when several instances are
- * full at once: if each decided alone, the callers of one would fill the next,
- * and in the end none would take connections.
+ * How full the links of a zone's instances are, and which instances may be not
+ * ready. Covers this load pattern: several links are full at once, so that if each
+ * instance decided alone, none would take connections in the end.
  *
  * Each instance reports its utilisation in its heartbeats; in a large fleet the
- * zone's relay sends the summary back in its own. That is two numbers in a
- * heartbeat to a relay and three in one from it, so the traffic grows linearly
+ * zone's relay sends the summary back in its own, so the traffic grows linearly
  * with the fleet. A summary costs one sort of the zone's instances.
  */
 
@@ -17,8 +15,8 @@
   /** Mean utilisation of their links. */
   use: number;
   /**
-   * Utilisation from which an instance may be not ready; so many reach it as
-   * may be not ready together.
+   * Utilisation from which an instance may be not ready; at most `maxUnready`
+   * instances reach it.
    */
   unreadyFrom: number;
 }
@@ -27,7 +25,7 @@
 const MAX_UNREADY_FRACTION = 1 / 3;
 
 /** Utilisation that no instance reaches. */
-const NEVER = 1_000_000;
+const UNREACHED_UTILISATION = 1_000_000;
 
 /** Mean utilisation of the others above which the zone as a whole has no room. */
 const FULL_ZONE_UTILISATION = 0.5;
@@ -45,14 +43,14 @@
   const heaviest = [...utilisations].sort((a, b) => b - a);
   const allowed = maxUnready(size);
   const last = heaviest[allowed - 1];
-  // With equal ones beyond the last that is allowed, all of these stay ready.
+  // If more instances than allowed have the same utilisation, these stay ready.
   const isTied = last === heaviest[allowed];
   const above = heaviest.filter(use => last !== undefined && use > last);
   const from = isTied ? above.at(-1) : last;
   return {
     size,
     use: size === 0 ? 0 : total / size,
-    unreadyFrom: from ?? NEVER,
+    unreadyFrom: from ?? UNREACHED_UTILISATION,
   };
 }
 
--- a/packages/decisions/src/lib/base/sliding_sum.ts
+++ b/packages/decisions/src/lib/base/sliding_sum.ts
@@ -33,7 +33,7 @@
 
   /**
    * Returns the sum of the values that were added within the window. Those of
-   * the part of the window that is ending count in proportion.
+   * the oldest bucket count in proportion to its part within the window.
    */
   total(now: Millis): number {
     this.removeExpired(now);
