Budgets, evacuations, homes: comments name the situation that is covered

Some headers used 'answers this load' or 'answers the loss', where all others say what they cover. They do the same, and refer to MAX_ENTRY_SILENCE where silent processes are left out. No change of behaviour.

--- a/packages/decisions/src/lib/budgets/budget_reading.ts
+++ b/packages/decisions/src/lib/budgets/budget_reading.ts
@@ -1,8 +1,8 @@
 /**
- * What one instance knows of a budget, and whether that proves that the balance
- * does not cover a request. Answers the loss of requests that are refused for
- * good although tokens are left: untaken ones that this instance may not take
- * yet, ones that others hold unused, and ones that an old page does not show.
+ * What one instance knows of a budget, to prove that the balance does not cover a
+ * request. Covers this failure: requests are refused for good although tokens are
+ * left that this instance may not take yet, that others hold unused, or that an
+ * old page does not show.
  */
 import type {Millis} from '../base/clock.js';
 import type {PageHolder} from './prepaid_page.js';
@@ -20,7 +20,7 @@
   heldHere: number;
   /**
    * Tokens that other processes had taken and neither used nor given away at
-   * their last writes, without processes that write no more.
+   * their last writes. Those silent for `MAX_ENTRY_SILENCE` are left out.
    */
   heldByOthers: number;
   /** Tokens that requests of this process have reserved. */
@@ -28,9 +28,9 @@
 }
 
 /**
- * Time without a change of its entry after which a process counts as ended: what
- * it holds unused can't be asked for, and its machine has had the time to start
- * the next process and return it.
+ * Time without a change of its entry after which a process counts as ended. By
+ * then, its machine has had the time to start another process and return what
+ * the ended one held.
  */
 export const MAX_ENTRY_SILENCE: Millis = 15_000;
 
--- a/packages/decisions/src/lib/budgets/page_entries.ts
+++ b/packages/decisions/src/lib/budgets/page_entries.ts
@@ -120,7 +120,7 @@
 
   /**
    * Returns the tokens of an account that other processes held unused at their
-   * last writes, without processes that write no more.
+   * last writes. Those silent for `MAX_ENTRY_SILENCE` are left out.
    */
   unusedByOthers(account: string): number {
     const now = this.clock.machineTime().monotonic;
--- a/packages/decisions/src/lib/budgets/token_wait.ts
+++ b/packages/decisions/src/lib/budgets/token_wait.ts
@@ -1,7 +1,7 @@
 /**
- * What to do with a request that waits for tokens. Answers two losses: requests
- * that are refused long before their callers would have minded, and ones that
- * are refused for good without a proof that the balance does not cover them.
+ * What to do with a request that waits for tokens. Covers two failures: requests
+ * are refused although their latency targets leave time to wait, or for good
+ * without a proof that the balance does not cover them.
  */
 import {obtainableTokens} from './budget_reading.js';
 import type {Millis} from '../base/clock.js';
@@ -65,7 +65,7 @@
  */
 const PROOF_WAIT: Millis = 80;
 
-/** A reading proves something up to this time before a request arrived. */
+/** Maximum age, when a request arrives, of a reading that proves anything. */
 export const MAX_READING_AGE: Millis = 500;
 
 /** Returns how long a request may wait for tokens. */
@@ -94,12 +94,12 @@
   if (awaitsRelay && elapsed < patience * RELAY_WAIT_FRACTION) {
     return WaitDecision.Wait;
   }
-  const isHere = reading.unclaimed + reading.heldHere >= tokens;
-  const isTooFew = isReadingNew(wait, situation) && !isHere;
+  const needsPeers = reading.unclaimed + reading.heldHere < tokens;
+  const isTooFew = isReadingNew(wait, situation) && needsPeers;
   const {peersAskedSince = now} = situation;
   if (now - peersAskedSince >= PROOF_WAIT) {
-    // The peers have given what they can. Only what the store has, and may not be
-    // taken yet, is worth waiting for.
+    // The peers have given what they can. Only tokens that this instance holds
+    // or the store has, and that are not usable yet, are worth waiting for.
     return isTooFew ? WaitDecision.Unavailable : WaitDecision.Wait;
   }
   return isTooFew || isStoreFailing || elapsed >= STORE_WAIT
--- a/packages/decisions/src/lib/fleet/evacuations.ts
+++ b/packages/decisions/src/lib/fleet/evacuations.ts
@@ -1,7 +1,7 @@
 /**
- * The availability zones that the operator has evacuated. Answers this load: the
- * operator empties a zone while many instances learn of it at different times,
- * from the store and from each other, and takes it back later.
+ * The availability zones that the operator has evacuated. Covers this situation:
+ * instances learn of an evacuation and of its end at different times, from the
+ * store and from each other.
  *
  * The state is a snapshot: all evacuated zones as of one position of the store.
  * A newer snapshot replaces an older one whole, and nothing else changes it but
--- a/packages/decisions/src/lib/placement/priorities.ts
+++ b/packages/decisions/src/lib/placement/priorities.ts
@@ -32,7 +32,7 @@
     this.sorted = [...used].sort((a, b) => a - b);
   }
 
-  /** Returns the rank of a request; the account's priority goes first. */
+  /** Returns the rank of a request; the account's priority takes precedence. */
   rankOf(
     route: Pick<Route, 'priority'>,
     account: Pick<PrepaidAccount, 'priority'> | undefined,
--- a/packages/decisions/src/lib/upstreams/homes.ts
+++ b/packages/decisions/src/lib/upstreams/homes.ts
@@ -1,7 +1,7 @@
 /**
  * Keeps requests in their homes: the regions that the operator allows for a
- * route, an account or both. Answers this load: requests that must not leave a
- * region, while their own upstreams fail and others elsewhere have room.
+ * route, an account or both. Covers this situation: requests must not leave a
+ * region, while the upstreams there fail and others elsewhere have room.
  */
 
 /** The region of each availability zone. */
