--- a/packages/decisions/src/lib/upstreams/cold_upstreams.ts
+++ b/packages/decisions/src/lib/upstreams/cold_upstreams.ts
@@ -37,22 +37,22 @@
   ownPermits: number;
 }
 
-/** A cold upstream stays so for less than this; a longer time is wrong. */
+/** Maximum time for which an upstream counts as cold. */
 const MAX_COLD_TIME: Millis = 3_600 * SECOND;
 
 /**
  * Time in which each permit lets one request through. It exceeds the second of
- * the bound by as much as the times differ that requests are on their way.
+ * the bound by the variation of the network delay.
  */
 const PERMIT_PERIOD: Millis = 1_250;
 
 /** Time for which the own permits are kept before they are determined again. */
 const PERMITS_TTL: Millis = 500;
 
-/** Number of instances that may use the same permit, one having been cut off. */
+/** Number of instances that may use a permit at once, if one is cut off. */
 const MAX_PERMIT_USERS = 2;
 
-/** Time for which an upstream that is not listed any more is remembered. */
+/** Time for which an upstream that was removed from the list is remembered. */
 const RETENTION: Millis = 120 * SECOND;
 
 /** What is known of one upstream. */
@@ -68,9 +68,9 @@
   assumedUntil: Millis;
   /** When `assumedUntil` was set. */
   assumedAt: Millis;
-  /** Before this time, requests of instances that know less may arrive. */
+  /** Until then, requests may arrive from instances that take it for warm. */
   heldUntil: Millis;
-  /** When this instance sent it a request. */
+  /** When this instance last sent it a request. */
   sentAt: Millis;
   /** Own permits, and when they were determined. */
   ownPermits: number;
@@ -117,7 +117,7 @@
     state.listedAt = now;
     this.extend(state, {listedUntil: now + clampTime(cold)});
     if (!isKnownProcess && !isFirstList && cold <= 0) {
-      // The entry may have been written without the time.
+      // A process that has just started may be cold, even if its entry is silent.
       this.assume(state, profile?.coldTime ?? 0, now);
     }
     const isNew = !wasCold && this.isCold(id, now);
@@ -164,7 +164,7 @@
     }
   }
 
-  /** Records that an upstream may have turned cold unseen, before now. */
+  /** Records that an upstream may have turned cold without notice. */
   recordUnseen(id: string, {coldTime}: ColdProfile, now: Millis): void {
     const state = this.states.get(id);
     if (state !== undefined) {
@@ -226,7 +226,7 @@
       .map(([id]) => id);
   }
 
-  /** Forgets upstreams that are no longer listed. */
+  /** Forgets upstreams that were removed from the list a while ago. */
   prune(now: Millis): void {
     for (const [id, {isListed, listedAt}] of this.states) {
       if (!isListed && now - listedAt >= RETENTION) {
@@ -256,7 +256,7 @@
     return {count, period};
   }
 
-  /** Determines the own permits again if they are no longer recent. */
+  /** Determines the own permits, unless they are recent. */
   private updateOwnPermits(
     state: ColdState,
     id: string,
--- a/packages/decisions/src/lib/upstreams/fleet_share.ts
+++ b/packages/decisions/src/lib/upstreams/fleet_share.ts
@@ -56,8 +56,8 @@
 }
 
 /**
- * Time for which an instance that was seen counts when it is determined whether
- * most are still in sight. A cut takes less time than this.
+ * Time for which members and zones are remembered after they were last seen.
+ * Network partitions are expected to be shorter.
  */
 const MEMORY_TIME: Millis = 300_000;
 
@@ -71,10 +71,10 @@
 const MAX_REMEMBERED = 2_000;
 
 /**
- * Tells an instance that is cut off from one that outlived others. The one that
- * sees less than most of its zone, or of the zones, takes nothing over: it keeps
- * the parts that it has among all that it remembers. So a part has two users at
- * most: one that was cut off, and the one in sight of most that took it over.
+ * Remembers the fleet, so that an instance that may be cut off takes over nothing.
+ * If it sees at most half of its zone, or of the zones, parts are chosen among all
+ * that it remembers, so it keeps its own. A part then has at most two users: an
+ * instance that is cut off, and the one that took the part over.
  */
 export class FleetMemory {
   /** When each member of the own zone was last seen, by address. */
@@ -85,9 +85,9 @@
   private updatedAt: Millis = -Infinity;
 
   /**
-   * Records the running instances; returns those among which parts are chosen,
-   * undefined while the instance has not learned of them. To be called each
-   * second, also while no part is needed.
+   * Records the running instances. Returns those among which parts are chosen;
+   * undefined while the instance has not learned of them. To be called at least
+   * once a second, as a longer pause counts towards a suspension.
    */
   update(view: FleetView, now: Millis): FleetView | undefined {
     if (now - this.updatedAt >= SETTLE_TIME) {
@@ -119,7 +119,7 @@
   }
 }
 
-/** Records that a name was seen, and forgets those that were not for long. */
+/** Records that a name was seen, and forgets names that were not for long. */
 function remember(
   seenAt: Map<string, Millis>,
   name: string,
