Placement: constants as numbers, fractions or times, one comment each

Two constants shared a comment, and some fractions were described by their effect. Each says what it is; LONG_WAIT and PEER_PRIOR_WEIGHT have names that fit. No change of behaviour.

--- a/packages/decisions/src/lib/placement/placement.ts
+++ b/packages/decisions/src/lib/placement/placement.ts
@@ -141,8 +141,8 @@
 const PREFILL_TOKENS_PER_MS = 100;
 
 /**
- * Nominal time that attention takes for one million pairs of a prompt token and a token
- * before it. Because of it, the time for a prompt grows faster than its length.
+ * Nominal time that attention takes for one million pairs of a prompt token and a
+ * token before it. It makes the time for a prompt grow faster than its length.
  */
 const ATTENTION_COST_PER_MILLION_PAIRS: Millis = 0.2;
 
@@ -152,48 +152,46 @@
 const ENGINE_REQUEST_COST: Millis = 0.5;
 
 /**
- * Part of the time of a request for which another one is expected to wait if
- * all slots but its own are in use: work shares the processors.
+ * Delay of a request without a prompt while all slots are in use, as a fraction of
+ * a request's time to the end: running requests share the processors.
  */
 const FULL_SLOTS_COST = 0.2;
 
-/**
- * Requests that come while a prompt is read and wait for it, in a choice: an
- * engine that reads what another one holds has that much less time for others.
- */
+/** Expected number of later requests that wait while a prompt is processed. */
 const LATER_REQUESTS_DELAYED = 2;
 
-/** Part of the time of reading a prompt by which each running request waits. */
+/** Delay of each running request, as a fraction of a prompt's processing time. */
 const DELAY_PER_RUNNING = 0.15;
 
 /** Nominal work of a request without a prompt. */
 const PLAIN_WORK: Millis = 20;
 
-/** Part of the time without work by which that time is uncertain. */
+/** Uncertainty of the time without work, as a fraction of it. */
 const BASE_TOLERANCE = 0.25;
 
-/** An answer counts as at most this much faster than expected. */
+/** Minimum ratio of an answer's time to the expected one. */
 const MIN_ANSWER_RATIO = 0.125;
 
-/** Time for which a request holds a slot; used until an answer has ended. */
+/** Assumed time for which a request holds a slot, until an answer has ended. */
 const INITIAL_WHOLE_TIME: Millis = 300;
 
 /** Time in which the weight of a reported work time falls to one half. */
 const WORK_TIME_HALF_LIFE: Millis = 200;
 
 /**
- * Upstreams of the own zone, and of all zones, that are drawn for a choice. What
- * is known of the load is late, so instances that all compared all upstreams
- * would choose the same one.
+ * Number of upstreams of all zones that are drawn for a choice. The known load is
+ * late, so instances that compared all upstreams would choose the same one.
  */
-const LOCAL_DRAWS = 2;
 const DRAWS = 2;
 
-/** Upstreams that are preferred for a shared prompt part, the first included. */
+/** Number of upstreams of the own zone that are drawn in addition. */
+const LOCAL_DRAWS = 2;
+
+/** Number of upstreams that all instances prefer for a shared prompt part. */
 const PREFERRED_UPSTREAMS = 2;
 
-/** Share of a request's time to the end that is a long wait for a slot. */
-const LONG_WAIT = 0.1;
+/** Long wait for a slot, as a fraction of a request's time to the end. */
+const LONG_WAIT_FRACTION = 0.1;
 
 /** Delay added for an upstream in another zone. */
 const CROSS_ZONE_COST: Millis = 3;
@@ -247,7 +245,7 @@
     const best = this.best(request, compared, first, view);
     const isFull =
       best !== undefined &&
-      best.slotWait > LONG_WAIT * this.wholeTime(best.upstream);
+      best.slotWait > LONG_WAIT_FRACTION * this.wholeTime(best.upstream);
     return isFull ? this.best(request, eligible, first, view) : best;
   }
 
@@ -276,7 +274,7 @@
     }
     const start = Math.floor(this.random() * length);
     for (let turn = 0; turn < count; turn++) {
-      // Each from a part of its own, so that hardly any is drawn twice.
+      // Each is drawn from its own part, so that few are drawn twice.
       const step = Math.floor((turn * length) / count);
       const offset = Math.floor((this.random() * length) / count);
       const upstream = upstreams[(start + step + offset) % length];
@@ -312,8 +310,8 @@
   }
 
   /**
-   * Estimates the delay of a request that is sent to an upstream now, with what
-   * it costs the others there.
+   * Estimates the delay of a request that is sent to an upstream now, and its
+   * cost, which includes the delay that it causes to other requests.
    * @param isPreferred whether all instances prefer it for the shared parts, so
    *     that it is expected to have cached them even if this instance has sent
    *     it none of them.
@@ -417,7 +415,7 @@
     const {base, perWork, certainty} = this.serviceTimes.line(upstream.service);
     const expected = Math.max(1, perWork * work + slotWait);
     const ownWork = prefillTime > 0 ? prefillTime : work;
-    // What others had placed there is known late, so it says less.
+    // The load of other requests is known late, so it makes a sample uncertain.
     const ownPart = (perWork * ownWork) / (base + expected);
     const tolerance = base * BASE_TOLERANCE;
     const ratio = Math.max(
--- a/packages/decisions/src/lib/placement/service_times.ts
+++ b/packages/decisions/src/lib/placement/service_times.ts
@@ -38,27 +38,27 @@
 /** What is assumed of a service before anything is learned. */
 const INITIAL_LINE: TimeLine = {base: 10, perWork: 1, certainty: 0};
 
-/** Number of answers from which the certainty is one half. */
+/** Number of answers at which the certainty is one half. */
 const HALF_CERTAIN_ANSWERS = 8;
 
-/** Work of the two answers that the assumption is worth. */
+/** Work of the two answers by `INITIAL_LINE` that each regression includes. */
 const ASSUMED_WORKS: readonly Millis[] = [0, 100];
 
-/** Part of the sums that stays when an answer is added. */
+/** Fraction of the sums that stays when an answer is added. */
 const RETAINED_PER_ANSWER = 0.995;
 
 /** An answer counts as at most this many times slower or faster than expected. */
 const MAX_RATIO = 4;
 
-/** Times below this one are known equally well in absolute terms. */
+/** Shorter expected times have the weight of this one in the regression. */
 const MIN_PRECISE_TIME: Millis = 10;
 
 /** Weight of a new request in the means of work and time. */
 const MEAN_WEIGHT = 0.05;
 
 /**
- * If the variance of the works is below this part of their mean's square, as that
- * of requests without a prompt, the time is taken to be all work.
+ * Minimum variance of the work, as a fraction of its squared mean, to tell base
+ * and work apart. Below it, as for requests without a prompt, all time is work.
  */
 const MIN_RELATIVE_SPREAD = 1e-3;
 
@@ -105,7 +105,7 @@
     const sums = this.sumsOf(service);
     const {base, perWork} = sums.line;
     const expected = Math.max(MIN_PRECISE_TIME, base + perWork * work);
-    // Before much is learned, what was expected says nothing of an answer.
+    // An expectation from few answers must not bound further ones.
     const isNew = sums.count < HALF_CERTAIN_ANSWERS;
     const boundedTime = isNew
       ? time
@@ -172,8 +172,8 @@
 }
 
 /**
- * The line of least squares, kept to what an upstream can do. Two answers as
- * assumed at first are added, each as precise as the mean of the others.
+ * Returns the line of least squares, within the range of possible lines. The two
+ * assumed answers have the mean weight of the others.
  */
 function fittedLine(learned: ServiceSums): TimeLine {
   const certainty = learned.count / (learned.count + HALF_CERTAIN_ANSWERS);
--- a/packages/decisions/src/lib/placement/upstream_speed.ts
+++ b/packages/decisions/src/lib/placement/upstream_speed.ts
@@ -2,10 +2,10 @@
  * How slow each upstream is, relative to the others of its service. Covers these
  * situations: upstreams of one service run on unequal machines; some become slow
  * for a while and recover; each of many instances sees few answers of each
- * upstream, so what they see is summed over the fleet.
+ * upstream.
  *
- * Evidence consists of decaying sums, so that the evidence of several instances
- * can be added, and the receiver of evidence ages it as its sender does.
+ * Evidence consists of decaying sums, so that it can be added over the fleet, and
+ * a receiver ages it as its sender does.
  */
 import type {Millis} from '../base/clock.js';
 
@@ -22,7 +22,7 @@
   usualWeight: number;
 }
 
-/** Whose evidence is meant, besides that of this instance. */
+/** Sources of evidence; that of this instance is always included. */
 export interface SpeedSources {
   /** Peers that are included; undefined for all. */
   included?: readonly string[];
@@ -52,7 +52,7 @@
 interface SpeedState {
   own: DatedEvidence;
   peers: Map<string, DatedEvidence>;
-  /** The sum of these; all age alike, so it need not be added up each time. */
+  /** Sum of `own` and `peers`; it can be kept, as all evidence ages alike. */
   total: DatedEvidence;
   /** Last result of `slowness`, and when it was determined. */
   slowness: number;
@@ -63,9 +63,9 @@
   sampledAt: Millis;
   /** Logarithm of the slowness that was announced to the peers last. */
   announced: number;
-  /** Time from which there is news of it; undefined if there is none. */
+  /** Since when there is unannounced evidence; undefined if there is none. */
   newsSince: Millis | undefined;
-  /** Time from which there was news when it was announced last. */
+  /** Value of `newsSince` when it was announced last. */
   announcedSince: Millis;
   /** When this instance last chose the upstream to measure it again. */
   probedAt: Millis;
@@ -77,11 +77,11 @@
 /** Time in which the weight of evidence of the usual speed falls to one half. */
 const USUAL_HALF_LIFE: Millis = 30_000;
 
-/** Weight of the usual speed beside the recent answers, in answers. */
+/** Weight of the usual slowness as prior of the recent one, in answers. */
 const USUAL_PRIOR_WEIGHT = 2;
 
-/** Weight of the mean of the peers beside the usual speed, in answers. */
-const PEER_PRIOR_WEIGHT = 3;
+/** Weight of the service's mean as prior of the usual slowness, in answers. */
+const MEAN_PRIOR_WEIGHT = 3;
 
 /** An answer counts as at most this many times slower or faster than expected. */
 const MAX_SAMPLE_RATIO = 8;
@@ -201,7 +201,7 @@
 
   /**
    * Returns an upstream that was slow when it answered last and is to be measured
-   * again by this request, and records that; undefined in nearly all cases.
+   * again by this request, and records that; undefined for most requests.
    * @param random returns a uniformly distributed number in [0, 1).
    */
   chooseProbe<T extends {id: string}>(
@@ -232,9 +232,9 @@
   }
 
   /**
-   * Returns the upstreams of which there is news since they were last returned,
-   * at most `MAX_ANNOUNCED_SPEEDS`: those whose speed has changed most. The
-   * others are returned by a later call.
+   * Returns the upstreams with evidence since they were last returned, at most
+   * `MAX_ANNOUNCED_SPEEDS`: those whose slowness has changed most. Later calls
+   * return the others.
    */
   takeNews(now: Millis): string[] {
     const changes: {id: string; state: SpeedState; change: number}[] = [];
@@ -256,7 +256,7 @@
     return largest.map(({id}) => id);
   }
 
-  /** Returns the upstreams that differ most from their peers. */
+  /** Returns the upstreams that differ most from the mean of their service. */
   mostUneven(now: Millis): string[] {
     return [...this.states.keys()]
       .map(id => ({id, extent: Math.abs(Math.log(this.slowness(id, now)))}))
@@ -323,7 +323,7 @@
     }
   }
 
-  /** Takes away what a peer has stated. */
+  /** Subtracts what a peer has stated. */
   private removePeer(state: SpeedState, peer: string, now: Millis): void {
     const stated = state.peers.get(peer);
     if (stated !== undefined) {
@@ -380,7 +380,7 @@
   };
 }
 
-/** Adds evidence to aged evidence, or takes it away with the sign -1. */
+/** Adds evidence, or subtracts it with the sign -1, after ageing the first. */
 function sumOf(
   aged: DatedEvidence,
   added: SpeedEvidence,
@@ -456,7 +456,7 @@
 
 /** Logarithm of the usual slowness that evidence shows. */
 function usualOf({usualSum, usualWeight}: SpeedEvidence): number {
-  return usualSum / (usualWeight + PEER_PRIOR_WEIGHT);
+  return usualSum / (usualWeight + MEAN_PRIOR_WEIGHT);
 }
 
 /** Logarithm of the present slowness, with the usual one as its prior. */
@@ -467,7 +467,7 @@
   );
 }
 
-/** Logarithm of a ratio, which is kept within what an answer may say. */
+/** Logarithm of a ratio, bounded by `MAX_SAMPLE_RATIO`. */
 function boundedLog(ratio: number): number {
   const limit = Math.log(MAX_SAMPLE_RATIO);
   return Math.max(-limit, Math.min(limit, Math.log(ratio)));
