--- a/packages/soak/src/lib/plan.ts
+++ b/packages/soak/src/lib/plan.ts
@@ -141,7 +141,7 @@
     loadDuration: LOAD_DURATION,
     faults,
   };
-  // Drawn last, so that a seed keeps the faults that it had without it.
+  // Drawn last, so that the other faults of a seed do not depend on it.
   if (drawInteger(1, RUNS_PER_EVACUATION) === 1) {
     faults.push({
       kind: FaultKind.Evacuation,
--- a/packages/stand_ins/src/lib/relay.ts
+++ b/packages/stand_ins/src/lib/relay.ts
@@ -45,9 +45,9 @@
 
 /** Forwards connections to a target address. */
 export class Relay {
-  /** Whether new connections are closed at once. */
   /** Number of connections that were opened through it. */
   connectionCount = 0;
+  /** Whether new connections are closed at once. */
   private isCut = false;
   private mode = RelayMode.Open;
   /** Modes of connections from single source addresses. */
