Prepaid budgets of an instance: one word for checks, reasons in comments

Requests were 'looked at', tokens were 'pieces' and others 'stranded' them. The comments give the reason for each limit; the bounds of the queue have a comment each. No change of behaviour.

--- a/packages/gateway/src/lib/budgets/prepaid_budgets.ts
+++ b/packages/gateway/src/lib/budgets/prepaid_budgets.ts
@@ -106,7 +106,7 @@
 /** Minimum time between two writes of a page that no request waits for. */
 const ROUTINE_WRITE_INTERVAL: Millis = 1_200;
 
-/** Interval at which waiting requests are looked at. */
+/** Interval at which waiting requests are checked. */
 const WAIT_CHECK_INTERVAL: Millis = 20;
 
 /** Minimum time between two requests to the peers for tokens of an account. */
@@ -118,10 +118,10 @@
  */
 const RELAY_ANSWER_FRACTION = 0.8;
 
-/** When a caller should come back whose tokens may be out of reach for longer. */
+/** Delay of a retry if the tokens may be unobtainable for longer. */
 const LONG_RETRY_DELAY: Millis = 2_000;
 
-/** When other callers that got no tokens in time should come back. */
+/** Delay of a retry otherwise, if the tokens could not be obtained in time. */
 const USUAL_RETRY_DELAY: Millis = 700;
 
 /**
@@ -278,8 +278,8 @@
         const prefetch = shares.imbalance(account, FOLLOWER_SHARE_HORIZON);
         this.askRelay(request, missingTokens, Math.max(0, prefetch));
       }
-      // Those behind others are looked at with the next check, so that a burst
-      // costs no look at all of them for each.
+      // Requests behind others wait for the next check, so that a burst does not
+      // check the whole queue once for each.
       if (this.queue.of(account).length === 1) {
         this.serveAccount(account);
       }
@@ -307,8 +307,8 @@
       }
       shares.transferReservation(account, tokens);
     }
-    // Once the store has less than this instance, it keeps what is left: any
-    // follower may need it, and those that hold more than they need strand it.
+    // Near the end of a budget no extra tokens are given, as one follower would
+    // hold unused what another one needs.
     const available = shares.availableTokens(account);
     const isNearEnd = this.untakenTokens(account) < available;
     const maxExtraTokens = isNearEnd
@@ -328,8 +328,8 @@
   }
 
   /**
-   * Handles the relay's refusal of tokens: it concerns the first waiting request
-   * that asked for as many.
+   * Handles the relay's refusal of tokens. It applies to the first waiting request
+   * for which that number was asked.
    * @param refusal.exhausted whether the budget is exhausted; otherwise the
    *     relay could not obtain the tokens in time.
    * @param refusal.age age of the reading that proves it. Relays of earlier
@@ -405,8 +405,9 @@
   }
 
   /**
-   * Returns when a caller that got no tokens in time should come back: later if
-   * the store is away, or if others hold them, of which some may have ended.
+   * Returns the delay of a retry by a caller that got no tokens in time. It is
+   * longer if the store is unreachable or if others, which may have ended, hold
+   * the tokens.
    */
   retryDelay(account: string, tokens: number): Millis {
     if (this.context.hasResponsiveRelay()) {
@@ -548,7 +549,7 @@
     );
   }
 
-  /** Looks at all waiting requests soon, and again while there are any. */
+  /** Checks all waiting requests soon, and again while there are any. */
   private scheduleCheck(): void {
     if (this.isCheckScheduled || this.queue.isEmpty()) {
       return;
@@ -591,8 +592,8 @@
   }
 
   /**
-   * Completes the requests of an account, in their order. Costs a look at each
-   * of them and at each entry of the page.
+   * Completes the requests of an account, in their order. Takes time linear in
+   * their number and in the entries of the page.
    */
   private completeRequests(account: string): void {
     const requests = this.queue.of(account);
@@ -621,8 +622,8 @@
         continue;
       }
       waiting.push(request);
-      // A follower asks its peers once, since it relies on its relay: many of
-      // them ask at the same time when a budget is at its end.
+      // A follower relies on its relay, so it asks its peers only once: otherwise
+      // all followers would ask each other at the end of a budget.
       const mayAsk =
         request.mayAskPeers &&
         !(isSupplied && request.peersAskedSince !== undefined);
@@ -721,14 +722,14 @@
 
   /**
    * Gives the relay what this instance holds of an account, and asks it for all
-   * that a request needs: pieces at several instances may cover it together.
+   * that a request needs: tokens of several instances may cover it together.
    */
   private poolAtRelay(request: WaitingRequest): void {
     const {account, tokens} = request;
     const {shares} = this.pageOf(account);
-    const piece = Math.floor(shares.availableTokens(account));
-    if (piece > 0 && this.context.returnToRelay(account, piece)) {
-      shares.receiveFromPeer(account, -piece);
+    const heldTokens = Math.floor(shares.availableTokens(account));
+    if (heldTokens > 0 && this.context.returnToRelay(account, heldTokens)) {
+      shares.receiveFromPeer(account, -heldTokens);
     }
     this.askRelay(request, tokens, 0);
   }
--- a/packages/gateway/src/lib/budgets/token_exchange.ts
+++ b/packages/gateway/src/lib/budgets/token_exchange.ts
@@ -21,7 +21,7 @@
 /** Maximum time for which a relay lets a follower wait for its answer. */
 const MAX_FOLLOWER_WAIT: Millis = 1_000;
 
-/** Highest age of a reading that is told; it stands for all higher ones. */
+/** Maximum age of a reading in a message; higher ones are stated as this. */
 const MAX_AGE: Millis = 3_600_000;
 
 /**
@@ -66,8 +66,8 @@
     const drawer = Math.floor(Math.random() * recipients.length);
     for (const [index, address] of recipients.entries()) {
       const wholeTokens = Math.ceil(tokens);
-      // Only one of them takes tokens from the store, if it can reach it: another
-      // one each time, as some are at their ceilings.
+      // Only one of them takes tokens from the store, if it can reach it. It is
+      // chosen at random, because some are at their ceilings.
       const draw = index === drawer;
       peerNetwork.send(address, {
         kind,
--- a/packages/gateway/src/lib/budgets/token_queue.ts
+++ b/packages/gateway/src/lib/budgets/token_queue.ts
@@ -16,8 +16,10 @@
   resolve(outcome: ReservationOutcome): void;
 }
 
-/** Maximum number of requests that wait for tokens of one account, and of all. */
+/** Maximum number of requests that wait for tokens of one account. */
 const MAX_WAITING_OF_ACCOUNT = 1_000;
+
+/** Maximum number of requests that wait for tokens of all accounts. */
 const MAX_WAITING = 4_000;
 
 /** The waiting requests of one instance. */
@@ -31,6 +33,7 @@
     return waiting >= MAX_WAITING_OF_ACCOUNT || this.size >= MAX_WAITING;
   }
 
+  /** Whether no request waits. */
   isEmpty(): boolean {
     return this.size === 0;
   }
@@ -53,7 +56,7 @@
     return this.requests.get(account) ?? [];
   }
 
-  /** Replaces the waiting requests of an account by those that wait further. */
+  /** Replaces the waiting requests of an account. */
   replace(account: string, requests: WaitingRequest[]): void {
     this.size += requests.length - this.of(account).length;
     if (requests.length === 0) {
