Gateway: comments on refusals, delays and watches in plain terms

Delays were 'after which delay a request is to return that is refused'; one private method, rankOf, returned a priority and a time beside PriorityRank. Shorter sentences, callerOf, and restTime is documented. No change of behaviour.

--- a/packages/gateway/src/lib/process/gateway_metrics.ts
+++ b/packages/gateway/src/lib/process/gateway_metrics.ts
@@ -184,7 +184,7 @@
     }
   }
 
-  /** Returns the label of a zone, so that there are not ever more of them. */
+  /** Returns the label of a zone; the number of labels is bounded. */
   private zoneLabel(zone: string): string {
     if (this.labelledZones.size < MAX_ZONE_LABELS) {
       this.labelledZones.add(zone);
@@ -192,7 +192,7 @@
     return this.labelledZones.has(zone) ? zone : OTHER_ZONES_LABEL;
   }
 
-  /** Counts a request that was refused as upstreams of a service are cold. */
+  /** Counts a request that was refused because upstreams are cold. */
   recordHeldBack(service: string): void {
     this.heldBack.inc({service});
   }
--- a/packages/gateway/src/lib/process/instance_context.ts
+++ b/packages/gateway/src/lib/process/instance_context.ts
@@ -62,7 +62,7 @@
   admits(deadline: Millis): boolean;
   /** Returns the number of instances that may be running, at least 1. */
   instanceCount(): number;
-  /** Counts a request that was refused as upstreams of a service are cold. */
+  /** Counts a request that was refused because upstreams are cold. */
   recordHeldBack(service: string): void;
   /** Returns a uniformly distributed random number in [0, 1). */
   random(): number;
--- a/packages/gateway/src/lib/requests/caller_response.ts
+++ b/packages/gateway/src/lib/requests/caller_response.ts
@@ -69,8 +69,8 @@
 
   /**
    * Sends a complete response that states why the request is refused.
-   * @param delay time after which to retry, if a retry helps at all; the usual
-   *     one if it is left out.
+   * @param delay time after which to retry, if a retry may help; by default, that
+   *     of the reason.
    */
   refuse(reason: RefusalReason, delay?: Millis): void {
     const {status, headers, body} = this.refusal(reason, delay);
@@ -78,9 +78,9 @@
   }
 
   /**
-   * Sends the same as `refuse` to a request whose body is not read, and leaves
-   * the connection open, as closing it would reset it: the caller might then not
-   * read the response. Its close is announced; `end` must follow.
+   * Sends the same as `refuse` for a request whose body is not read. `end` must
+   * follow later: closing the connection at once would reset it, and the caller
+   * might not get the response.
    */
   refuseUnread(reason: RefusalReason, delay: Millis): void {
     const {status, headers, body} = this.refusal(reason, delay);
--- a/packages/gateway/src/lib/requests/forwarding.ts
+++ b/packages/gateway/src/lib/requests/forwarding.ts
@@ -558,7 +558,8 @@
 
   /**
    * Tells placement how long the upstream took to the first event of a prompt's
-   * answer, or to the head of any other. A peer in between takes time as well.
+   * answer, or to the head of any other. Proxied attempts are left out, as the
+   * proxy takes time as well.
    */
   private recordFirstEventTime(): void {
     if (this.placed !== undefined && this.path?.proxy === undefined) {
@@ -796,7 +797,7 @@
     this.finish(reason);
   }
 
-  /** Returns after which delay a refused caller is to return. */
+  /** Returns the delay after which a refused caller is to return. */
   private returnDelay(reason: RefusalReason): Millis | undefined {
     const now = this.context.clock.now();
     const {route, account} = this.request;
--- a/packages/gateway/src/lib/requests/front_server.ts
+++ b/packages/gateway/src/lib/requests/front_server.ts
@@ -36,8 +36,8 @@
   /** Is told of bytes that were received from callers. */
   recordReceived(bytes: number): void;
   /**
-   * Returns after which delay a request is to return that is refused before its
-   * body is read, as the link is full; undefined if it is to be read.
+   * Returns the delay of a retry if a request is refused before its body is read,
+   * because the link is full; undefined if the body is to be read.
    */
   delayOfRefusedHead(incoming: IncomingMessage): Millis | undefined;
 }
@@ -60,8 +60,8 @@
 const LINGER_TIME: Millis = 1_000;
 
 /**
- * Time for which nothing of a body is read whose request was refused on its
- * head: callers that read the response stop sending.
+ * Time for which the body of a request that was refused on its head stays unread,
+ * so that the caller can read the response and stop sending.
  */
 const UNREAD_TIME: Millis = 200;
 
@@ -182,7 +182,7 @@
       return false;
     }
     response.refuseUnread(RefusalReason.MachineBusy, delay);
-    // A small body that came with the head has been received by then.
+    // By then, a small body that came with the head is complete.
     setImmediate(() => {
       if (incoming.complete) {
         response.end();
--- a/packages/gateway/src/lib/requests/link_admission.ts
+++ b/packages/gateway/src/lib/requests/link_admission.ts
@@ -21,7 +21,7 @@
 import type {Log} from '@citrontrestle/runtime';
 import type {IncomingMessage} from 'node:http';
 
-/** Interval at which the links of the zone are looked at. */
+/** Interval at which readiness is decided. */
 const UPDATE_INTERVAL: Millis = 100;
 
 /** Components that a `LinkAdmission` uses. */
@@ -94,7 +94,7 @@
     }
     const {method = '', url = '', headers} = incoming;
     const callerRequest = dialect.parseCallerRequest(method, url, headers);
-    const caller = this.rankOf(callerRequest);
+    const caller = this.callerOf(callerRequest);
     const length = Number(headers['content-length'] ?? 0);
     const bytes = Number.isFinite(length) ? Math.max(0, length) : 0;
     const othersHaveRoom = this.othersHaveRoom();
@@ -117,7 +117,7 @@
   }
 
   /** Returns the priority of a request, and the time that it has. */
-  private rankOf({host, path, apiKey, timeout}: CallerRequest): {
+  private callerOf({host, path, apiKey, timeout}: CallerRequest): {
     priority: number;
     remainingTime: Millis;
   } {
--- a/packages/gateway/src/lib/requests/refusal.ts
+++ b/packages/gateway/src/lib/requests/refusal.ts
@@ -75,7 +75,7 @@
   // No instance knows when the operator takes the zone back.
   [RefusalReason.ZoneEvacuated]: {status: 503, retryAfter: 5_000},
   [RefusalReason.OutsideHomes]: {status: 503, retryAfter: 5_000},
-  // The time until the next permit is longer, as a rule.
+  // Used only if the time until the next permit is not known.
   [RefusalReason.ColdUpstreams]: {status: 503, retryAfter: 20},
   [RefusalReason.UnknownStream]: {status: 503, retryAfter: 1_000},
   [RefusalReason.Overloaded]: {status: 503, retryAfter: 500},
--- a/packages/gateway/src/lib/requests/return_planner.ts
+++ b/packages/gateway/src/lib/requests/return_planner.ts
@@ -16,10 +16,10 @@
 /** Maximum number of services whose room is known. */
 const MAX_SERVICES = 1_000;
 
-/** Size of a request in bytes that callers who return are expected to send. */
+/** Expected size of the request of a returning caller, in bytes. */
 const EXPECTED_REQUEST_BYTES = 8_192;
 
-/** Reasons for which room at the upstreams of a service is lacking. */
+/** Reasons that mean a lack of room at the upstreams of a service. */
 const ROOM_REASONS = new Set([
   RefusalReason.NoUpstream,
   RefusalReason.Overloaded,
@@ -50,6 +50,7 @@
   /**
    * Returns the delay for a request that is refused before it was forwarded;
    * undefined if a retry would not help.
+   * @param restTime time for which all upstreams of the service want a rest.
    */
   delayOfService(
     service: string,
@@ -65,7 +66,7 @@
     const {room, returns} = this.serviceState(service);
     room.recordRefusal(now);
     const {wait, interval} = room.forecast(retryAfter, now);
-    // Answers of upstreams that are gone tell nothing about when others come.
+    // Past answers do not tell when a service without upstreams gets new ones.
     const hasUpstreams = reason === RefusalReason.Overloaded;
     const earliest = Math.max(hasUpstreams ? wait : retryAfter, restTime);
     const forecast = {wait: earliest, interval};
@@ -74,8 +75,8 @@
 
   /**
    * Returns the delay for a request that is refused because the link is full.
-   * @param elsewhere time from which on callers reach another instance that has
-   *     room; undefined if they come back to this one.
+   * @param elsewhere time until callers reach another instance that has room;
+   *     undefined if they come back to this one.
    */
   delayOfLink(caller: RefusedCaller, elsewhere: Millis | undefined): Millis {
     const {linkLoad} = this;
--- a/packages/gateway/src/lib/upstreams/cold_watch.ts
+++ b/packages/gateway/src/lib/upstreams/cold_watch.ts
@@ -27,7 +27,7 @@
   reportCold(process: ColdProcess, remaining: Millis): void;
 }
 
-/** Why a request gets no upstream: those that are left are cold. */
+/** What holds a request back if only cold upstreams are left. */
 export interface HeldBack {
   /** Time until this instance may send one of them a request. */
   wait: Millis;
@@ -37,7 +37,7 @@
   ownPermits: number;
 }
 
-/** Time for which the fleet in sight is kept before it is determined again. */
+/** Time for which the known fleet is used before it is determined again. */
 const FLEET_TTL: Millis = 250;
 
 /** The cold upstreams, as this instance treats them. */
@@ -170,7 +170,7 @@
     return counts;
   }
 
-  /** Forgets upstreams that are gone, and remembers the fleet in sight. */
+  /** Forgets upstreams that are gone, and updates the known fleet. */
   prune(): void {
     const now = this.clock.now();
     this.upstreams.prune(now);
--- a/packages/gateway/src/lib/upstreams/speed_watch.ts
+++ b/packages/gateway/src/lib/upstreams/speed_watch.ts
@@ -1,7 +1,7 @@
 /**
  * Exchanges with the other instances what is known of the speed of upstreams, and
- * logs which of them become slow. At most once a second and for a bounded number
- * of upstreams, as an extra of load messages.
+ * logs which of them become slow. Statements are part of load messages, at most
+ * once a second, and cover a bounded number of upstreams.
  */
 import type {
   Clock,
@@ -22,7 +22,7 @@
 /** Maximum number of log lines of changed speeds in each interval. */
 const MAX_LOGGED_CHANGES = 4;
 
-/** Precision of stated sums and weights. */
+/** Number of steps in 1 to which sums and weights are rounded in messages. */
 const STEPS_PER_UNIT = 1_000;
 
 /** The speeds of upstreams, as this instance learns and passes them on. */
@@ -40,7 +40,7 @@
     private readonly log: Log,
   ) {}
 
-  /** Begins to tell the peers; there is news once in each interval. */
+  /** Begins a round of statements; collects news once in each interval. */
   beginRound(): void {
     const now = this.clock.now();
     this.news = [];
@@ -52,8 +52,8 @@
   }
 
   /**
-   * Returns what a peer is to be told; undefined if there is nothing. A peer that
-   * was told nothing yet gets the upstreams that differ most from the others.
+   * Returns what a peer is to be told; undefined if there is nothing. The first
+   * statement to a peer is about the upstreams that differ most from the others.
    * @param sources whose evidence is passed on to it.
    */
   statementFor(peer: string, sources: SpeedSources): StatedSpeed[] | undefined {
