--- a/packages/decisions/src/test/placement/uneven_upstreams_test.ts
+++ b/packages/decisions/src/test/placement/uneven_upstreams_test.ts
@@ -47,8 +47,7 @@
 }
 
 describe('uneven upstreams', () => {
-  // Late with the same speed assumed of all engines, the least of three seeds:
-  // 0.025, 0.040, 0.23, 0.078, 0.13, 0.17, 0.024, 0.043 and 0.026 of the answers.
+  // Each maximum is exceeded if the same speed is assumed of all engines.
   const cases: {name: string; maxLate: number; replay: Partial<Replay>}[] = [
     {name: 'speeds', maxLate: 0.01, replay: {engines: engines(usual)}},
     {
