--- a/packages/decisions/src/lib/budgets/prepaid_shares.ts
+++ b/packages/decisions/src/lib/budgets/prepaid_shares.ts
@@ -56,8 +56,8 @@
   /** Number of instances that may be running, at least 1. */
   instances: number;
   /**
-   * Number of instances that take tokens from the store when each has found its
-   * relay; missing if all do.
+   * Number of instances that take tokens from the store while each follower has
+   * a relay; undefined if all do.
    */
   drawers?: number;
   /** Tokens granted to an account in total, spent ones included. */
@@ -263,8 +263,8 @@
   }
 
   /**
-   * Returns what is known of a budget. Costs a look at each entry of the page,
-   * that is, one for each instance that draws on the store.
+   * Returns what is known of a budget. Takes time linear in the entries of the
+   * page, that is, in the instances that take tokens from the store.
    */
   reading(account: string, view: ShareView): BudgetReading {
     return {
--- a/packages/decisions/src/lib/budgets/take_limits.ts
+++ b/packages/decisions/src/lib/budgets/take_limits.ts
@@ -29,7 +29,7 @@
   untaken: number;
   /** Number of instances that may be running, at least 1. */
   instances: number;
-  /** Number of them that take tokens from the store as a rule, at least 1. */
+  /** Number of those that take tokens from the store, at least 1; see `ShareView`. */
   drawers: number;
 }
 
