Tests: constants with names, units and one comment each

ENGINES was a number, WARM_UP a time; health checks were 'questions' and faults 'troubles'. Names private to the tests and comments; no check changed.

--- a/packages/decisions/src/test/admission/busy_zone_test.ts
+++ b/packages/decisions/src/test/admission/busy_zone_test.ts
@@ -13,10 +13,10 @@
 } from '../../lib/admission/zone_links.js';
 import type {ZoneLinks} from '../../lib/admission/zone_links.js';
 
-/** Interval of the questions for the readiness. */
-const QUESTION_INTERVAL = 1_000;
+/** Interval of the load balancer's health checks, in milliseconds. */
+const HEALTH_CHECK_INTERVAL = 1_000;
 
-/** Misses after which an instance gets no new connections. */
+/** Number of failed checks after which an instance gets no new connections. */
 const MAX_MISSES = 2;
 
 interface Replay {
@@ -59,7 +59,7 @@
       const isBusy = link.isBusy(now);
       const isReady = readiness.update({isBusy, utilisation, zone}, now);
       unreadySteps += isReady ? 0 : 1;
-      if ((now + i * step) % QUESTION_INTERVAL === 0) {
+      if ((now + i * step) % HEALTH_CHECK_INTERVAL === 0) {
         instance.misses = isReady ? 0 : instance.misses + 1;
       }
     });
--- a/packages/decisions/src/test/placement/uneven_upstreams_test.ts
+++ b/packages/decisions/src/test/placement/uneven_upstreams_test.ts
@@ -1,14 +1,21 @@
 /** Placement at uneven upstreams by many instances with a late view of the load. */
 import {expect} from 'chai';
 import {playReplay} from './upstream_replay.js';
+import type {Millis} from '../../lib/base/clock.js';
 import type {Replay} from './upstream_replay.js';
 
-const ENGINES = 42;
-/** Slowness of the engines, by turns. */
+/** Number of engines. */
+const ENGINE_COUNT = 42;
+
+/** Slowness of the engines, in turn. */
 const SLOWNESS = [0.6, 1, 1.6];
-const WARM_UP = 4_000;
-const DURATION = 16_000;
-/** Largest share of an engine, in parts of its share by speed. */
+
+/** Time after which answers count. */
+const WARM_UP_TIME: Millis = 4_000;
+
+const REPLAY_TIME: Millis = 16_000;
+
+/** Largest share of an engine, divided by its share by speed. */
 const MAX_OVER_FAIR_SHARE = 2.2;
 
 const DEFAULTS: Replay = {
@@ -16,7 +23,7 @@
   engines: [],
   rate: () => 150,
   viewAge: 200,
-  duration: DURATION,
+  duration: REPLAY_TIME,
   promptTokens: 4_000,
   topics: 0,
   sharedTokens: 0,
@@ -24,8 +31,8 @@
   learns: true,
 };
 
-/** Whether a time is within the trouble of a replay. */
-function isTrouble(now: number): boolean {
+/** Whether a time is within the disturbance of a replay. */
+function isDisturbed(now: number): boolean {
   return now > 6_000 && now < 11_000;
 }
 
@@ -33,7 +40,7 @@
   slowness: (index: number, now: number) => number,
 ): Replay['engines'] {
   return Array.from(
-    {length: ENGINES},
+    {length: ENGINE_COUNT},
     (_, index) => (now: number) => slowness(index, now),
   );
 }
@@ -60,7 +67,7 @@
       maxLate: 0.16,
       replay: {
         engines: engines(usual),
-        rate: now => (isTrouble(now) ? 420 : 150),
+        rate: now => (isDisturbed(now) ? 420 : 150),
       },
     },
     {
@@ -68,7 +75,7 @@
       maxLate: 0.045,
       replay: {
         engines: engines((index, now) =>
-          isOfQuarter(index) && isTrouble(now) ? 5 : 1,
+          isOfQuarter(index) && isDisturbed(now) ? 5 : 1,
         ),
       },
     },
@@ -86,7 +93,7 @@
       maxLate: 0.06,
       replay: {
         engines: engines((index, now) =>
-          isOfQuarter(index) && isTrouble(now) ? Infinity : usual(index),
+          isOfQuarter(index) && isDisturbed(now) ? Infinity : usual(index),
         ),
         rate: () => 250,
       },
@@ -127,7 +134,7 @@
     it(`${name}: few answers are late`, () => {
       const whole = {...DEFAULTS, ...replay};
       const answers = playReplay(whole, 7).filter(
-        ({startedAt}) => startedAt > WARM_UP,
+        ({startedAt}) => startedAt > WARM_UP_TIME,
       );
       const late = answers.filter(
         ({firstEvent}) => firstEvent > whole.target,
@@ -143,7 +150,7 @@
   }
 });
 
-/** Largest share of an engine's answers in its share by usual speed. */
+/** Returns the largest share of an engine, divided by its share by usual speed. */
 function largestOverFairShare(
   {engines}: Replay,
   answers: readonly {engine: number}[],
--- a/packages/decisions/src/test/placement/upstream_replay.ts
+++ b/packages/decisions/src/test/placement/upstream_replay.ts
@@ -66,7 +66,7 @@
   };
 }
 
-/** Returns listings of engines, in four zones by turns. */
+/** Returns listings of engines, in four zones in turn. */
 export function engineListings(
   count: number,
   slots: number,
--- a/packages/decisions/src/test/upstreams/cold_upstreams_test.ts
+++ b/packages/decisions/src/test/upstreams/cold_upstreams_test.ts
@@ -11,17 +11,18 @@
 import type {UpstreamListing} from '../../lib/upstreams/upstream_registry.js';
 
 const SECOND = 1_000;
+/** Time between two steps of a run, in milliseconds. */
 const STEP = 25;
 const PROFILE = {coldTime: 3 * SECOND, coldRequestsPerSecond: 11};
 const TOLERANCE = {overshoot: 1.5, slack: 5};
 
-/** Silence after which an instance counts as ended. */
+/** Silence after which an instance counts as ended, in milliseconds. */
 const MEMBER_TIMEOUT = 4 * SECOND;
 
-/** Members of another zone that an instance knows. */
+/** Number of members of another zone that an instance knows. */
 const KNOWN_OF_OTHER_ZONE = 3;
 
-/** Time by which ways to an upstream differ. */
+/** Variation of the network delay to an upstream, in milliseconds. */
 const MAX_JITTER = 200;
 
 function listing(id: string, fields: Partial<UpstreamListing> = {}) {
