--- a/packages/decisions/src/lib/admission/return_times.ts
+++ b/packages/decisions/src/lib/admission/return_times.ts
@@ -43,7 +43,7 @@
 /** Time over which callers are spread that return to another instance. */
 const ELSEWHERE_SPREAD: Millis = 20;
 
-/** Added to that spread, as a fraction of the wait for another instance. */
+/** Added to `ELSEWHERE_SPREAD`, as a fraction of the wait. */
 const ELSEWHERE_SPREAD_FRACTION = 0.5;
 
 /** The times told to the callers that one resource refused. */
--- a/packages/decisions/src/lib/budgets/token_wait.ts
+++ b/packages/decisions/src/lib/budgets/token_wait.ts
@@ -94,8 +94,8 @@
   if (awaitsRelay && elapsed < patience * RELAY_WAIT_FRACTION) {
     return WaitDecision.Wait;
   }
-  const needsPeers = reading.unclaimed + reading.heldHere < tokens;
-  const isTooFew = isReadingNew(wait, situation) && needsPeers;
+  const isWithinReach = reading.unclaimed + reading.heldHere >= tokens;
+  const isTooFew = isReadingNew(wait, situation) && !isWithinReach;
   const {peersAskedSince = now} = situation;
   if (now - peersAskedSince >= PROOF_WAIT) {
     // The peers have given what they can. Only tokens that this instance holds
--- a/packages/decisions/src/lib/upstreams/cold_upstreams.ts
+++ b/packages/decisions/src/lib/upstreams/cold_upstreams.ts
@@ -37,7 +37,7 @@
   ownPermits: number;
 }
 
-/** Maximum time for which an upstream counts as cold. */
+/** Maximum cold time in a statement; longer ones are reduced to it. */
 const MAX_COLD_TIME: Millis = 3_600 * SECOND;
 
 /**
--- a/packages/decisions/src/lib/upstreams/fleet_share.ts
+++ b/packages/decisions/src/lib/upstreams/fleet_share.ts
@@ -86,8 +86,9 @@
 
   /**
    * Records the running instances. Returns those among which parts are chosen;
-   * undefined while the instance has not learned of them. To be called at least
-   * once a second, as a longer pause counts towards a suspension.
+   * undefined while the instance has not learned of them. To be called each
+   * second, also while no part is needed: a pause of `SETTLE_TIME` counts as a
+   * suspension.
    */
   update(view: FleetView, now: Millis): FleetView | undefined {
     if (now - this.updatedAt >= SETTLE_TIME) {
