--- a/packages/decisions/src/lib/placement/placement.ts
+++ b/packages/decisions/src/lib/placement/placement.ts
@@ -196,6 +196,12 @@
 /** Long wait for a slot, as a fraction of a request's time to the end. */
 const LONG_WAIT_FRACTION = 0.1;
 
+/**
+ * Costs that differ by less are equal: such upstreams share the requests, so that
+ * a light load does not leave all but one of them unused.
+ */
+const ESTIMATE_TOLERANCE: Millis = 5;
+
 /** Delay added for an upstream in another zone. */
 const CROSS_ZONE_COST: Millis = 3;
 
@@ -334,12 +340,13 @@
     let bestCost = Infinity;
     for (const upstream of compared) {
       const isPreferred = upstream === preferred;
-      const {placed, cost} = this.estimate(
+      const {placed, cost: estimatedCost} = this.estimate(
         request,
         upstream,
         isPreferred,
         view,
       );
+      const cost = estimatedCost + this.random() * ESTIMATE_TOLERANCE;
       if (cost < bestCost) {
         bestCost = cost;
         best = placed;
--- a/packages/decisions/src/test/placement/placement_test.ts
+++ b/packages/decisions/src/test/placement/placement_test.ts
@@ -208,6 +208,39 @@
     expect(max - min).to.be.at.most(2);
   });
 
+  const lightLoads = [
+    {name: 'requests without a prompt', request: PLAIN_REQUEST},
+    {
+      name: 'short prompts with a shared part',
+      request: {
+        parts: [
+          {id: 'shared', tokens: 90},
+          {id: 'own', tokens: 10},
+        ],
+        promptTokens: 100,
+      },
+    },
+  ];
+  for (const {name, request} of lightLoads) {
+    it(`one at a time: ${name} go to all upstreams alike`, () => {
+      const placement = new Placement(randomNumbers(1));
+      const candidates = engines(3).filter(({zone}) => zone === 'north');
+      const counts = candidates.map(() => 0);
+      for (let now = 0; now < 6_000; now += 20) {
+        const view = {now, zone: 'north', excluded: NO_UPSTREAMS};
+        const placed = placement.choose(request, candidates, view);
+        const {Answered} = PlacementOutcome;
+        if (placed !== undefined) {
+          placement.recordStart(request, placed, now);
+          placement.recordEnd(placed, Answered, false, now);
+          const index = candidates.indexOf(placed.upstream);
+          counts[index] = (counts[index] ?? 0) + 1;
+        }
+      }
+      expect(Math.min(...counts)).to.be.at.least(100);
+    });
+  }
+
   const times = [
     {tokens: 0, prompt: 10_000, min: 0, max: 0},
     {tokens: 1_000, prompt: 1_000, min: 10, max: 11},
