--- a/packages/decisions/src/lib/admission/link_load.ts
+++ b/packages/decisions/src/lib/admission/link_load.ts
@@ -72,7 +72,7 @@
   /** Returns the used fraction of the link in its busier direction. */
   utilisation(now: Millis): number {
     const bytes = Math.max(this.received.total(now), this.sent.total(now));
-    return this.transferTime(bytes) / AVERAGING_WINDOW;
+    return this.utilisationOf(bytes);
   }
 
   /** Returns the time for which a number of bytes occupies the link. */
--- a/packages/decisions/src/lib/budgets/token_wait.ts
+++ b/packages/decisions/src/lib/budgets/token_wait.ts
@@ -26,6 +26,11 @@
   patience: Millis;
   /** Whether a relay was asked and has not answered. */
   awaitsRelay: boolean;
+  /**
+   * Since when the peers have been asked again and again for tokens of the
+   * account; undefined if they are not being asked.
+   */
+  peersAskedSince: Millis | undefined;
 }
 
 /** What is known about the budget of a waiting request. */
@@ -36,11 +41,6 @@
   readAt: Millis;
   /** Whether the last call to the store failed. */
   isStoreFailing: boolean;
-  /**
-   * Since when the peers have been asked again and again for tokens of the
-   * account; undefined if they are not being asked.
-   */
-  peersAskedSince: Millis | undefined;
 }
 
 /** Patience of a request that states no latency target. */
@@ -96,7 +96,7 @@
   }
   const isWithinReach = reading.unclaimed + reading.heldHere >= tokens;
   const isTooFew = isReadingNew(wait, situation) && !isWithinReach;
-  const {peersAskedSince = now} = situation;
+  const {peersAskedSince = now} = wait;
   if (now - peersAskedSince >= PROOF_WAIT) {
     // The peers have given what they can. Only tokens that this instance holds
     // or the store has, and that are not usable yet, are worth waiting for.
@@ -112,7 +112,8 @@
  * the peers, which may hold tokens that no page shows, have been asked in vain.
  */
 function isProvedExhausted(wait: TokenWait, situation: WaitSituation): boolean {
-  const {now, reading, peersAskedSince} = situation;
+  const {now, reading} = situation;
+  const {peersAskedSince} = wait;
   return (
     isReadingNew(wait, situation) &&
     obtainableTokens(reading) < wait.tokens &&
--- a/packages/decisions/src/lib/crashes/suspects.ts
+++ b/packages/decisions/src/lib/crashes/suspects.ts
@@ -3,6 +3,7 @@
  * apart from other suspect requests, and is refused once too many upstreams
  * have failed while they ran it.
  */
+import {setNewest} from '../base/recent_entries.js';
 import {MINUTE} from '../base/clock.js';
 import type {Millis} from '../base/clock.js';
 
@@ -42,12 +43,7 @@
     };
     suspect.upstreams.add(upstream);
     suspect.lastFailureAt = now;
-    this.suspectsByFingerprint.delete(fingerprint);
-    this.suspectsByFingerprint.set(fingerprint, suspect);
-    if (this.suspectsByFingerprint.size > MAX_SUSPECTS) {
-      const [oldest] = this.suspectsByFingerprint.keys();
-      this.suspectsByFingerprint.delete(oldest ?? '');
-    }
+    setNewest(this.suspectsByFingerprint, fingerprint, suspect, MAX_SUSPECTS);
   }
 
   /** Records that a request was answered; it is no longer suspect. */
--- a/packages/decisions/src/lib/fleet/evacuations.ts
+++ b/packages/decisions/src/lib/fleet/evacuations.ts
@@ -8,6 +8,7 @@
  * the next change in the same era. So a zone that was taken back is not among the
  * zones of any newer snapshot, and no older message can evacuate it again.
  */
+import {setNewest} from '../base/recent_entries.js';
 import {isNewer, UNKNOWN_POSITION} from './store_position.js';
 import type {Millis} from '../base/clock.js';
 import type {StorePosition} from './store_position.js';
@@ -134,16 +135,9 @@
     this.current = position;
     this.evacuated = next;
     evacuated.forEach(zone => this.openedTimes.delete(zone));
-    opened.forEach(zone => this.recordOpened(zone, now));
+    opened.forEach(zone =>
+      setNewest(this.openedTimes, zone, now, MAX_EVACUATED_ZONES),
+    );
     return {evacuated, opened};
   }
-
-  /** Records when a zone was taken back; of too many the oldest is forgotten. */
-  private recordOpened(zone: string, now: Millis): void {
-    this.openedTimes.set(zone, now);
-    const [oldest] = this.openedTimes.keys();
-    if (this.openedTimes.size > MAX_EVACUATED_ZONES && oldest !== undefined) {
-      this.openedTimes.delete(oldest);
-    }
-  }
 }
--- a/packages/decisions/src/lib/placement/placement.ts
+++ b/packages/decisions/src/lib/placement/placement.ts
@@ -5,6 +5,7 @@
  * long prompt part; one prompt part becomes popular; an upstream fails or becomes
  * slow; many instances choose at once by what they knew a moment ago.
  */
+import {setNewest} from '../base/recent_entries.js';
 import {affinityPrefix, affinityRankAfter} from './routing.js';
 import {ServiceTimes} from './service_times.js';
 import {UpstreamSpeeds} from './upstream_speed.js';
@@ -636,12 +637,7 @@
     now: Millis,
   ): void {
     for (const part of request.parts) {
-      state.partUsedAt.delete(part.id);
-      state.partUsedAt.set(part.id, now);
-    }
-    while (state.partUsedAt.size > MAX_PARTS_PER_UPSTREAM) {
-      const [oldest] = state.partUsedAt.keys();
-      state.partUsedAt.delete(oldest ?? '');
+      setNewest(state.partUsedAt, part.id, now, MAX_PARTS_PER_UPSTREAM);
     }
   }
 
--- a/packages/decisions/src/lib/placement/priorities.ts
+++ b/packages/decisions/src/lib/placement/priorities.ts
@@ -37,7 +37,15 @@
     route: Pick<Route, 'priority'>,
     account: Pick<PrepaidAccount, 'priority'> | undefined,
   ): PriorityRank {
-    const rank = this.sorted.indexOf(account?.priority ?? route.priority);
+    const rank = this.sorted.indexOf(priorityOf(route, account));
     return {rank: Math.max(0, rank), count: Math.max(1, this.sorted.length)};
   }
 }
+
+/** Returns the priority of a request: the account's, else the route's. */
+export function priorityOf(
+  route: Pick<Route, 'priority'>,
+  account: Pick<PrepaidAccount, 'priority'> | undefined,
+): number {
+  return account?.priority ?? route.priority;
+}
--- a/packages/decisions/src/lib/placement/service_times.ts
+++ b/packages/decisions/src/lib/placement/service_times.ts
@@ -3,6 +3,7 @@
  * Covers these load patterns: services whose engines read prompts at different
  * speeds; requests without a prompt that take tens of milliseconds or seconds.
  */
+import {setNewest} from '../base/recent_entries.js';
 import type {Millis} from '../base/clock.js';
 
 /** Expected time to the first event of an answer, as a line over the work. */
@@ -147,11 +148,7 @@
         ownWork: 0,
         wholeTime: undefined,
       };
-      this.services.set(service, sums);
-      if (this.services.size > MAX_SERVICES) {
-        const [oldest] = this.services.keys();
-        this.services.delete(oldest ?? '');
-      }
+      setNewest(this.services, service, sums, MAX_SERVICES);
     }
     return sums;
   }
--- a/packages/decisions/src/lib/upstreams/upstreams.ts
+++ b/packages/decisions/src/lib/upstreams/upstreams.ts
@@ -3,6 +3,7 @@
  * failures that it has observed at each. An entry is the process that accepts
  * requests and forwards them to upstreams.
  */
+import {setNewest} from '../base/recent_entries.js';
 import {
   affinityRank,
   estimatedFirstTokenTime,
@@ -209,12 +210,7 @@
 
   /** Records which upstream ran a prompt with this prefix. */
   recordPrefix(prefix: string, id: string): void {
-    this.upstreamByPrefix.delete(prefix);
-    this.upstreamByPrefix.set(prefix, id);
-    if (this.upstreamByPrefix.size > MAX_PREFIXES) {
-      const [oldest] = this.upstreamByPrefix.keys();
-      this.upstreamByPrefix.delete(oldest ?? '');
-    }
+    setNewest(this.upstreamByPrefix, prefix, id, MAX_PREFIXES);
   }
 
   /** The upstream that last ran a prompt with this prefix, if any. */
--- a/packages/decisions/src/test/budgets/token_wait_test.ts
+++ b/packages/decisions/src/test/budgets/token_wait_test.ts
@@ -5,7 +5,7 @@
   patienceFor,
   WaitDecision,
 } from '../../lib/budgets/token_wait.js';
-import type {WaitSituation} from '../../lib/budgets/token_wait.js';
+import type {TokenWait, WaitSituation} from '../../lib/budgets/token_wait.js';
 
 const PATIENCE_CASES = [
   {name: 'no target', target: 0, timeLeft: 5_000, expected: 120},
@@ -22,11 +22,12 @@
   }
 });
 
-const WAIT = {
+const WAIT: TokenWait = {
   tokens: 100,
   waitingSince: 10_000,
   patience: 400,
   awaitsRelay: false,
+  peersAskedSince: 10_000,
 };
 
 /** A spent budget whose page was just read, and whose peers were asked. */
@@ -41,12 +42,15 @@
   },
   readAt: 9_900,
   isStoreFailing: false,
-  peersAskedSince: 10_000,
 };
 
 const {Exhausted, Unavailable, AskPeers, Wait} = WaitDecision;
 
-const DECISION_CASES = [
+const DECISION_CASES: {
+  name: string;
+  change: Partial<TokenWait & WaitSituation>;
+  expected: WaitDecision;
+}[] = [
   {name: 'nobody has the tokens', change: {}, expected: Exhausted},
   {
     name: 'the page is too old',
@@ -83,7 +87,9 @@
 describe('a request that waits for tokens', () => {
   for (const {name, change, expected} of DECISION_CASES) {
     it(`is to "${expected}" if ${name}`, () => {
-      expect(decideTokenWait(WAIT, {...SPENT, ...change})).to.equal(expected);
+      const wait = {...WAIT, ...change};
+      const situation = {...SPENT, ...change};
+      expect(decideTokenWait(wait, situation)).to.equal(expected);
     });
   }
 });
--- a/packages/gateway/src/lib/budgets/prepaid_budgets.ts
+++ b/packages/gateway/src/lib/budgets/prepaid_budgets.ts
@@ -687,18 +687,17 @@
 
   private decide(
     request: WaitingRequest,
-    situation: Omit<WaitSituation, 'peersAskedSince'>,
+    situation: WaitSituation,
   ): WaitDecision {
     if (request.relayRefusal !== undefined) {
       return request.relayRefusal;
     }
-    // Called for each waiting request, so the objects are not spread.
+    // Called for each waiting request, so the request is not spread.
     const {tokens, waitingSince, patience, peersAskedSince} = request;
-    const {now, reading, readAt, isStoreFailing} = situation;
     const awaitsRelay = request.askedOfRelay !== undefined;
     return decideTokenWait(
-      {tokens, waitingSince, patience, awaitsRelay},
-      {now, reading, readAt, isStoreFailing, peersAskedSince},
+      {tokens, waitingSince, patience, awaitsRelay, peersAskedSince},
+      situation,
     );
   }
 
@@ -706,7 +705,7 @@
   private complete(
     request: WaitingRequest,
     outcome: ReservationOutcome,
-    {reading: {granted}, readAt}: Omit<WaitSituation, 'peersAskedSince'>,
+    {reading: {granted}, readAt}: WaitSituation,
   ): void {
     const {account, tokens} = request;
     this.pageOf(account).shares.adjustAwaitedTokens(account, -tokens);
@@ -720,10 +719,7 @@
     request.resolve(outcome);
   }
 
-  private situationOf(
-    account: string,
-    page: BudgetPage,
-  ): Omit<WaitSituation, 'peersAskedSince'> {
+  private situationOf(account: string, page: BudgetPage): WaitSituation {
     const view = this.currentView();
     const {now} = view;
     return {
--- a/packages/gateway/src/lib/budgets/token_exchange.ts
+++ b/packages/gateway/src/lib/budgets/token_exchange.ts
@@ -3,6 +3,7 @@
   MAX_MESH_INSTANCES,
   MIN_PATIENCE,
   randomSample,
+  setNewest,
 } from '@citrontrestle/decisions';
 import {ReservationOutcome} from './prepaid_budgets.js';
 import {PeerMessageKind} from '../fleet/peer_message.js';
@@ -206,12 +207,7 @@
     if (followers.length === 0 || now - collectedAt < COLLECT_INTERVAL) {
       return;
     }
-    this.collectedAt.delete(account);
-    this.collectedAt.set(account, now);
-    const [oldest] = this.collectedAt.keys();
-    if (this.collectedAt.size > MAX_COLLECTED_ACCOUNTS && oldest) {
-      this.collectedAt.delete(oldest);
-    }
+    setNewest(this.collectedAt, account, now, MAX_COLLECTED_ACCOUNTS);
     for (const follower of followers) {
       this.peerNetwork.send(follower, {
         kind: PeerMessageKind.TokenRequest,
--- a/packages/gateway/src/lib/budgets/token_queue.ts
+++ b/packages/gateway/src/lib/budgets/token_queue.ts
@@ -1,14 +1,12 @@
 /** Requests that wait for tokens, by account, in the order of their arrival. */
 import type {ReservationOutcome} from './prepaid_budgets.js';
-import type {Millis, TokenWait, WaitDecision} from '@citrontrestle/decisions';
+import type {TokenWait, WaitDecision} from '@citrontrestle/decisions';
 
 /** A request that waits for tokens. */
 export interface WaitingRequest extends Omit<TokenWait, 'awaitsRelay'> {
   account: string;
   /** Whether the relay and the peers may be asked for tokens. */
   mayAskPeers: boolean;
-  /** Since when the peers have been asked; undefined if they were not. */
-  peersAskedSince: Millis | undefined;
   /** Tokens for which the relay was asked and has not answered, if any. */
   askedOfRelay: number | undefined;
   /** Whether tokens of this instance went to the relay after it was asked. */
--- a/packages/gateway/src/lib/process/gateway.ts
+++ b/packages/gateway/src/lib/process/gateway.ts
@@ -155,6 +155,7 @@
       budgetTotals: () => this.budgets.totals(),
       coldCounts: () => this.coldWatch.coldCounts(),
       slowCount: () => this.placement.speeds.slowCount(),
+      linkStatus: () => this.linkAdmission.status(),
     });
     this.evacuationWatch = this.createEvacuationWatch();
     const timing = feedTiming(propagationBounds(settings));
@@ -351,7 +352,6 @@
       log,
       zoneLinks: () => this.peerNetwork.zoneLinks(),
     });
-    this.metrics.observeLink(() => this.linkAdmission.status());
     this.recorder = new RequestRecorder(
       clock,
       log,
--- a/packages/gateway/src/lib/process/gateway_metrics.ts
+++ b/packages/gateway/src/lib/process/gateway_metrics.ts
@@ -31,6 +31,8 @@
   coldCounts(): ReadonlyMap<string, number>;
   /** Returns the number of upstreams that are slow. */
   slowCount(): number;
+  /** Returns the state of the machine's link. */
+  linkStatus(): LinkStatus;
 }
 
 /** Counts the requests of one gateway and its calls to the store. */
@@ -48,7 +50,7 @@
 
   constructor(
     store: Store,
-    {budgetTotals, coldCounts, slowCount}: MetricSources,
+    {budgetTotals, coldCounts, slowCount, linkStatus}: MetricSources,
   ) {
     const registers = [this.registry];
     this.requests = new Counter({
@@ -130,28 +132,23 @@
         slowUpstreams.set(slowCount());
       },
     });
-    this.server = createServer((_incoming, response) => {
-      void this.registry.metrics().then(text => {
-        response.writeHead(200, {'Content-Type': this.registry.contentType});
-        response.end(text);
-      });
-    });
-  }
-
-  /** Exposes the state of the machine's link. */
-  observeLink(status: () => LinkStatus): void {
-    const registers = [this.registry];
     const link = new Gauge({
       name: 'citrontrestle_link',
       help: 'State of the network link: use, ready',
       labelNames: ['state'],
       registers,
       collect: () => {
-        const {use, isReady} = status();
+        const {use, isReady} = linkStatus();
         link.set({state: 'use'}, use);
         link.set({state: 'ready'}, Number(isReady));
       },
     });
+    this.server = createServer((_incoming, response) => {
+      void this.registry.metrics().then(text => {
+        response.writeHead(200, {'Content-Type': this.registry.contentType});
+        response.end(text);
+      });
+    });
   }
 
   /** Serves the metrics on `ip:port`; does nothing without an address. */
--- a/packages/gateway/src/lib/requests/forwarding.ts
+++ b/packages/gateway/src/lib/requests/forwarding.ts
@@ -10,6 +10,7 @@
   isResumableStream,
   mayRepeat,
   PlacementOutcome,
+  priorityOf,
   pickService,
   Regions,
   RouteKind,
@@ -808,7 +809,7 @@
       this.serviceName,
       reason,
       {
-        priority: account?.priority ?? route.priority,
+        priority: priorityOf(route, account),
         remainingTime: this.deadline - now,
       },
       this.candidates.restTime(now),
--- a/packages/gateway/src/lib/requests/link_admission.ts
+++ b/packages/gateway/src/lib/requests/link_admission.ts
@@ -7,6 +7,7 @@
   hasZoneRoom,
   MIN_REFUSING_UTILISATION,
   Readiness,
+  priorityOf,
 } from '@citrontrestle/decisions';
 import {ESTIMATED_HEAD_BYTES} from './admission.js';
 import type {CallerRequest, Dialect} from '../process/ports.js';
@@ -129,7 +130,7 @@
         : routeTable.findAccount(apiKey ?? '');
     const limits = [timeout ?? Infinity, route?.timeout ?? Infinity];
     return {
-      priority: account?.priority ?? route?.priority ?? Infinity,
+      priority: priorityOf(route ?? {priority: Infinity}, account),
       remainingTime: Math.min(...limits),
     };
   }
--- a/packages/gateway/src/lib/upstreams/cold_watch.ts
+++ b/packages/gateway/src/lib/upstreams/cold_watch.ts
@@ -82,8 +82,8 @@
     }
     const permits = upstreams
       .map(upstream => this.permit(upstream, now))
-      .filter(permit => permit !== undefined && permit.wait > 0)
-      .map(permit => permit as ColdPermit);
+      .filter(permit => permit !== undefined)
+      .filter(({wait}) => wait > 0);
     if (permits.length === 0) {
       return undefined;
     }
