Log what the connection of an attempt has carried before

A refusal of the request itself and the copy of an earlier one look alike in the logs. attempt.failed, attempt.abandoned and request.proxied now name the connection's earlier requests and refusals, whether it may have carried the same identifier, and the time since the request was sent.

The agent that knows this moves to runtime (RequestAgent), where the other clients can use it; the hash of texts stood twice and is now one function. No decision changes.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -47,6 +47,7 @@
 export * from './lib/upstreams/proxy_choice.js';
 export * from './lib/base/random_sample.js';
 export * from './lib/base/recent_entries.js';
+export * from './lib/base/text_hash.js';
 export * from './lib/upstreams/homes.js';
 export * from './lib/upstreams/reachability.js';
 export * from './lib/upstreams/repeat_allowance.js';
--- a/packages/decisions/src/lib/budgets/partition_table.ts
+++ b/packages/decisions/src/lib/budgets/partition_table.ts
@@ -1,4 +1,5 @@
 /** The ledger partitions of one wallet, and when they are synchronized. */
+import {textHash} from '../base/text_hash.js';
 import {Partition} from './partition.js';
 import type {Ledger} from './ledger.js';
 import type {Millis} from '../base/clock.js';
@@ -13,14 +14,10 @@
 
 /**
  * Returns the index of the ledger partition that a budget belongs to, by the
- * 32-bit FNV-1a hash of its name.
+ * hash of its name.
  */
 export function partitionIndex(budget: string, partitionCount: number): number {
-  let hash = 0x811c9dc5;
-  for (let i = 0; i < budget.length; i++) {
-    hash = Math.imul(hash ^ budget.charCodeAt(i), 0x01000193) >>> 0;
-  }
-  return hash % partitionCount;
+  return textHash(budget) % partitionCount;
 }
 
 /**
--- a/packages/decisions/src/lib/placement/routing.ts
+++ b/packages/decisions/src/lib/placement/routing.ts
@@ -2,6 +2,7 @@
  * Routing policies of the entry, which is the process that accepts requests and
  * forwards them to upstreams. The settings select the policy.
  */
+import {textHash} from '../base/text_hash.js';
 import type {Millis} from '../base/clock.js';
 
 /** Kind of an upstream: a model engine or any other service. */
@@ -154,25 +155,16 @@
 
 /** Hash of a key, from which its rank for many identifiers is determined. */
 export function affinityPrefix(key: string): number {
-  return hashed(hashed(0x811c9dc5, key), '/');
+  return textHash('/', textHash(key));
 }
 
 /** Rank of an identifier for the key that `prefix` is the hash of. */
 export function affinityRankAfter(prefix: number, id: string): number {
-  let hash = hashed(prefix, id);
+  let hash = textHash(id, prefix);
   hash ^= hash >>> 15;
   return Math.imul(hash, 0x2c1b3c6d) >>> 0;
 }
 
-/** Continues an FNV-1a hash with the characters of a text. */
-function hashed(start: number, text: string): number {
-  let hash = start;
-  for (let index = 0; index < text.length; index++) {
-    hash = Math.imul(hash ^ text.charCodeAt(index), 0x01000193) >>> 0;
-  }
-  return hash;
-}
-
 /**
  * Expected time until the first token of a request that is sent now: network
  * latency, time in the queue, and processing that slows down with the load.
--- a/packages/gateway/src/lib/requests/forwarding.ts
+++ b/packages/gateway/src/lib/requests/forwarding.ts
@@ -38,11 +38,13 @@
 import {RefusalReason} from './refusal.js';
 import {CallFailure} from './call_failure.js';
 import {Candidates} from '../upstreams/candidates.js';
+import {connectionFieldsOf} from '../upstreams/connection_fields.js';
 import {recordStatements} from '../upstreams/upstream_statements.js';
 import type {CallerResponse} from './caller_response.js';
 import type {LostRequest} from '../crashes/crash_watch.js';
 import type {ForwardingResult} from './forwarding_result.js';
 import type {AdmittedRequest} from './admission.js';
+import type {ConnectionFields} from '../upstreams/connection_fields.js';
 import type {ReceivedHead, UpstreamCall} from '../upstreams/upstream_call.js';
 import type {UpstreamPath} from '../upstreams/upstream_paths.js';
 import type {InstanceContext} from '../process/instance_context.js';
@@ -439,7 +441,7 @@
       request: this.request.callerRequest.id,
       upstream,
       reason,
-      waitedMs: Math.round(this.context.clock.now() - this.attemptStartedAt),
+      waitedMs: this.attemptAge(),
       attempt: this.result.attempts,
       ...this.connectionFields(),
     });
@@ -449,19 +451,24 @@
   }
 
   /**
-   * Returns the log fields that tell a failed upstream from a partition of this
-   * instance: the kind of connection, the peer that forwarded the request, and
-   * the time since any upstream was heard.
+   * Returns the log fields that tell how the attempt reached its upstream: its
+   * connection, the peer that forwarded the request, and the time since any
+   * upstream was heard.
    */
-  private connectionFields(): Record<string, string | number | undefined> {
+  private connectionFields(): ConnectionFields {
     const silence = this.context.reachability.silence();
     return {
-      connection: this.call?.connectionKind(),
+      ...connectionFieldsOf(this.call),
       proxy: this.path?.proxy?.address,
       silentMs: silence && Math.round(silence),
     };
   }
 
+  /** Returns the age of the current attempt in whole milliseconds. */
+  private attemptAge(): Millis {
+    return Math.round(this.context.clock.now() - this.attemptStartedAt);
+  }
+
   private handleHead(receivedHead: ReceivedHead): void {
     this.responseRelay.setHead(receivedHead);
     clearTimeout(this.silenceTimer);
@@ -654,6 +661,7 @@
       upstreamVersion: upstream?.version,
       failure,
       reason,
+      waitedMs: this.attemptAge(),
       attempt: this.result.attempts,
       events: this.result.deliveredEvents,
       ...this.connectionFields(),
--- a/packages/gateway/src/lib/upstreams/proxy_server.ts
+++ b/packages/gateway/src/lib/upstreams/proxy_server.ts
@@ -18,6 +18,7 @@
   parseOrder,
   wantsChunks,
 } from './proxy_protocol.js';
+import {connectionFieldsOf} from './connection_fields.js';
 import {UpstreamCall} from './upstream_call.js';
 import {recordStatements} from './upstream_statements.js';
 import type {HeldBytes} from '../process/held_bytes.js';
@@ -224,6 +225,7 @@
         upstream: target.id,
         outcome,
         wholeMs: Math.round(clock.now() - startedAt),
+        ...connectionFieldsOf(call),
       });
     };
     const listener: UpstreamCallListener = {
--- a/packages/gateway/src/lib/upstreams/upstream_call.ts
+++ b/packages/gateway/src/lib/upstreams/upstream_call.ts
@@ -11,10 +11,12 @@
   withoutPeerHeaders,
 } from './proxy_protocol.js';
 import type {UpstreamResponseHead, Dialect} from '../process/ports.js';
-import type {Agent, IncomingMessage, OutgoingHttpHeaders} from 'node:http';
+import type {UpstreamAgent} from './upstream_agent.js';
+import type {IncomingMessage, OutgoingHttpHeaders} from 'node:http';
 import type {Millis} from '@citrontrestle/decisions';
+import type {ConnectionHistory} from '@citrontrestle/runtime';
 
-/** The connection that a call uses. */
+/** Kind of the connection that a call uses. */
 export enum ConnectionKind {
   /** One that an earlier call has left open. */
   Kept = 'kept',
@@ -38,6 +40,11 @@
   isCloseDelimited: boolean;
 }
 
+/** The connection that a call uses. */
+export interface CallConnection extends ConnectionHistory {
+  kind: ConnectionKind;
+}
+
 /**
  * Receives the response of a call. No method is called after `onComplete`,
  * `onFailure` or `cancel`.
@@ -79,7 +86,7 @@
   body: Buffer;
   /** Identifier that the response must carry. */
   requestId: string;
-  agent: Agent;
+  agent: UpstreamAgent;
   observer: ConnectionObserver;
   /** Whether a peer forwards the request. */
   isProxied: boolean;
@@ -120,7 +127,7 @@
    * together, as an upstream may send a body in chunks of a few bytes.
    */
   private readPieces: Buffer[] = [];
-  private connection: ConnectionKind | undefined;
+  private connection: CallConnection | undefined;
   private connectTimer: NodeJS.Timeout | undefined;
 
   constructor(
@@ -159,8 +166,8 @@
     return !this.hasEnded;
   }
 
-  /** Returns the kind of its connection; undefined before it has one. */
-  connectionKind(): ConnectionKind | undefined {
+  /** Returns its connection; undefined before it has one. */
+  usedConnection(): CallConnection | undefined {
     return this.connection;
   }
 
@@ -177,12 +184,16 @@
   private attachHandlers(): void {
     const {outgoingRequest} = this;
     outgoingRequest.on('socket', socket => {
+      const {agent, requestId} = this.upstreamRequest;
+      const {Kept, New} = ConnectionKind;
+      this.connection = {
+        ...agent.recordSent(socket, requestId),
+        kind: socket.connecting ? New : Kept,
+      };
       if (!socket.connecting) {
-        this.connection = ConnectionKind.Kept;
         this.mayHaveSent = true;
         return;
       }
-      this.connection = ConnectionKind.New;
       this.connectTimer = setTimeout(() => {
         this.failUnsent('connection timed out');
       }, CONNECT_TIMEOUT);
@@ -249,6 +260,7 @@
       this.listener.onStatement(head);
     }
     if (head.notExecuted) {
+      this.upstreamRequest.agent.recordRefusal(response.socket);
       response.resume();
       this.finish();
       const {NotExecuted, Replaced} = CallFailure;
@@ -331,7 +343,7 @@
   }: UpstreamResponseHead): boolean {
     const isUnnamed = requestId === undefined;
     return isUnnamed
-      ? notExecuted && this.connection === ConnectionKind.New
+      ? notExecuted && this.connection?.kind === ConnectionKind.New
       : requestId === this.upstreamRequest.requestId;
   }
 
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -8,6 +8,7 @@
 export * from './lib/log.js';
 export * from './lib/metrics.js';
 export * from './lib/random.js';
+export * from './lib/request_agent.js';
 export * from './lib/settings.js';
 export * from './lib/system_clock.js';
 export * from './lib/timing.js';
--- /dev/null
+++ b/packages/runtime/src/lib/request_agent.ts
@@ -0,0 +1,94 @@
+/**
+ * Keeps HTTP connections to servers whose answers name the request that they
+ * belong to, and knows what each connection has carried.
+ */
+import {Agent} from 'node:http';
+import {textHash} from '@citrontrestle/decisions';
+import type {AgentOptions} from 'node:http';
+import type {Duplex} from 'node:stream';
+
+/** What a connection had carried when a request was sent over it. */
+export interface ConnectionHistory {
+  /** Number of requests. */
+  requests: number;
+  /** Number of refusals by the server. */
+  refusals: number;
+  /** Whether one of the requests may have had the same identifier. */
+  hadRequest: boolean;
+}
+
+/** What a connection has carried. */
+class ConnectionRecord {
+  /** Hashes of the identifiers of its requests. */
+  readonly requests = new Set<number>();
+  refusals = 0;
+}
+
+/**
+ * An HTTP agent that closes an idle connection when data arrives on it, as such
+ * data would be taken for the answer to the next request.
+ */
+export class RequestAgent extends Agent {
+  private readonly records = new WeakMap<Duplex, ConnectionRecord>();
+  /** Listeners that destroy an idle connection when data arrives. */
+  private readonly dataListeners = new WeakMap<Duplex, () => void>();
+
+  /** @param options those of `node:http`; connections are always kept. */
+  constructor(options: AgentOptions = {}) {
+    super({...options, keepAlive: true, noDelay: true});
+  }
+
+  /**
+   * Records that a request is sent over a connection. Returns what that had
+   * carried before.
+   */
+  recordSent(connection: Duplex, requestId: string): ConnectionHistory {
+    const record = this.recordOf(connection);
+    const hash = textHash(requestId);
+    const history = {
+      requests: record.requests.size,
+      refusals: record.refusals,
+      hadRequest: record.requests.has(hash),
+    };
+    record.requests.add(hash);
+    return history;
+  }
+
+  /** Records that the server refused a request over a connection. */
+  recordRefusal(connection: Duplex): void {
+    this.recordOf(connection).refusals += 1;
+  }
+
+  override keepSocketAlive(socket: Duplex): boolean {
+    // Returns false if the connection must not be kept; the types omit this.
+    const keepSocketAlive = super.keepSocketAlive as unknown as (
+      socket: Duplex,
+    ) => boolean | undefined;
+    const isKept = keepSocketAlive.call(this, socket) !== false;
+    if (!isKept || socket.readableLength > 0) {
+      return false;
+    }
+    const destroySocket = () => socket.destroy();
+    this.dataListeners.set(socket, destroySocket);
+    socket.on('data', destroySocket);
+    return true;
+  }
+
+  override reuseSocket(
+    socket: Duplex,
+    request: Parameters<Agent['reuseSocket']>[1],
+  ): void {
+    const destroySocket = this.dataListeners.get(socket);
+    if (destroySocket !== undefined) {
+      socket.off('data', destroySocket);
+      this.dataListeners.delete(socket);
+    }
+    super.reuseSocket(socket, request);
+  }
+
+  private recordOf(connection: Duplex): ConnectionRecord {
+    const record = this.records.get(connection) ?? new ConnectionRecord();
+    this.records.set(connection, record);
+    return record;
+  }
+}
