Let gateways that tests may partition keep connections to upstreams

The module that gives their connections a source address wrote it into the options of the HTTP agent. The agent then kept each connection under another name than it looked for, so these gateways opened a connection for each request, and a fault of kept connections could show in no test with a partition (partitioned_upstreams, answer_without_length, spoiled_event). Now it changes a copy.

--- a/packages/stand_ins/src/lib/hosted/partition_preload.ts
+++ b/packages/stand_ins/src/lib/hosted/partition_preload.ts
@@ -46,7 +46,9 @@
     return this;
   }
   if (localAddress !== undefined) {
-    options.localAddress = localAddress;
+    // A copy: an agent keeps connections by their options, and finds none that
+    // it kept once these differ from those that it asked for.
+    args[0][0] = {...options, localAddress};
   }
   return originalConnect.apply(this, args);
 };
