--- a/packages/stand_ins/src/lib/hosted/server.ts
+++ b/packages/stand_ins/src/lib/hosted/server.ts
@@ -3,6 +3,7 @@
  * token streams.
  */
 import {createServer} from 'node:http';
+import {AnswerCopier} from './answer_copier.js';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import type {Millis} from '@citrontrestle/decisions';
@@ -177,8 +178,12 @@
   onCrash: () => void = () => undefined;
   /** Requests that it executed. */
   readonly runs: ServerRun[] = [];
+  /** Gives answers of which it writes copies, see `AnswerCopier.answer`. */
+  readonly copier = new AnswerCopier();
   /** Number of requests received, whether or not they were executed. */
   arrivalCount = 0;
+  /** Number of connections that it accepted. */
+  connectionCount = 0;
   private readonly server: Server;
   private hasCrashed = false;
   private runningCount = 0;
@@ -190,6 +195,7 @@
     this.server = createServer((incoming, outgoing) => {
       void this.handleRequest(incoming, outgoing);
     });
+    this.server.on('connection', () => (this.connectionCount += 1));
   }
 
   /** Starts listening on a free port; returns its entry for the store. */
@@ -286,6 +292,16 @@
       outgoing.end();
       return;
     }
+    const headers = this.answerHeaders(run);
+    const copied = this.copier.answerFor(outgoing, {id: run.id, headers});
+    if (copied !== undefined) {
+      this.runs.push(...(copied.hasRun ? [run] : []));
+      const {status, headers, body} = copied;
+      setTimeout(() => {
+        outgoing.writeHead(status, headers).end(body);
+      }, this.settings.stepMs);
+      return;
+    }
     if (this.limitsRoom && this.runningCount >= this.settings.slots) {
       this.rejectForWantOfRoom(outgoing, run);
       return;
