Send no identifier twice over one connection to an upstream

Callers were told 503, which promises that nothing runs, for requests that ran, and requests that must run once ran twice.

Cause: an upstream wrote a refusal a second time. The caller had come back under the same identifier, and its request was under way again on the connection that had carried the refusal, so the copy bore the expected identifier. Class: an answer is matched to a request by a value that may repeat. What a connection returns is the identifier and nothing else, so the pair of identifier and connection has to be unique.

Change: the agent knows the identifiers that each connection has carried (as 32-bit hashes, at most 512, after which it is not kept; an equal hash only costs a connection). A request whose identifier an idle connection may have carried gets a connection of its own. Requests of callers and of peers share the agent, so the rule holds for both.

--- a/packages/gateway/src/lib/process/gateway.ts
+++ b/packages/gateway/src/lib/process/gateway.ts
@@ -155,6 +155,7 @@
       budgetTotals: () => this.budgets.totals(),
       coldCounts: () => this.coldWatch.coldCounts(),
       slowCount: () => this.placement.speeds.slowCount(),
+      connectionCounts: () => this.upstreamAgent.counts,
       linkStatus: () => this.linkAdmission.status(),
     });
     this.evacuationWatch = this.createEvacuationWatch();
--- a/packages/gateway/src/lib/process/gateway_metrics.ts
+++ b/packages/gateway/src/lib/process/gateway_metrics.ts
@@ -5,7 +5,7 @@
 import type {LinkStatus} from '../requests/link_admission.js';
 import type {Store} from './ports.js';
 import type {Server} from 'node:http';
-import type {Log} from '@citrontrestle/runtime';
+import type {AgentCounts, Log} from '@citrontrestle/runtime';
 import type {
   EvacuationChange,
   Millis,
@@ -31,6 +31,8 @@
   coldCounts(): ReadonlyMap<string, number>;
   /** Returns the number of upstreams that are slow. */
   slowCount(): number;
+  /** Returns what the connections to upstreams have counted. */
+  connectionCounts(): AgentCounts;
   /** Returns the state of the machine's link. */
   linkStatus(): LinkStatus;
 }
@@ -48,10 +50,8 @@
   private readonly heldBack: Counter;
   private readonly server: Server;
 
-  constructor(
-    store: Store,
-    {budgetTotals, coldCounts, slowCount, linkStatus}: MetricSources,
-  ) {
+  constructor(store: Store, sources: MetricSources) {
+    const {budgetTotals, coldCounts, slowCount, linkStatus} = sources;
     const registers = [this.registry];
     this.requests = new Counter({
       name: 'citrontrestle_requests_total',
@@ -132,6 +132,17 @@
         slowUpstreams.set(slowCount());
       },
     });
+    const connectionRepeats = new Gauge({
+      name: 'citrontrestle_connection_repeats',
+      help: 'What came again at the connections to upstreams since the start: identifier, answer',
+      labelNames: ['kind'],
+      registers,
+      collect: () => {
+        const {single, extraAnswers} = sources.connectionCounts();
+        connectionRepeats.set({kind: 'identifier'}, single);
+        connectionRepeats.set({kind: 'answer'}, extraAnswers);
+      },
+    });
     const link = new Gauge({
       name: 'citrontrestle_link',
       help: 'State of the network link: use, ready',
--- a/packages/gateway/src/lib/upstreams/upstream_call.ts
+++ b/packages/gateway/src/lib/upstreams/upstream_call.ts
@@ -135,17 +135,17 @@
     private readonly dialect: Dialect,
     private readonly listener: UpstreamCallListener,
   ) {
-    const {method, target, agent, body} = upstreamRequest;
+    const {address, method, target, body, requestId} = upstreamRequest;
     const headers = {...upstreamRequest.headers};
     if (body.length > 0 || !METHODS_WITHOUT_BODY.has(method)) {
       headers['Content-Length'] = body.length;
     }
     this.outgoingRequest = request({
-      ...splitAddress(upstreamRequest.address),
+      ...splitAddress(address),
       method,
       path: target,
       headers,
-      agent,
+      agent: upstreamRequest.agent.agentFor(address, requestId),
       setHost: false,
     });
     upstreamRequest.observer.onSent();
@@ -334,8 +334,9 @@
 
   /**
    * Whether a response answers this request. On a kept connection it may be one
-   * to an earlier request that the upstream repeats. Only a rejection without an
-   * identifier on a new connection can't be.
+   * to an earlier request that the upstream repeats; none of those had the same
+   * identifier. Only a rejection without an identifier on a new connection can't
+   * be a repeated one.
    */
   private isOwnResponse({
     requestId,
--- a/packages/runtime/src/lib/request_agent.ts
+++ b/packages/runtime/src/lib/request_agent.ts
@@ -1,12 +1,20 @@
 /**
  * Keeps HTTP connections to servers whose answers name the request that they
- * belong to, and knows what each connection has carried.
+ * belong to. A server may send an answer twice. The second one can be told by
+ * its identifier, if no connection carries the same identifier twice.
  */
 import {Agent} from 'node:http';
 import {textHash} from '@citrontrestle/decisions';
+import {splitAddress} from './http.js';
 import type {AgentOptions} from 'node:http';
 import type {Duplex} from 'node:stream';
 
+/**
+ * Maximum number of requests over one connection, which bounds what is kept of
+ * them.
+ */
+const MAX_REQUESTS = 512;
+
 /** What a connection had carried when a request was sent over it. */
 export interface ConnectionHistory {
   /** Number of requests. */
@@ -24,11 +32,22 @@
   refusals = 0;
 }
 
+/** What an agent has counted since it was created. */
+export interface AgentCounts {
+  /** Requests sent over a connection of their own, see `agentFor`. */
+  single: number;
+  /** Idle connections that were closed because data arrived. */
+  extraAnswers: number;
+}
+
 /**
  * An HTTP agent that closes an idle connection when data arrives on it, as such
  * data would be taken for the answer to the next request.
  */
 export class RequestAgent extends Agent {
+  readonly counts: AgentCounts = {single: 0, extraAnswers: 0};
+  /** Opens a connection for each request. */
+  private readonly singleAgent = new Agent({keepAlive: false, noDelay: true});
   private readonly records = new WeakMap<Duplex, ConnectionRecord>();
   /** Listeners that destroy an idle connection when data arrives. */
   private readonly dataListeners = new WeakMap<Duplex, () => void>();
@@ -38,6 +57,21 @@
     super({...options, keepAlive: true, noDelay: true});
   }
 
+  /**
+   * Returns the agent that is to send a request to an address (`ip:port`): one
+   * that opens a connection for this request alone if an idle connection to the
+   * address may have carried the same identifier, else this one.
+   */
+  agentFor(address: string, requestId: string): Agent {
+    const idle = this.freeSockets[this.getName(splitAddress(address))] ?? [];
+    const hash = textHash(requestId);
+    if (!idle.some(socket => this.records.get(socket)?.requests.has(hash))) {
+      return this;
+    }
+    this.counts.single += 1;
+    return this.singleAgent;
+  }
+
   /**
    * Records that a request is sent over a connection. Returns what that had
    * carried before.
@@ -64,11 +98,16 @@
     const keepSocketAlive = super.keepSocketAlive as unknown as (
       socket: Duplex,
     ) => boolean | undefined;
-    const isKept = keepSocketAlive.call(this, socket) !== false;
+    const isKept =
+      this.recordOf(socket).requests.size < MAX_REQUESTS &&
+      keepSocketAlive.call(this, socket) !== false;
     if (!isKept || socket.readableLength > 0) {
       return false;
     }
-    const destroySocket = () => socket.destroy();
+    const destroySocket = () => {
+      this.counts.extraAnswers += 1;
+      socket.destroy();
+    };
     this.dataListeners.set(socket, destroySocket);
     socket.on('data', destroySocket);
     return true;
