Close the connection of a refusal whose body does not end

What follows the head of a refusal was read without a limit of bytes or time, so an upstream could hold a connection, and processor time, for as long as it liked. The same holds for the failures that a peer states. Now the connection is closed if the body is not complete after 1 s.

--- a/packages/gateway/src/lib/upstreams/upstream_call.ts
+++ b/packages/gateway/src/lib/upstreams/upstream_call.ts
@@ -106,6 +106,9 @@
 /** Reason of a call that may not be sent once it has a connection. */
 const WITHDRAWN = 'no more requests may be sent to the upstream';
 
+/** Maximum time to read a body that is not passed on. */
+const MAX_DISCARD_TIME: Millis = 1_000;
+
 /** Maximum time to establish a new connection. */
 const CONNECT_TIMEOUT: Millis = 300;
 
@@ -239,7 +242,7 @@
     observer.onHeard();
     const proxyFailure = isProxied ? parseFailure(response.headers) : undefined;
     if (proxyFailure !== undefined) {
-      response.resume();
+      discardBody(response);
       this.finish();
       this.listener.onFailure(proxyFailure.failure, proxyFailure.reason);
       return;
@@ -261,7 +264,7 @@
     }
     if (head.notExecuted) {
       this.upstreamRequest.agent.recordRefusal(response.socket);
-      response.resume();
+      discardBody(response);
       this.finish();
       const {NotExecuted, Replaced} = CallFailure;
       const failure = head.isMisdirected ? Replaced : NotExecuted;
@@ -394,6 +397,13 @@
   }
 }
 
+/** Reads the rest of a response; closes the connection if that takes too long. */
+function discardBody(response: IncomingMessage): void {
+  const timer = setTimeout(() => response.destroy(), MAX_DISCARD_TIME);
+  response.on('close', () => clearTimeout(timer));
+  response.resume();
+}
+
 /** Returns the media type that a `Content-Type` header names. */
 function parseMediaType(contentType = ''): string {
   const [mediaType = ''] = contentType.split(';');
