Own interface: believe an engine's refusal only if it is surely the request's own

Cause: the engine client read x-not-run on kept connections and checked no identifier. A refusal that an engine sends once more, where the answer to a later request is due, was taken for that request's: the entry then sent it to another engine, or told the caller "not run", although it ran. The same held for a copy of the request's own earlier refusal.

Change: a refusal counts if it names the request, or names none and is the first answer on its connection; else the outcome is Mismatched. After any other error answer the connection is closed, as the next answer on it may be that of this request. The stand-ins' refusals name their request.

--- a/packages/engine/src/lib/engine.ts
+++ b/packages/engine/src/lib/engine.ts
@@ -3,11 +3,13 @@
  * An answer is complete only if each event carries the id of the request, a
  * usage report was received, and the stream ended with `[DONE]`.
  */
-import {Agent, request} from 'node:http';
+import {request} from 'node:http';
 import {AttemptOutcome} from '@citrontrestle/decisions';
 import {splitAddress} from '@citrontrestle/runtime';
+import {EngineAgent} from './engine_agent.js';
 import {EventReader} from './event_reader.js';
 import type {Millis} from '@citrontrestle/decisions';
+import type {ConnectionHistory} from '@citrontrestle/runtime';
 import type {ClientRequest, IncomingMessage} from 'node:http';
 
 /** One message of a chat conversation. */
@@ -54,7 +56,7 @@
 
 /** Client for model engines; keeps connections open between requests. */
 export class EngineClient {
-  private readonly agent = new Agent({keepAlive: true, maxSockets: Infinity});
+  private readonly agent = new EngineAgent();
 
   /** Sends a completion once, without retries; failures are results. */
   complete(completion: CompletionRequest): Promise<CompletionResult> {
@@ -67,7 +69,7 @@
   }
 }
 
-/** Thrown when an event carries the id of another request. */
+/** Thrown when an answer may be that to another request. */
 class RequestIdMismatchError extends Error {}
 
 /** One attempt to run a completion; parses its response as it arrives. */
@@ -79,10 +81,12 @@
   private usage: TokenUsage | undefined;
   /** Whether the engine may have received the request, or a part of it. */
   private mayHaveBeenSent = false;
+  /** What the connection had carried before; undefined until there is one. */
+  private history: ConnectionHistory | undefined;
 
   constructor(
     private readonly completion: CompletionRequest,
-    agent: Agent,
+    private readonly agent: EngineAgent,
   ) {
     this.result = new Promise(resolve => (this.resolve = resolve));
     const {address, id, signal, idleTimeout} = completion;
@@ -91,7 +95,7 @@
       method: 'POST',
       path: '/v1/chat/completions',
       headers: {'content-type': 'application/json', 'x-request-id': id},
-      agent,
+      agent: agent.agentFor(address, id),
       signal,
       timeout: idleTimeout,
     });
@@ -113,6 +117,7 @@
   private attachListeners(): void {
     const {outgoing} = this;
     outgoing.on('socket', socket => {
+      this.history = this.agent.recordSent(socket, this.completion.id);
       if (socket.connecting) {
         socket.once('connect', () => (this.mayHaveBeenSent = true));
       } else {
@@ -157,7 +162,6 @@
 
   private async readResponse(incoming: IncomingMessage): Promise<void> {
     if (incoming.statusCode !== 200) {
-      incoming.resume();
       this.resolveErrorStatus(incoming);
       return;
     }
@@ -175,17 +179,41 @@
     throw new Error('the stream ended before [DONE]');
   }
 
+  /** Only after the request's own refusal is the connection kept. */
   private resolveErrorStatus(incoming: IncomingMessage): void {
-    const status = incoming.statusCode ?? 0;
+    const reason = `status ${incoming.statusCode ?? 0}`;
     // Engines send this header only with requests that they did not run.
     const notRun = incoming.headers['x-not-run'];
-    if (notRun === 'leaving') {
-      this.resolveFailure(AttemptOutcome.Leaving, 'leaving');
-    } else if (notRun !== undefined) {
-      this.resolveFailure(AttemptOutcome.Refused, `status ${status}`);
-    } else {
-      this.resolveFailure(AttemptOutcome.Broken, `status ${status}`);
+    const name = incoming.headers['x-request-id'];
+    if (notRun === undefined && name === undefined) {
+      throw new Error(reason);
     }
+    if (!this.isOwnAnswer(name)) {
+      throw new RequestIdMismatchError(
+        'the answer may be that to another request',
+      );
+    }
+    if (notRun === undefined) {
+      throw new Error(reason);
+    }
+    incoming.resume();
+    const {Leaving, Refused} = AttemptOutcome;
+    const isLeaving = notRun === 'leaving';
+    this.resolveFailure(isLeaving ? Leaving : Refused, reason);
+  }
+
+  /**
+   * Whether an answer with an identifier, or without one, surely belongs to
+   * this request: an engine may send an earlier answer on the connection again.
+   */
+  private isOwnAnswer(name: string | string[] | undefined): boolean {
+    if (this.history === undefined) {
+      return false;
+    }
+    const {requests, hadRequest} = this.history;
+    return name === undefined
+      ? requests === 0
+      : name === this.completion.id && !hadRequest;
   }
 
   private async handleEvent(data: string): Promise<void> {
--- a/packages/stand_ins/src/lib/engine.ts
+++ b/packages/stand_ins/src/lib/engine.ts
@@ -93,7 +93,8 @@
     const text = body.toString('utf8');
     const request = JSON.parse(text) as EngineRequest;
     if (!Array.isArray(request.messages)) {
-      sendJson(outgoing, 400, {error: 'messages missing'});
+      const headers = {'x-request-id': requestId};
+      sendJson(outgoing, 400, {error: 'messages missing'}, headers);
       return;
     }
     await this.acquireSlot(request.priority ?? 0);
--- a/packages/stand_ins/src/lib/upstream.ts
+++ b/packages/stand_ins/src/lib/upstream.ts
@@ -133,8 +133,10 @@
       this.sendLoadReport(incoming, outgoing);
       return;
     }
+    const requestId = String(incoming.headers['x-request-id'] ?? '');
     if (this.faults.leaving) {
-      const headers = {'x-not-run': 'leaving'};
+      // A client can tell a refusal that is sent again by the identifier.
+      const headers = {'x-not-run': 'leaving', 'x-request-id': requestId};
       sendJson(outgoing, 503, {error: 'leaving'}, headers);
       return;
     }
@@ -145,13 +147,7 @@
       await this.listener.stop();
       return;
     }
-    const requestId = incoming.headers['x-request-id'];
-    await this.executeRequest(
-      incoming,
-      outgoing,
-      body,
-      String(requestId ?? ''),
-    );
+    await this.executeRequest(incoming, outgoing, body, requestId);
   }
 
   /** Answers with the current load, or not at all with the fault `mute`. */
