Own interface: check whose answer a service's refusal is before believing it

Cause: the service client read x-not-run before it compared the identifier, so a refusal that names another call was taken for this call's "not run".

Change: the identifier is compared first. A refusal without one still counts, as the connection is new and carries this call only; the comments say so.

--- a/packages/service/src/lib/service.ts
+++ b/packages/service/src/lib/service.ts
@@ -32,7 +32,8 @@
 /** Client for plain services. */
 export class ServiceClient {
   // No keep-alive: if the service closes a reused connection while a call is
-  // being sent, it is unknown whether the call ran.
+  // being sent, it is unknown whether the call ran. Nor can a new connection
+  // carry a copy of the answer to an earlier call.
   private readonly agent = new Agent({keepAlive: false});
 
   /** Sends a call once, without retries; failures are results. */
@@ -63,16 +64,20 @@
     return {outcome: mayHaveRun ? Broken : Refused, reason: result.reason};
   }
   const {status, headers, body} = result;
+  const name = headers['x-request-id'];
   const notRun = headers['x-not-run'];
+  // A refusal may lack the identifier: its connection is new and carries this
+  // call only, so it can't be that of another call.
+  const isOwn = name === id || (name === undefined && notRun !== undefined);
+  if (!isOwn) {
+    const reason = 'the answer carries the id of another request';
+    return {outcome: AttemptOutcome.Mismatched, reason};
+  }
   if (notRun !== undefined) {
     const {Leaving, Refused} = AttemptOutcome;
     const outcome = notRun === 'leaving' ? Leaving : Refused;
     return {outcome, reason: `status ${status}`};
   }
-  if (headers['x-request-id'] !== id) {
-    const reason = 'the answer carries the id of another request';
-    return {outcome: AttemptOutcome.Mismatched, reason};
-  }
   const contentType = headers['content-type'] ?? 'application/octet-stream';
   return {outcome: AttemptOutcome.Answered, status, contentType, body};
 }
