Own interface: a connection for each call whose answer carries no identifier

Cause: answers of the key-value service, the instance list and load reports carry no identifier and came over kept connections. One that is sent again, just after the next call was sent, was taken for that call's answer: "written" for a write in conflict, the value of one key for that of another.

Change: these clients keep no connections, so a connection carries one call and its answer can only be that call's. The client of the key-value service limits its calls (20 a second by default), the list is read once a second, load reports at routing.reportsPerSecond.

--- a/packages/engine/src/lib/load.ts
+++ b/packages/engine/src/lib/load.ts
@@ -14,7 +14,10 @@
 /** Running and waiting requests, slots and state of an upstream. */
 export type ReportedLoad = z.infer<typeof LOAD_SCHEMA>;
 
-/** Fetches a load report; undefined if there is none or it is invalid. */
+/**
+ * Fetches a load report; undefined if there is none or it is invalid.
+ * @param agent should keep no connections, as reports carry no identifier.
+ */
 export async function fetchLoad(
   address: string,
   timeout: Millis,
--- a/packages/entry/src/lib/upstream_task.ts
+++ b/packages/entry/src/lib/upstream_task.ts
@@ -39,7 +39,9 @@
 /** Keeps the table of upstreams of one entry current. */
 export class UpstreamTask {
   readonly table: UpstreamTable;
-  private readonly agent = new Agent({keepAlive: true});
+  // Reports carry no identifier. On a kept connection, one that is sent again
+  // could be taken for the next.
+  private readonly agent = new Agent({keepAlive: false});
   private timer: NodeJS.Timeout | undefined;
   /** Number of polls so far; selects the upstream to poll next. */
   private pollCount = 0;
--- a/packages/platform/src/lib/instances.ts
+++ b/packages/platform/src/lib/instances.ts
@@ -40,7 +40,8 @@
 
 /** Client for the instance list. */
 export class InstanceListClient {
-  private readonly agent = new Agent({keepAlive: true});
+  // No kept connections, for the reason given in `KeyValueClient`.
+  private readonly agent = new Agent({keepAlive: false});
 
   constructor(
     private readonly address: string,
--- a/packages/platform/src/lib/key_value.ts
+++ b/packages/platform/src/lib/key_value.ts
@@ -63,7 +63,9 @@
 /** Client for the key-value service; limits its own rate of calls. */
 export class KeyValueClient {
   readonly calls: KeyValueCalls = {reads: 0, writes: 0, watches: 0, limited: 0};
-  private readonly agent = new Agent({keepAlive: true});
+  // Answers carry no identifier, so each call has a connection of its own: on a
+  // kept one, an answer that is sent again could be taken for the next.
+  private readonly agent = new Agent({keepAlive: false});
   private readonly codec = new CborCodec();
   private readonly rateLimiter: RateLimiter;
 
