Own interface: do not hand what is for one run of an entry to a later run

Cause: FleetMessenger.sendTo looks up the address of a run (holder) and sends there. The address may repeat: after a restart, or while a link is being made, the later run got the message. A TokenGrant states the total ever handed over to its receiver, so by reading wallet and LocalShare.recordReceived the later run would credit itself with what its former run was given (not run end to end).

Change: FleetLinks.send takes the run that a message is for; a link to another run drops it, also when it was queued. Grants that are lost are made good from the ledger, as before. Messages for any run (probes, broadcasts, gateways) are unchanged.

--- a/packages/entry/src/lib/fleet_messenger.ts
+++ b/packages/entry/src/lib/fleet_messenger.ts
@@ -38,11 +38,14 @@
     this.links = links;
   }
 
-  /** Sends to the entry with a holder id; drops the message if unknown. */
+  /**
+   * Sends to the run of an entry with a holder id. Drops the message if that is
+   * unknown, or if another run has its address: tokens are for one run.
+   */
   sendTo(holder: string, message: Message): void {
     const address = this.addressesByHolder.get(holder);
     if (address !== undefined) {
-      this.links?.send(address, message);
+      this.links?.send(address, message, holder);
     }
   }
 
--- a/packages/fleet/src/lib/fleet_links.ts
+++ b/packages/fleet/src/lib/fleet_links.ts
@@ -25,6 +25,12 @@
   advertise?: string | undefined;
 }
 
+/** A message that waits for a link, and the run that it is for, if not any. */
+interface QueuedMessage<M> {
+  message: M;
+  holder: string | undefined;
+}
+
 /** Maximum number of messages queued while a link is being established. */
 const MAX_QUEUED_MESSAGES = 1_000;
 
@@ -39,7 +45,7 @@
   /** All links, authenticated or not. */
   private readonly openLinks = new Set<Link<M>>();
   /** Messages that wait for a link being established, by its address. */
-  private readonly queuedByAddress = new Map<string, M[]>();
+  private readonly queuedByAddress = new Map<string, QueuedMessage<M>[]>();
   /** Address that each outgoing link was opened to. */
   private readonly dialledAddresses = new Map<Link<M>, string>();
   private ownIdentity: EntryIdentity | undefined;
@@ -72,20 +78,27 @@
     return address;
   }
 
-  /** Sends a message to the entry at an address; delivery isn't guaranteed. */
-  send(address: string, message: M): void {
+  /**
+   * Sends a message to the entry at an address; delivery isn't guaranteed.
+   * @param holder id of the run that the message is for. Another run at the
+   *     address doesn't get it. Undefined for any run.
+   */
+  send(address: string, message: M, holder?: string): void {
     const link = this.linksByAddress.get(address);
+    if (link !== undefined && !isRun(link, holder)) {
+      return;
+    }
     if (link?.send(message)) {
       return;
     }
     const queue = this.queuedByAddress.get(address);
     if (queue !== undefined) {
       if (queue.length < MAX_QUEUED_MESSAGES) {
-        queue.push(message);
+        queue.push({message, holder});
       }
       return;
     }
-    this.queuedByAddress.set(address, [message]);
+    this.queuedByAddress.set(address, [{message, holder}]);
     this.dial(address);
   }
 
@@ -112,8 +125,10 @@
     const address = this.dialledAddresses.get(link) ?? peer.address;
     const queued = this.queuedByAddress.get(address) ?? [];
     this.queuedByAddress.delete(address);
-    for (const message of queued) {
-      link.send(message);
+    for (const {message, holder} of queued) {
+      if (isRun(link, holder)) {
+        link.send(message);
+      }
     }
   }
 
@@ -154,3 +169,8 @@
     return new Link(socket, identity, fleetKey, this.schema, this);
   }
 }
+
+/** Whether a link leads to a run of an entry; any run if undefined. */
+function isRun<M>(link: Link<M>, holder: string | undefined): boolean {
+  return holder === undefined || link.peer()?.holder === holder;
+}
