Own interface: a write's confirmation counts for the record that was written

Cause: AtMostOnceExecution takes any Written for the confirmation of the record that it wants stored by then. If the deadline passes while the first record is being written, the caller is told "not run" and the record wanted is "not run"; the confirmation of "started" then ended the attempt. The stored record went on saying "started", so later attempts of the caller got in-progress, and after a restart of the entry outcome-unknown, for an order that never ran.

Change: ExecutionTask reports a confirmed write as the record that it wrote, with its version, which the state machine already tells apart (onRecordObserved). The state machine itself (packages/decisions) is unchanged; its Written event still has the fault and is now used by the model only.

--- a/packages/entry/src/lib/execution_task.ts
+++ b/packages/entry/src/lib/execution_task.ts
@@ -132,7 +132,16 @@
     version: number,
     record: ExecutionRecord,
   ): Promise<void> {
-    this.handleResult(await this.keyValue.write(this.key, version, record));
+    const result = await this.keyValue.write(this.key, version, record);
+    if (result.outcome !== KeyValueOutcome.Written) {
+      this.handleResult(result);
+      return;
+    }
+    // Says which record was written: it may be an earlier one than that which
+    // is to be stored by now.
+    this.consecutiveFailures = 0;
+    const kind = ExecutionEventKind.RecordObserved;
+    this.handle({kind, version: result.version, record});
   }
 
   private handleResult(result: KeyValueResult): void {
@@ -150,11 +159,6 @@
         this.handle({kind, version: 0, record: undefined});
         return;
       }
-      case KeyValueOutcome.Written: {
-        const kind = ExecutionEventKind.Written;
-        this.handle({kind, version: result.version});
-        return;
-      }
       case KeyValueOutcome.Unknown:
         this.handle({kind: ExecutionEventKind.CallOutcomeUnknown});
         this.scheduleRetry();
