Own interface: end the wait of every request whose charge has the same digest

Cause: the wallet keeps the request that waits for a charge by the charge's digest, and a digest repeats when a caller sends an idempotency key again. Where the second charge begins before the first is secured (an idempotent request with a price, or an order that is replayed as soon as its record is done), the second took the first's place; the first was never told, and its caller never answered.

Change: WalletTask ends the waits of all requests with the digest of the one that the wallet names. A digest is charged once, so what secures one charge secures all. ChargeTracker in packages/decisions is unchanged.

--- a/packages/entry/src/lib/wallet_task.ts
+++ b/packages/entry/src/lib/wallet_task.ts
@@ -34,6 +34,12 @@
   onFenced(): void;
 }
 
+/** A charge that a request waits for. */
+interface PendingCharge {
+  digest: string;
+  resolve(secured: boolean): void;
+}
+
 type EffectOf<K extends WalletEffectKind> = Extract<WalletEffect, {kind: K}>;
 
 /** Passes events to the wallet of one entry and carries out its effects. */
@@ -44,11 +50,8 @@
     string,
     (refusal: BudgetRefusal | undefined) => void
   >();
-  /** Callbacks of charges that aren't secured yet, by request id. */
-  private readonly pendingCharges = new Map<
-    string,
-    (secured: boolean) => void
-  >();
+  /** Charges that aren't secured yet, by request id. */
+  private readonly pendingCharges = new Map<string, PendingCharge>();
   private resolveDrain: () => void = () => undefined;
   private timer: NodeJS.Timeout | undefined;
 
@@ -110,7 +113,7 @@
     startedAt: Millis,
   ): Promise<boolean> {
     return new Promise(resolve => {
-      this.pendingCharges.set(request, resolve);
+      this.pendingCharges.set(request, {digest, resolve});
       const kind = WalletEventKind.Settle;
       this.handle({kind, request, digest, tokens, begun: startedAt});
     });
@@ -150,10 +153,8 @@
       this.pendingReservations.get(request)?.(reason);
       this.pendingReservations.delete(request);
     },
-    [WalletEffectKind.Secured]: ({request, secured}) => {
-      this.pendingCharges.get(request)?.(secured);
-      this.pendingCharges.delete(request);
-    },
+    [WalletEffectKind.Secured]: ({request, secured}) =>
+      this.endCharge(request, secured),
     [WalletEffectKind.ReadLedger]: ({partition}) => {
       void this.readLedger(partition);
     },
@@ -191,6 +192,20 @@
     [WalletEffectKind.Left]: () => this.resolveDrain(),
   };
 
+  /**
+   * Ends the wait for a charge. The wallet names the last of the requests with
+   * the same digest only; they are charged once, so all of them are secured.
+   */
+  private endCharge(request: string, secured: boolean): void {
+    const digest = this.pendingCharges.get(request)?.digest;
+    for (const [id, charge] of this.pendingCharges) {
+      if (charge.digest === digest) {
+        this.pendingCharges.delete(id);
+        charge.resolve(secured);
+      }
+    }
+  }
+
   private async readLedger(partition: number): Promise<void> {
     const result = await this.dependencies.keyValue.read(ledgerKey(partition));
     this.handle(readEvent(partition, result));
