Own interface: do not join a chat completion that is being cancelled

Cause: requests with the same digest share one completion. When all its callers have left, the completion is aborted but stays listed until its attempt ends, which takes as long as it waits for a slot or for tokens. A caller that sent its request again in that time joined it, and was never answered: the end of an abandoned completion is told to nobody.

Change: an aborted completion is not joined; the request runs on its own, under its own identifier. The first one no longer removes the entry of the second.

Measured, chat_processor_test.js: with the former processor "expected [] to deeply equal [ 'second' ]", with this one it passes.

--- a/packages/entry/src/lib/chat_processor.ts
+++ b/packages/entry/src/lib/chat_processor.ts
@@ -96,11 +96,12 @@
 
   /**
    * Serves one request. If a request with the same digest is already running,
-   * the caller receives the text of that one, and nothing else is run.
+   * the caller receives the text of that one, and nothing else is run. One that
+   * all its callers have left is being cancelled and can't be joined.
    */
   async serve(job: Job, request: ChatRequest, reply: Reply): Promise<void> {
     const existing = this.completionsByDigest.get(job.digest);
-    if (existing !== undefined) {
+    if (existing !== undefined && !existing.signal.aborted) {
       existing.addCaller(reply, request.signal);
       return;
     }
@@ -110,7 +111,9 @@
     try {
       await this.admit(job, request, completion);
     } finally {
-      this.completionsByDigest.delete(job.digest);
+      if (this.completionsByDigest.get(job.digest) === completion) {
+        this.completionsByDigest.delete(job.digest);
+      }
     }
   }
 
