--- a/packages/engine/src/lib/engine.ts
+++ b/packages/engine/src/lib/engine.ts
@@ -5,8 +5,7 @@
  */
 import {request} from 'node:http';
 import {AttemptOutcome} from '@citrontrestle/decisions';
-import {splitAddress} from '@citrontrestle/runtime';
-import {EngineAgent} from './engine_agent.js';
+import {RequestAgent, splitAddress} from '@citrontrestle/runtime';
 import {EventReader} from './event_reader.js';
 import type {Millis} from '@citrontrestle/decisions';
 import type {ConnectionHistory} from '@citrontrestle/runtime';
@@ -56,7 +55,7 @@
 
 /** Client for model engines; keeps connections open between requests. */
 export class EngineClient {
-  private readonly agent = new EngineAgent();
+  private readonly agent = new RequestAgent();
 
   /** Sends a completion once, without retries; failures are results. */
   complete(completion: CompletionRequest): Promise<CompletionResult> {
@@ -86,7 +85,7 @@
 
   constructor(
     private readonly completion: CompletionRequest,
-    private readonly agent: EngineAgent,
+    private readonly agent: RequestAgent,
   ) {
     this.result = new Promise(resolve => (this.resolve = resolve));
     const {address, id, signal, idleTimeout} = completion;
--- a/packages/runtime/src/lib/request_agent.ts
+++ b/packages/runtime/src/lib/request_agent.ts
@@ -93,6 +93,11 @@
     this.recordOf(connection).refusals += 1;
   }
 
+  override destroy(): void {
+    super.destroy();
+    this.singleAgent.destroy();
+  }
+
   override keepSocketAlive(socket: Duplex): boolean {
     // Returns false if the connection must not be kept; the types omit this.
     const keepSocketAlive = super.keepSocketAlive as unknown as (
