A relay's refusal of tokens names the question that it answers

Cause: TokenRefusal was matched to the first waiting request for which as many tokens had been asked, a number that repeats. The late refusal of a request that had ended was taken for that of a later one, and could prove its account exhausted by a reading from before the later question.

Change: a question carries a number of the asking process, counted from a random start, and the refusal repeats it.

--- a/packages/gateway/src/lib/budgets/prepaid_budgets.ts
+++ b/packages/gateway/src/lib/budgets/prepaid_budgets.ts
@@ -78,11 +78,12 @@
    * Asks the relay for tokens; returns false if there is no responsive relay.
    * @param options.prefetch tokens wanted in addition, for later requests.
    * @param options.wait time within which the relay is to answer.
+   * @param options.ask identifies the question in a refusal.
    */
   requestFromRelay(
     account: string,
     tokens: number,
-    options: {prefetch: number; wait: Millis},
+    options: {prefetch: number; wait: Millis; ask: number},
   ): boolean;
   /** Gives tokens back to the relay; returns false if none is responsive. */
   returnToRelay(account: string, tokens: number): boolean;
@@ -94,6 +95,9 @@
   callAfter(delay: Millis, callback: () => void): void;
 }
 
+/** Number of values from which a process chooses its first question. */
+const MAX_FIRST_ASK = 2 ** 32;
+
 /** Prefix of the keys of the pages in the store. */
 const PAGE_KEY_PREFIX = 'citrontrestle/prepaid/';
 
@@ -180,6 +184,11 @@
   private readonly peersAskedAt = new Map<string, Millis>();
   /** Time of the reading by which the relay last refused each account. */
   private readonly relayReadAt = new Map<string, Millis>();
+  /**
+   * Identifies the last question to a relay. Starts at random, so that a late
+   * answer to an earlier process of this instance answers none of this one.
+   */
+  private lastAsk = Math.floor(Math.random() * MAX_FIRST_ASK);
   private maintenanceTimer: NodeJS.Timeout | undefined;
   private readonly startedAt: Millis;
   /** Whether `start` was called; the store is not called before. */
@@ -270,6 +279,7 @@
         mayAskPeers,
         peersAskedSince: undefined,
         askedOfRelay: undefined,
+        relayAsk: undefined,
         relayRefusal: undefined,
         askedBeforePooling: false,
         resolve,
@@ -329,13 +339,15 @@
   }
 
   /**
-   * Handles the relay's refusal of tokens. It applies to the first waiting request
-   * for which that number was asked.
+   * Handles the relay's refusal of tokens. It applies to the waiting request that
+   * it names. Relays of earlier versions name none: then to the first one for which
+   * that number was asked, though it may be late and concern one that has ended.
    * @param refusal.exhausted whether the budget is exhausted; otherwise the
    *     relay could not obtain the tokens in time.
    * @param refusal.age age of the reading that proves it. Relays of earlier
    *     versions state none; what they call exhausted is not proved.
    * @param refusal.granted tokens granted so far, as the relay knows them.
+   * @param refusal.ask the question that it answers.
    */
   recordRelayRefusal(
     account: string,
@@ -344,15 +356,20 @@
       exhausted,
       age,
       granted = -1,
+      ask,
     }: {
       exhausted: boolean;
       age: Millis | undefined;
       granted: number | undefined;
+      ask?: number | undefined;
     },
   ): void {
     const request = this.queue
       .of(account)
-      .find(({askedOfRelay}) => askedOfRelay === tokens);
+      .find(
+        ({askedOfRelay, relayAsk}) =>
+          askedOfRelay === tokens && (ask === undefined || relayAsk === ask),
+      );
     if (request === undefined) {
       return;
     }
@@ -758,10 +775,14 @@
     const {account, waitingSince, patience} = request;
     const timeLeft = waitingSince + patience - this.clock.now();
     const wait = Math.max(0, Math.floor(timeLeft * RELAY_ANSWER_FRACTION));
+    this.lastAsk += 1;
+    const {lastAsk: ask} = this;
     const isAsked = this.context.requestFromRelay(account, tokens, {
       prefetch,
       wait,
+      ask,
     });
+    request.relayAsk = ask;
     request.askedOfRelay = isAsked ? Math.ceil(tokens) : undefined;
     request.askedBeforePooling = false;
   }
--- a/packages/gateway/src/lib/budgets/token_exchange.ts
+++ b/packages/gateway/src/lib/budgets/token_exchange.ts
@@ -109,12 +109,13 @@
    * Asks the relay for tokens. Fractions are rounded up.
    * @param options.prefetch further tokens that are wanted for later requests.
    * @param options.wait time within which the relay is to answer.
+   * @param options.ask identifies the question in a refusal.
    * @returns whether there is a responsive relay to ask.
    */
   requestFromRelay(
     account: string,
     tokens: number,
-    {prefetch, wait}: {prefetch: number; wait: Millis},
+    {prefetch, wait, ask}: {prefetch: number; wait: Millis; ask: number},
   ): boolean {
     const {peerNetwork} = this;
     const relay = peerNetwork.responsiveRelay();
@@ -128,6 +129,7 @@
       ahead: Math.ceil(prefetch),
       draw: true,
       wait,
+      ask,
     });
     return true;
   }
@@ -238,7 +240,7 @@
   /** Sends a follower the tokens that it requested, or a refusal. */
   private async supplyFollower(
     follower: string,
-    {account, tokens, ahead, wait = MIN_PATIENCE}: TokenRequest,
+    {account, tokens, ahead, wait = MIN_PATIENCE, ask}: TokenRequest,
   ): Promise<void> {
     const {budgets, peerNetwork} = this;
     const supplied = await budgets.supply(account, tokens, {
@@ -261,6 +263,7 @@
         exhausted,
         age,
         granted,
+        ask,
       });
     }
   }
--- a/packages/gateway/src/lib/budgets/token_queue.ts
+++ b/packages/gateway/src/lib/budgets/token_queue.ts
@@ -9,6 +9,8 @@
   mayAskPeers: boolean;
   /** Tokens for which the relay was asked and has not answered, if any. */
   askedOfRelay: number | undefined;
+  /** Identifies that question; the relay's refusal names it. */
+  relayAsk: number | undefined;
   /** Whether tokens of this instance went to the relay after it was asked. */
   askedBeforePooling: boolean;
   /** How the relay has finally refused it; undefined if it has not. */
--- a/packages/gateway/src/lib/fleet/peer_exchange.ts
+++ b/packages/gateway/src/lib/fleet/peer_exchange.ts
@@ -128,11 +128,13 @@
       exhausted,
       age,
       granted,
+      ask,
     }) =>
       this.dependencies.budgets.recordRelayRefusal(account, tokens, {
         exhausted,
         age,
         granted,
+        ask,
       }),
     [PeerMessageKind.SuspectReport]: (message, from) => {
       const {fingerprint, traits, upstream} = message;
--- a/packages/gateway/src/lib/fleet/peer_message.ts
+++ b/packages/gateway/src/lib/fleet/peer_message.ts
@@ -260,6 +260,8 @@
      * versions state none.
      */
     wait: z.number().nonnegative().optional(),
+    /** Identifies the question in a refusal; earlier versions state none. */
+    ask: z.number().int().nonnegative().optional(),
   }),
   z.object({
     kind: z.literal(PeerMessageKind.TokenTransfer),
@@ -280,6 +282,8 @@
     age: z.number().nonnegative().optional(),
     /** Tokens granted so far, as the sender knows them; missing like `age`. */
     granted: tokenCountSchema.optional(),
+    /** The `ask` of the request; missing like `age`. */
+    ask: z.number().int().nonnegative().optional(),
   }),
   z.object({
     kind: z.literal(PeerMessageKind.SuspectReport),
--- a/packages/gateway/src/test/budgets/true_refusals_test.ts
+++ b/packages/gateway/src/test/budgets/true_refusals_test.ts
@@ -29,6 +29,8 @@
 /** One instance; the page of its account is full of entries of another one. */
 class Scene {
   readonly asked: string[] = [];
+  /** Identifiers of the questions to the relay. */
+  readonly asks: number[] = [];
   readonly budgets: PrepaidBudgets;
   hasRelay = false;
   isStoreAway = false;
@@ -47,7 +49,8 @@
       drawingInstanceCount: () => 2,
       supplierCount: () => 2,
       hasResponsiveRelay: () => this.hasRelay,
-      requestFromRelay: (_account, tokens) => {
+      requestFromRelay: (_account, tokens, {ask}) => {
+        this.asks.push(ask);
         this.asked.push(`relay ${tokens}`);
         return this.hasRelay;
       },
@@ -259,6 +262,18 @@
     expect(await large).to.equal(Reserved);
   });
 
+  it('concerns no later request for as many tokens', async () => {
+    await scene.refusalOf(600, 50);
+    const second = scene.budgets.reserve(ACCOUNT, 600);
+    const third = scene.budgets.reserve(ACCOUNT, 600);
+    const [firstAsk, , thirdAsk] = scene.asks;
+    scene.budgets.recordRelayRefusal(ACCOUNT, 600, {...proof, ask: firstAsk});
+    scene.budgets.recordRelayRefusal(ACCOUNT, 600, {...proof, ask: thirdAsk});
+    expect(await third).to.equal(Exhausted);
+    scene.budgets.receiveFromPeer(ACCOUNT, 600);
+    expect(await second).to.equal(Reserved);
+  });
+
   it('is no proof if it states no age, as from earlier versions', async () => {
     const refused = scene.refusalOf(600);
     scene.budgets.recordRelayRefusal(ACCOUNT, 600, {
