--- a/packages/runtime/src/lib/http.ts
+++ b/packages/runtime/src/lib/http.ts
@@ -1,7 +1,6 @@
 /** HTTP helpers shared by clients and listeners. */
 import {request} from 'node:http';
 import type {Agent, IncomingMessage, OutgoingHttpHeaders} from 'node:http';
-import type {Duplex} from 'node:stream';
 import type {Millis} from '@citrontrestle/decisions';
 
 /** Outcome of an HTTP request. */
@@ -37,10 +36,6 @@
       status: number;
       headers: IncomingMessage['headers'];
       body: Buffer;
-      /** The connection, which a pool may keep. */
-      connection: Duplex;
-      /** Whether the connection had carried other requests before. */
-      isReused: boolean;
     }
   | {
       outcome:
@@ -123,16 +118,12 @@
       }
     });
     outgoing.on('response', incoming => {
-      // It is no longer named when the answer has ended.
-      const {socket: connection} = incoming;
       readBody(incoming, options.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES).then(
         body => {
           clearTimeout(timer);
           const status = incoming.statusCode ?? 0;
           const {headers} = incoming;
-          const {reusedSocket: isReused} = outgoing;
-          const {Answered: outcome} = HttpOutcome;
-          resolve({outcome, status, headers, body, connection, isReused});
+          resolve({outcome: HttpOutcome.Answered, status, headers, body});
         },
         (error: Error) => {
           outgoing.destroy();
--- a/packages/stand_ins/src/lib/hosted/store.ts
+++ b/packages/stand_ins/src/lib/hosted/store.ts
@@ -3,16 +3,15 @@
  * its own, so that a test can simulate a fault of the store for one gateway.
  */
 import {createServer} from 'node:http';
-import {sleep} from '@citrontrestle/runtime';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
-import type {AddressInfo, Socket} from 'node:net';
+import type {AddressInfo} from 'node:net';
 import type {Millis} from '@citrontrestle/decisions';
 
 /** How an endpoint of the store treats calls. */
 export enum StoreMode {
   /** Every call is executed and answered. */
   Serving = 'serving',
-  /** No call is executed; each is answered with `busyStatus`. */
+  /** No call is executed; each is answered with 503. */
   Busy = 'busy',
   /** No call is executed or answered. */
   Silent = 'silent',
@@ -25,17 +24,6 @@
   DelayedWrites = 'late',
 }
 
-/** Whether and when an endpoint writes an answer a second time. */
-export enum AnswerCopy {
-  None = 'none',
-  /** Together with the answer. */
-  AtOnce = 'at-once',
-  /** While no call is under way on the connection. */
-  WhileIdle = 'while-idle',
-  /** When the next call has arrived on the connection, before its answer. */
-  BeforeNext = 'before-next',
-}
-
 /** A stored key, as it goes out in answers. */
 interface Item {
   key: string;
@@ -71,9 +59,6 @@
   items: ReadonlyMap<string, Item>;
 }
 
-/** Time between the copy of an answer and the answer before or after it. */
-const COPY_DELAY: Millis = 10;
-
 /** Delay of a write in `StoreMode.DelayedWrites`. */
 const WRITE_DELAY: Millis = 1_000;
 
@@ -93,22 +78,12 @@
   mode = StoreMode.Serving;
   /** Number of calls received, whether or not they were executed. */
   callCount = 0;
-  /** Number of connections accepted. */
-  connectionCount = 0;
-  /** Status of answers in `StoreMode.Busy`. */
-  busyStatus = 503;
-  answerCopy = AnswerCopy.None;
-  /** Number of copies written. */
-  copyCount = 0;
   private readonly server: Server;
-  /** Last answer on each connection, for `AnswerCopy.BeforeNext`. */
-  private readonly lastAnswers = new WeakMap<Socket, string>();
 
   constructor(private readonly store: HostedStore) {
     this.server = createServer((incoming, outgoing) => {
       void this.handleRequest(incoming, outgoing);
     });
-    this.server.on('connection', () => (this.connectionCount += 1));
   }
 
   /** Starts listening on a free port; returns the address as `ip:port`. */
@@ -140,12 +115,8 @@
       return;
     }
     outgoing.setHeader('Store-Era', String(this.store.era()));
-    const isCopied = this.copyLastAnswer(incoming.socket);
-    const copyDelay = isCopied ? sleep(COPY_DELAY) : undefined;
     if (this.mode === StoreMode.Busy) {
-      const {busyStatus: status} = this;
-      await copyDelay;
-      this.send(outgoing, {status, body: {error: 'busy'}});
+      sendResult(outgoing, {status: 503, body: {error: 'busy'}});
       return;
     }
     const url = new URL(incoming.url ?? '/', 'http://store');
@@ -157,63 +128,25 @@
     }
     const result = await this.store.handleCall(url, body);
     if (!(isWrite && this.mode === StoreMode.LostWriteAnswers)) {
-      await copyDelay;
       this.answer(outgoing, result);
     }
   }
 
-  /** Writes the last answer on a connection again, if that is to be done. */
-  private copyLastAnswer(connection: Socket): boolean {
-    const lastAnswer = this.lastAnswers.get(connection);
-    const isCopied =
-      this.answerCopy === AnswerCopy.BeforeNext && lastAnswer !== undefined;
-    if (isCopied) {
-      this.copyCount += 1;
-      connection.write(lastAnswer);
-    }
-    return isCopied;
-  }
-
   /** Answers a call, unless the endpoint has fallen silent since it came. */
   private answer(outgoing: ServerResponse, result: CallResult): void {
     if (this.mode !== StoreMode.Silent) {
-      this.send(outgoing, result);
-    }
-  }
-
-  private send(outgoing: ServerResponse, result: CallResult): void {
-    const {socket} = outgoing;
-    const text = JSON.stringify(result.body);
-    const copy = this.toText(result.status, text);
-    const writeCopy = () => {
-      this.copyCount += 1;
-      socket?.write(copy);
-    };
-    socket?.cork();
-    outgoing.writeHead(result.status, {'Content-Type': 'application/json'});
-    outgoing.end(text);
-    if (this.answerCopy === AnswerCopy.AtOnce) {
-      writeCopy();
-    }
-    socket?.uncork();
-    if (this.answerCopy === AnswerCopy.WhileIdle) {
-      setTimeout(writeCopy, COPY_DELAY);
-    }
-    if (socket) {
-      this.lastAnswers.set(socket, copy);
+      sendResult(outgoing, result);
     }
   }
+}
 
-  /** Returns an answer as it is written on a connection. */
-  private toText(status: number, body: string): string {
-    const lines = [
-      `HTTP/1.1 ${status} Copy`,
-      'Content-Type: application/json',
-      `Store-Era: ${this.store.era()}`,
-      `Content-Length: ${Buffer.byteLength(body)}`,
-    ];
-    return `${lines.join('\r\n')}\r\n\r\n${body}`;
-  }
+function sendResult(
+  outgoing: ServerResponse,
+  {status, body}: CallResult,
+): void {
+  const text = JSON.stringify(body);
+  outgoing.writeHead(status, {'Content-Type': 'application/json'});
+  outgoing.end(text);
 }
 
 /**
