Own interface: a request that may have run is not refused as not run

An idempotent request that may have run at one upstream and was refused by the next was answered 'no-upstream', which says that it did not run. Only the last attempt counted. Now an attempt after which it may have run counts before a later refusal.

--- a/packages/entry/src/lib/service_processor.ts
+++ b/packages/entry/src/lib/service_processor.ts
@@ -277,7 +277,8 @@
 
   /**
    * Calls upstreams until one answers. A non-idempotent request that may have
-   * run is never sent again.
+   * run is never sent again. If none answers, returns the last result, or the
+   * last one after which the request may have run.
    */
   private async callUpstreams(
     job: Job,
@@ -295,9 +296,11 @@
       if (result === undefined) {
         break;
       }
-      lastResult = result;
       const isAnswered = result.outcome === AttemptOutcome.Answered;
       const mayHaveRun = MAY_HAVE_RUN.has(result.outcome);
+      if (isAnswered || mayHaveRun || !MAY_HAVE_RUN.has(lastResult.outcome)) {
+        lastResult = result;
+      }
       const mayRepeat =
         isIdempotent &&
         this.dependencies.retryBudget.tryTake(job.workClass.name);
