--- a/packages/engine/src/lib/engine.ts
+++ b/packages/engine/src/lib/engine.ts
@@ -5,7 +5,7 @@
  */
 import {request} from 'node:http';
 import {AttemptOutcome} from '@citrontrestle/decisions';
-import {RequestAgent, splitAddress} from '@citrontrestle/runtime';
+import {discardBody, RequestAgent, splitAddress} from '@citrontrestle/runtime';
 import {EventReader} from './event_reader.js';
 import type {Millis} from '@citrontrestle/decisions';
 import type {ConnectionHistory} from '@citrontrestle/runtime';
@@ -50,9 +50,6 @@
 /** Data of the event that ends a complete answer. */
 const END_MARKER = '[DONE]';
 
-/** Error codes of failed connection attempts: nothing was sent. */
-const CONNECT_ERRORS = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH']);
-
 /** Client for model engines; keeps connections open between requests. */
 export class EngineClient {
   private readonly agent = new RequestAgent();
@@ -148,8 +145,10 @@
       this.resolveFailure(Mismatched, message);
       return;
     }
-    const wasNotSent = !this.mayHaveBeenSent || CONNECT_ERRORS.has(code ?? '');
-    this.resolveFailure(wasNotSent ? Refused : Broken, code ?? message);
+    this.resolveFailure(
+      this.mayHaveBeenSent ? Broken : Refused,
+      code ?? message,
+    );
   }
 
   private resolveFailure(
@@ -195,7 +194,7 @@
     if (notRun === undefined) {
       throw new Error(reason);
     }
-    incoming.resume();
+    discardBody(incoming);
     const {Leaving, Refused} = AttemptOutcome;
     const isLeaving = notRun === 'leaving';
     this.resolveFailure(isLeaving ? Leaving : Refused, reason);
--- a/packages/gateway/src/lib/process/gateway_metrics.ts
+++ b/packages/gateway/src/lib/process/gateway_metrics.ts
@@ -134,13 +134,13 @@
     });
     const connectionRepeats = new Gauge({
       name: 'citrontrestle_connection_repeats',
-      help: 'What came again at the connections to upstreams since the start: identifier, answer',
+      help: 'Requests sent over a connection of their own, and idle connections closed on data, by kind since the start',
       labelNames: ['kind'],
       registers,
       collect: () => {
-        const {single, extraAnswers} = sources.connectionCounts();
-        connectionRepeats.set({kind: 'identifier'}, single);
-        connectionRepeats.set({kind: 'answer'}, extraAnswers);
+        const {ownConnections, unexpectedData} = sources.connectionCounts();
+        connectionRepeats.set({kind: 'identifier'}, ownConnections);
+        connectionRepeats.set({kind: 'answer'}, unexpectedData);
       },
     });
     const link = new Gauge({
--- a/packages/gateway/src/lib/requests/forwarding.ts
+++ b/packages/gateway/src/lib/requests/forwarding.ts
@@ -239,9 +239,7 @@
     if (placed === undefined && this.waitForRoom(now)) {
       return;
     }
-    const path =
-      placed &&
-      context.paths.choose(placed.upstream, this.failedProxies, this.homes);
+    const path = placed && this.pathTo(placed, this.homes);
     if (placed === undefined || path === undefined) {
       this.giveUpWithoutPath(placed, now);
       return;
@@ -297,6 +295,15 @@
     );
   }
 
+  /** Returns the way to an upstream; undefined if there is none. */
+  private pathTo(
+    {upstream}: PlacedRequest,
+    homes: Homes,
+  ): UpstreamPath | undefined {
+    const {id} = this.request.callerRequest;
+    return this.context.paths.choose(upstream, id, this.failedProxies, homes);
+  }
+
   /** Returns why the request can be sent nowhere; logs what that depends on. */
   private reasonWithoutPath(
     placed: PlacedRequest | undefined,
@@ -306,8 +313,7 @@
     const lacksPeerAtHome =
       placed !== undefined &&
       this.homes.isBound() &&
-      context.paths.choose(placed.upstream, this.failedProxies, ANYWHERE) !==
-        undefined;
+      this.pathTo(placed, ANYWHERE) !== undefined;
     const reason = lacksPeerAtHome
       ? RefusalReason.OutsideHomes
       : this.candidates.blockedReason(this.streamVersion, now);
--- a/packages/gateway/src/lib/upstreams/proxy_protocol.ts
+++ b/packages/gateway/src/lib/upstreams/proxy_protocol.ts
@@ -26,6 +26,12 @@
   reason: string;
 }
 
+/** A failure as a peer states it. */
+export interface StatedFailure extends ProxyFailure {
+  /** The request that failed; undefined if an earlier version states it. */
+  requestId: string | undefined;
+}
+
 /** Names of the headers, in lower case. */
 const UPSTREAM_HEADER = 'citrontrestle-upstream';
 const REQUEST_HEADER = 'citrontrestle-request';
@@ -48,6 +54,14 @@
   'content-length',
 ]);
 
+/** Headers of a peer's response that an upstream's response must not have. */
+const FAILURE_HEADERS = new Set([
+  REQUEST_HEADER,
+  FAILURE_HEADER,
+  REASON_HEADER,
+  CLOSE_DELIMITED_HEADER,
+]);
+
 const CALL_FAILURES = new Map<string, CallFailure>(
   Object.values(CallFailure).map(failure => [failure, failure]),
 );
@@ -125,12 +139,23 @@
   return forwardedHeaders(rawHeaders, ORDER_HEADERS);
 }
 
+/** Returns an upstream's headers without those that only a peer may set. */
+export function withoutFailureHeaders(
+  headers: OutgoingHttpHeaders,
+): OutgoingHttpHeaders {
+  const entries = Object.entries(headers);
+  return Object.fromEntries(
+    entries.filter(([name]) => !FAILURE_HEADERS.has(name.toLowerCase())),
+  );
+}
+
 /** Returns the headers that state why there is no response of the upstream. */
-export function failureHeaders({
-  failure,
-  reason,
-}: ProxyFailure): OutgoingHttpHeaders {
+export function failureHeaders(
+  {failure, reason}: ProxyFailure,
+  requestId: string,
+): OutgoingHttpHeaders {
   return {
+    [REQUEST_HEADER]: requestId,
     [FAILURE_HEADER]: failure,
     [REASON_HEADER]: reason.replace(UNSAFE_CHARACTERS, '?'),
   };
@@ -139,14 +164,15 @@
 /** Parses the failure in a peer's response; undefined if it states none. */
 export function parseFailure(
   headers: IncomingHttpHeaders,
-): ProxyFailure | undefined {
+): StatedFailure | undefined {
   const text = headerText(headers, FAILURE_HEADER);
   if (text === '') {
     return undefined;
   }
   // The request may have run if the failure is of a kind that came later.
   const failure = CALL_FAILURES.get(text) ?? CallFailure.ResponseLost;
-  return {failure, reason: headerText(headers, REASON_HEADER)};
+  const requestId = headerText(headers, REQUEST_HEADER) || undefined;
+  return {failure, reason: headerText(headers, REASON_HEADER), requestId};
 }
 
 /** Proves the fleet key for one request. */
--- a/packages/gateway/src/lib/upstreams/proxy_server.ts
+++ b/packages/gateway/src/lib/upstreams/proxy_server.ts
@@ -17,6 +17,7 @@
   headersForUpstream,
   parseOrder,
   wantsChunks,
+  withoutFailureHeaders,
 } from './proxy_protocol.js';
 import {connectionFieldsOf} from './connection_fields.js';
 import {UpstreamCall} from './upstream_call.js';
@@ -131,10 +132,8 @@
     // The rest of a body without room is not read, so the connection is closed.
     const response = new CallerResponse(outgoing, dialect, () => !hasRoom);
     if (!hasRoom) {
-      sendFailure(response, {
-        failure: CallFailure.ProxyFailed,
-        reason: NO_ROOM,
-      });
+      const failure = CallFailure.ProxyFailed;
+      sendFailure(response, order, {failure, reason: NO_ROOM});
       return;
     }
     if (body === undefined || outgoing.destroyed) {
@@ -144,7 +143,7 @@
     try {
       const target = this.findTarget(order);
       if ('failure' in target) {
-        sendFailure(response, target);
+        sendFailure(response, order, target);
       } else {
         this.forward(incoming, outgoing, {order, body, response, target});
       }
@@ -250,7 +249,7 @@
         if (response.hasBegun()) {
           response.abort();
         } else {
-          sendFailure(response, {failure, reason});
+          sendFailure(response, order, {failure, reason});
         }
       },
     };
@@ -298,7 +297,9 @@
     if (head.load !== undefined) {
       placement.recordReportedLoad(id, head.load, clock.now());
     }
-    const headers = dialect.forwardedResponseHeaders(rawHeaders);
+    const headers = withoutFailureHeaders(
+      dialect.forwardedResponseHeaders(rawHeaders),
+    );
     if (isCloseDelimited && wantsChunks(requestHeaders)) {
       Object.assign(headers, closeDelimitedHeaders());
     } else if (isCloseDelimited) {
@@ -318,7 +319,11 @@
   target: UpstreamListing;
 }
 
-function sendFailure(response: CallerResponse, failure: ProxyFailure): void {
-  const headers = {...failureHeaders(failure), 'Content-Length': 0};
+function sendFailure(
+  response: CallerResponse,
+  {requestId}: ProxyOrder,
+  failure: ProxyFailure,
+): void {
+  const headers = {...failureHeaders(failure, requestId), 'Content-Length': 0};
   response.send(FAILURE_STATUS, headers, Buffer.alloc(0));
 }
--- a/packages/gateway/src/lib/upstreams/reachability_watch.ts
+++ b/packages/gateway/src/lib/upstreams/reachability_watch.ts
@@ -50,15 +50,15 @@
     );
   }
 
-  /** Whether an upstream can be reached without a peer. */
-  reachesDirectly({address}: UpstreamListing): boolean {
+  /** Whether a request can reach an upstream without a peer. */
+  reachesDirectly({address}: UpstreamListing, requestId: string): boolean {
     if (!this.isPartitioned()) {
       return true;
     }
     const now = this.clock.now();
     return (
       this.reachability.trustsOpenConnections(now) &&
-      this.agent.hasIdleConnection(address)
+      this.agent.hasConnectionFor(address, requestId)
     );
   }
 
--- a/packages/gateway/src/lib/upstreams/upstream_agent.ts
+++ b/packages/gateway/src/lib/upstreams/upstream_agent.ts
@@ -1,5 +1,5 @@
 /** Pool of keep-alive connections to upstreams. */
-import {RequestAgent, splitAddress} from '@citrontrestle/runtime';
+import {RequestAgent} from '@citrontrestle/runtime';
 import type {Millis} from '@citrontrestle/decisions';
 
 /** Maximum time for which an idle connection is kept open. */
@@ -14,10 +14,12 @@
     super({maxFreeSockets: MAX_IDLE_SOCKETS, timeout: IDLE_TIMEOUT});
   }
 
-  /** Whether there is an idle connection to an address (`ip:port`). */
-  hasIdleConnection(address: string): boolean {
-    const sockets = this.freeSockets[this.getName(splitAddress(address))];
-    return sockets?.some(({destroyed}) => !destroyed) === true;
+  /** Whether a request to an address (`ip:port`) needs no new connection. */
+  hasConnectionFor(address: string, requestId: string): boolean {
+    return (
+      this.idleConnections(address).length > 0 &&
+      !this.mayHaveCarried(address, requestId)
+    );
   }
 
   /** Closes all idle connections. */
--- a/packages/gateway/src/lib/upstreams/upstream_call.ts
+++ b/packages/gateway/src/lib/upstreams/upstream_call.ts
@@ -3,14 +3,20 @@
  * module "response" means that of the upstream, not the one to the caller.
  */
 import {request} from 'node:http';
-import {MAX_INTERIM_RESPONSES, splitAddress} from '@citrontrestle/runtime';
+import {
+  discardBody,
+  MAX_INTERIM_RESPONSES,
+  splitAddress,
+} from '@citrontrestle/runtime';
 import {CallFailure} from '../requests/call_failure.js';
+import {NOT_EXECUTED_FAILURES} from '../requests/forwarding_result.js';
 import {
   isMarkedCloseDelimited,
   parseFailure,
   withoutPeerHeaders,
 } from './proxy_protocol.js';
 import type {UpstreamResponseHead, Dialect} from '../process/ports.js';
+import type {StatedFailure} from './proxy_protocol.js';
 import type {UpstreamAgent} from './upstream_agent.js';
 import type {IncomingMessage, OutgoingHttpHeaders} from 'node:http';
 import type {Millis} from '@citrontrestle/decisions';
@@ -106,9 +112,6 @@
 /** Reason of a call that may not be sent once it has a connection. */
 const WITHDRAWN = 'no more requests may be sent to the upstream';
 
-/** Maximum time to read a body that is not passed on. */
-const MAX_DISCARD_TIME: Millis = 1_000;
-
 /** Maximum time to establish a new connection. */
 const CONNECT_TIMEOUT: Millis = 300;
 
@@ -131,6 +134,8 @@
    */
   private readPieces: Buffer[] = [];
   private connection: CallConnection | undefined;
+  /** Whether an idle connection may have carried the identifier before. */
+  private readonly isRepeated: boolean;
   private connectTimer: NodeJS.Timeout | undefined;
 
   constructor(
@@ -143,12 +148,14 @@
     if (body.length > 0 || !METHODS_WITHOUT_BODY.has(method)) {
       headers['Content-Length'] = body.length;
     }
+    const agent = upstreamRequest.agent.agentFor(address, requestId);
+    this.isRepeated = agent !== upstreamRequest.agent;
     this.outgoingRequest = request({
       ...splitAddress(address),
       method,
       path: target,
       headers,
-      agent: upstreamRequest.agent.agentFor(address, requestId),
+      agent,
       setHost: false,
     });
     upstreamRequest.observer.onSent();
@@ -244,7 +251,8 @@
     if (proxyFailure !== undefined) {
       discardBody(response);
       this.finish();
-      this.listener.onFailure(proxyFailure.failure, proxyFailure.reason);
+      const failure = this.believedFailure(proxyFailure);
+      this.listener.onFailure(failure, proxyFailure.reason);
       return;
     }
     const status = response.statusCode ?? 0;
@@ -314,6 +322,19 @@
     });
   }
 
+  /**
+   * Returns how the call failed, as a peer states it. A peer of an earlier version
+   * names no request, and may take the copy of a refusal for one if the identifier
+   * came before.
+   */
+  private believedFailure({failure, requestId}: StatedFailure): CallFailure {
+    const isOwn =
+      requestId === undefined
+        ? !this.isRepeated || !NOT_EXECUTED_FAILURES.has(failure)
+        : requestId === this.upstreamRequest.requestId;
+    return isOwn ? failure : CallFailure.ResponseLost;
+  }
+
   private passPiecesOn(): void {
     const pieces = this.readPieces;
     this.readPieces = [];
@@ -345,10 +366,10 @@
     requestId,
     notExecuted,
   }: UpstreamResponseHead): boolean {
-    const isUnnamed = requestId === undefined;
-    return isUnnamed
-      ? notExecuted && this.connection?.kind === ConnectionKind.New
-      : requestId === this.upstreamRequest.requestId;
+    const {requests = Infinity, hadRequest = true} = this.connection ?? {};
+    return requestId === undefined
+      ? notExecuted && requests === 0
+      : !hadRequest && requestId === this.upstreamRequest.requestId;
   }
 
   private handleEnd(response: IncomingMessage): void {
@@ -397,13 +418,6 @@
   }
 }
 
-/** Reads the rest of a response; closes the connection if that takes too long. */
-function discardBody(response: IncomingMessage): void {
-  const timer = setTimeout(() => response.destroy(), MAX_DISCARD_TIME);
-  response.on('close', () => clearTimeout(timer));
-  response.resume();
-}
-
 /** Returns the media type that a `Content-Type` header names. */
 function parseMediaType(contentType = ''): string {
   const [mediaType = ''] = contentType.split(';');
--- a/packages/gateway/src/lib/upstreams/upstream_paths.ts
+++ b/packages/gateway/src/lib/upstreams/upstream_paths.ts
@@ -62,16 +62,18 @@
 
   /**
    * Returns the way for a request to an upstream; undefined if there is none.
+   * @param requestId identifier of the request.
    * @param excludedProxies addresses of peers that must not get the request.
    * @param homes regions of the peers that may get its body.
    */
   choose(
     upstream: UpstreamListing,
+    requestId: string,
     excludedProxies: ReadonlySet<string>,
     homes: Homes,
   ): UpstreamPath | undefined {
     const {reachability, clock, random, proxies, zone} = this.context;
-    if (reachability.reachesDirectly(upstream)) {
+    if (reachability.reachesDirectly(upstream, requestId)) {
       return {proxy: undefined};
     }
     const now = clock.now();
--- a/packages/gateway/src/test/upstreams/proxy_server_test.ts
+++ b/packages/gateway/src/test/upstreams/proxy_server_test.ts
@@ -13,7 +13,7 @@
 } from '../../lib/upstreams/proxy_protocol.js';
 import {ProxyServer} from '../../lib/upstreams/proxy_server.js';
 import type {AddressInfo} from 'node:net';
-import type {ProxyFailure} from '../../lib/upstreams/proxy_protocol.js';
+import type {StatedFailure} from '../../lib/upstreams/proxy_protocol.js';
 import type {ProxyServerContext} from '../../lib/upstreams/proxy_server.js';
 
 const FLEET_KEY = 'fleet';
@@ -55,7 +55,7 @@
   port: number,
   size: number,
   upstreamId = 'u1',
-): Promise<ProxyFailure | undefined> {
+): Promise<StatedFailure | undefined> {
   const order = {upstreamId, requestId: 'r1', remainingTime: 1_000};
   return new Promise((resolve, reject) => {
     const outgoing = request({
@@ -116,6 +116,7 @@
     expect(answer).to.deep.equal({
       failure: CallFailure.NotSent,
       reason: 'the zone is evacuated',
+      requestId: 'r1',
     });
   });
 
--- a/packages/gateway/src/test/upstreams/upstream_paths_test.ts
+++ b/packages/gateway/src/test/upstreams/upstream_paths_test.ts
@@ -34,6 +34,7 @@
       for (;;) {
         const proxy = paths.choose(
           upstream,
+          'r1',
           tried,
           new Homes([homes], REGIONS),
         )?.proxy;
--- a/packages/runtime/src/lib/http.ts
+++ b/packages/runtime/src/lib/http.ts
@@ -72,9 +72,6 @@
   return /^[^\s]+:[0-9]{1,5}$/.test(text) && port > 0 && port <= MAX_PORT;
 }
 
-/** Error codes of failed connection attempts: nothing was sent. */
-const CONNECT_ERRORS = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH']);
-
 /** Sends an HTTP request and reads the whole answer; failures are results. */
 export function sendHttpRequest(options: HttpRequest): Promise<HttpResult> {
   return new Promise(resolve => {
@@ -106,10 +103,7 @@
         mayHaveBeenSent = true;
       }
     });
-    outgoing.on('error', (error: NodeJS.ErrnoException) => {
-      mayHaveBeenSent &&= !CONNECT_ERRORS.has(error.code ?? '');
-      resolveFailure(error);
-    });
+    outgoing.on('error', resolveFailure);
     let interimResponses = 0;
     outgoing.on('information', () => {
       interimResponses += 1;
@@ -135,6 +129,16 @@
   });
 }
 
+/** Maximum time to read a body that is discarded. */
+const MAX_DISCARD_TIME: Millis = 1_000;
+
+/** Reads the rest of an answer; closes the connection if that takes too long. */
+export function discardBody(incoming: IncomingMessage): void {
+  const timer = setTimeout(() => incoming.destroy(), MAX_DISCARD_TIME);
+  incoming.on('close', () => clearTimeout(timer));
+  incoming.resume();
+}
+
 /** Thrown by `readBody` if the body exceeds the maximum size. */
 export class BodyTooLargeError extends Error {}
 
--- a/packages/runtime/src/lib/request_agent.ts
+++ b/packages/runtime/src/lib/request_agent.ts
@@ -35,9 +35,9 @@
 /** What an agent has counted since it was created. */
 export interface AgentCounts {
   /** Requests sent over a connection of their own, see `agentFor`. */
-  single: number;
+  ownConnections: number;
   /** Idle connections that were closed because data arrived. */
-  extraAnswers: number;
+  unexpectedData: number;
 }
 
 /**
@@ -45,7 +45,7 @@
  * data would be taken for the answer to the next request.
  */
 export class RequestAgent extends Agent {
-  readonly counts: AgentCounts = {single: 0, extraAnswers: 0};
+  readonly counts: AgentCounts = {ownConnections: 0, unexpectedData: 0};
   /** Opens a connection for each request. */
   private readonly singleAgent = new Agent({keepAlive: false, noDelay: true});
   private readonly records = new WeakMap<Duplex, ConnectionRecord>();
@@ -53,7 +53,7 @@
   private readonly dataListeners = new WeakMap<Duplex, () => void>();
 
   /** @param options those of `node:http`; connections are always kept. */
-  constructor(options: AgentOptions = {}) {
+  constructor(options: Pick<AgentOptions, 'maxFreeSockets' | 'timeout'> = {}) {
     super({...options, keepAlive: true, noDelay: true});
   }
 
@@ -63,15 +63,27 @@
    * address may have carried the same identifier, else this one.
    */
   agentFor(address: string, requestId: string): Agent {
-    const idle = this.freeSockets[this.getName(splitAddress(address))] ?? [];
-    const hash = textHash(requestId);
-    if (!idle.some(socket => this.records.get(socket)?.requests.has(hash))) {
+    if (!this.mayHaveCarried(address, requestId)) {
       return this;
     }
-    this.counts.single += 1;
+    this.counts.ownConnections += 1;
     return this.singleAgent;
   }
 
+  /** Whether an idle connection to an address may have carried an identifier. */
+  mayHaveCarried(address: string, requestId: string): boolean {
+    const hash = textHash(requestId);
+    return this.idleConnections(address).some(socket =>
+      this.records.get(socket)?.requests.has(hash),
+    );
+  }
+
+  /** Returns the open idle connections to an address. */
+  protected idleConnections(address: string): Duplex[] {
+    const sockets = this.freeSockets[this.getName(splitAddress(address))];
+    return sockets?.filter(({destroyed}) => !destroyed) ?? [];
+  }
+
   /**
    * Records that a request is sent over a connection. Returns what that had
    * carried before.
@@ -110,7 +122,7 @@
       return false;
     }
     const destroySocket = () => {
-      this.counts.extraAnswers += 1;
+      this.counts.unexpectedData += 1;
       socket.destroy();
     };
     this.dataListeners.set(socket, destroySocket);
