Soak: the checks tell a caller's tries of one request apart

A caller may come back under the same identifier once it was told that its request did not run. Runs were matched by the identifier alone, so a run of the second try would have counted against the refusal of the first. Each try now has a number that reaches the upstream in a header; a try that was told 408, 429 or 503 must have no run, before or later, and all tries of a request that must run at most once have one run together.

--- a/packages/soak/src/lib/checks.ts
+++ b/packages/soak/src/lib/checks.ts
@@ -18,9 +18,15 @@
   ResumableStream = 'long',
 }
 
-/** One request of a caller and its result. */
+/** Header in which callers number their tries of one request, from 1. */
+export const TRY_HEADER = 'x-caller-try';
+
+/** One try of a caller's request and its result. */
 export interface SentRequest {
+  /** The same in all tries of a request. */
   id: string;
+  /** Number of the try, from 1. */
+  tryNumber: number;
   kind: RequestKind;
   account: string;
   apiKey: string;
@@ -167,13 +173,14 @@
   upstreamRuns,
   grantedTokens,
 }: RunObservations): Violation[] {
-  const runIds = new Set(upstreamRuns.map(({run}) => run.id));
+  const ranTries = new Set(upstreamRuns.map(({run}) => tryOfRun(run)));
   const usedTokens = new Map<string, number>();
-  for (const {id, account, kind, result} of sentRequests) {
+  for (const request of sentRequests) {
+    const {account, kind, result} = request;
     const isStream =
       kind === RequestKind.NonResumableStream ||
       kind === RequestKind.ResumableStream;
-    if (isStream && runIds.has(id)) {
+    if (isStream && ranTries.has(tryOf(request))) {
       const output = completeEventIds(result).length * TOKENS_PER_EVENT;
       const tokens =
         STREAM_TOKENS.input + Math.min(STREAM_TOKENS.maxOutput, output);
@@ -189,46 +196,62 @@
     }));
 }
 
-/** Finds requests that must run at most once and were run more often. */
+/**
+ * Finds requests that must run at most once and were run more often. The runs of
+ * all tries count: a caller comes back only if no earlier try was run.
+ */
 function findRepeatedRuns({
   sentRequests,
   upstreamRuns,
 }: RunObservations): Violation[] {
-  const runCounts = new Map<string, number>();
+  const triesById = new Map<string, number[]>();
   for (const {run} of upstreamRuns) {
-    runCounts.set(run.id, (runCounts.get(run.id) ?? 0) + 1);
+    const tries = triesById.get(run.id) ?? [];
+    triesById.set(run.id, [...tries, tryNumberOf(run)]);
   }
-  return sentRequests
-    .filter(
-      ({kind}) =>
-        kind === RequestKind.Order || kind === RequestKind.NonResumableStream,
-    )
-    .filter(({id}) => (runCounts.get(id) ?? 0) > 1)
-    .map(({id, kind}) => ({
-      guarantee: 'at most once',
-      detail: `${kind} ran ${runCounts.get(id)} times`,
-      requestIds: [id],
-    }));
+  const kinds = new Map(
+    sentRequests
+      .filter(
+        ({kind}) =>
+          kind === RequestKind.Order || kind === RequestKind.NonResumableStream,
+      )
+      .map(({id, kind}) => [id, kind]),
+  );
+  return [...kinds].flatMap(([id, kind]) => {
+    const tries = triesById.get(id) ?? [];
+    const detail = `${kind} ran ${tries.length} times, in tries ${tries.join(',')}`;
+    return tries.length > 1
+      ? [{guarantee: 'at most once', detail, requestIds: [id]}]
+      : [];
+  });
 }
 
 /**
- * Finds requests that were run although their status says that they were not.
+ * Finds tries that were run although their status says that they were not, be it
+ * before the caller was told or later. Runs of the request's other tries don't
+ * count.
  */
 function findRefusalsThatRan({
   sentRequests,
   upstreamRuns,
 }: RunObservations): Violation[] {
-  const runIds = new Set(upstreamRuns.map(({run}) => run.id));
-  return sentRequests
-    .filter(
-      ({id, result}) =>
-        NOT_EXECUTED_STATUSES.has(result.status) && runIds.has(id),
-    )
-    .map(({id, result}) => ({
-      guarantee: 'not run means not run',
-      detail: `status ${result.status}, but an upstream ran the request`,
-      requestIds: [id],
-    }));
+  const runsByTry = new Map(upstreamRuns.map(({run}) => [tryOfRun(run), run]));
+  return sentRequests.flatMap(request => {
+    const {id, kind, tryNumber, result} = request;
+    const run = runsByTry.get(tryOf(request));
+    if (run === undefined || !NOT_EXECUTED_STATUSES.has(result.status)) {
+      return [];
+    }
+    const wait = run.startedAt - result.endedAt;
+    const when = wait > 0 ? `${wait} ms later` : `${-wait} ms before`;
+    return [
+      {
+        guarantee: 'not run means not run',
+        detail: `${kind}, try ${tryNumber}: status ${result.status}, but an upstream ran it ${when}`,
+        requestIds: [id],
+      },
+    ];
+  });
 }
 
 /**
@@ -298,8 +321,10 @@
   disruptions,
   plannedStops,
 }: RunObservations): Violation[] {
-  const faultyRunIds = new Set(
-    upstreamRuns.filter(({run}) => run.fault !== 'none').map(({run}) => run.id),
+  const faultyTries = new Set(
+    upstreamRuns
+      .filter(({run}) => run.fault !== 'none')
+      .map(({run}) => tryOfRun(run)),
   );
   return sentRequests
     .filter(request => {
@@ -324,7 +349,7 @@
         isIncomplete &&
         wasRead &&
         wasUndisturbed &&
-        !faultyRunIds.has(request.id)
+        !faultyTries.has(tryOf(request))
       );
     })
     .map(({id, kind, gateway, sentAt, result}) => ({
@@ -379,8 +404,8 @@
   disruptions,
   upstreamDrains,
 }: RunObservations): Violation[] {
-  const gatewaysByRequest = new Map(
-    sentRequests.map(request => [request.id, request.gateway]),
+  const gatewaysByTry = new Map(
+    sentRequests.map(request => [tryOf(request), request.gateway]),
   );
   return upstreamRuns
     .filter(({upstream, run}) => {
@@ -390,7 +415,7 @@
       const isLate =
         run.startedAt >
         (drain?.announcedAt ?? Infinity) + CHANGE_PROPAGATION_LIMIT;
-      const gateway = gatewaysByRequest.get(run.id) ?? '';
+      const gateway = gatewaysByTry.get(tryOfRun(run)) ?? '';
       return (
         isLate &&
         isUndisturbed(disruptions, gateway, run.startedAt, run.startedAt)
@@ -398,7 +423,7 @@
     })
     .map(({upstream, run}) => ({
       guarantee: 'an upstream that leaves gets nothing new',
-      detail: `draining ${upstream} ran a request from ${gatewaysByRequest.get(run.id)}`,
+      detail: `draining ${upstream} ran a request from ${gatewaysByTry.get(tryOfRun(run))}`,
       requestIds: [run.id],
     }));
 }
@@ -413,8 +438,8 @@
   disruptions,
   evacuations,
 }: RunObservations): Violation[] {
-  const gatewaysByRequest = new Map(
-    sentRequests.map(request => [request.id, request.gateway]),
+  const gatewaysByTry = new Map(
+    sentRequests.map(request => [tryOf(request), request.gateway]),
   );
   return upstreamRuns
     .filter(({zone, run}) => {
@@ -425,14 +450,14 @@
           startedAt > evacuation.orderedAt + CHANGE_PROPAGATION_LIMIT &&
           startedAt < evacuation.takenBackAt,
       );
-      const gateway = gatewaysByRequest.get(run.id) ?? '';
+      const gateway = gatewaysByTry.get(tryOfRun(run)) ?? '';
       return (
         isLate && isUndisturbed(disruptions, gateway, startedAt, startedAt)
       );
     })
     .map(({upstream, zone, run}) => ({
       guarantee: 'an evacuated zone gets nothing new',
-      detail: `${upstream} in ${zone} ran a request from ${gatewaysByRequest.get(run.id)}`,
+      detail: `${upstream} in ${zone} ran a request from ${gatewaysByTry.get(tryOfRun(run))}`,
       requestIds: [run.id],
     }));
 }
@@ -464,8 +489,8 @@
   disruptions,
   crashingParts,
 }: RunObservations): Violation[] {
-  const gatewaysByRequest = new Map(
-    sentRequests.map(request => [request.id, request.gateway]),
+  const gatewaysByTry = new Map(
+    sentRequests.map(request => [tryOf(request), request.gateway]),
   );
   return crashingParts.flatMap(({part, crashTimes}) => {
     const fifthCrashAt = crashTimes[FREE_CRASHES - 1] ?? Infinity;
@@ -475,7 +500,7 @@
         run.startedAt > fifthCrashAt + CRASH_PROPAGATION_LIMIT &&
         isUndisturbed(
           disruptions,
-          gatewaysByRequest.get(run.id) ?? '',
+          gatewaysByTry.get(tryOfRun(run)) ?? '',
           run.startedAt,
           run.startedAt,
         ),
@@ -492,6 +517,20 @@
   });
 }
 
+/** Returns a key of a try. */
+function tryOf({id, tryNumber}: Pick<SentRequest, 'id' | 'tryNumber'>): string {
+  return `${id} ${tryNumber}`;
+}
+
+/** Returns the key of the try that an upstream ran. */
+function tryOfRun(run: ServerRun): string {
+  return tryOf({id: run.id, tryNumber: tryNumberOf(run)});
+}
+
+function tryNumberOf({headers}: ServerRun): number {
+  return Number(headers[TRY_HEADER] ?? 1);
+}
+
 /**
  * Returns whether no disruption of an instance, nor the recovery time after it,
  * overlapped a period.
--- a/packages/soak/src/lib/soak.ts
+++ b/packages/soak/src/lib/soak.ts
@@ -257,6 +257,7 @@
     const {name} = gateway;
     const requestDetails = {
       id,
+      tryNumber: 1,
       kind,
       account: account.name,
       apiKey,
--- a/packages/soak/src/test/checks_test.ts
+++ b/packages/soak/src/test/checks_test.ts
@@ -1,7 +1,7 @@
 /** Each check reports the violation of its guarantee, and nothing else. */
 import {expect} from 'chai';
 import {ServerFault} from '@citrontrestle/stand_ins';
-import {findViolations, RequestKind} from '../lib/checks.js';
+import {findViolations, RequestKind, TRY_HEADER} from '../lib/checks.js';
 import type {SentRequest, RunObservations} from '../lib/checks.js';
 import type {CallerResult, ServerRun} from '@citrontrestle/stand_ins';
 
@@ -26,6 +26,7 @@
   };
   return {
     id: REQUEST_ID,
+    tryNumber: 1,
     kind: RequestKind.Order,
     account: 'club',
     apiKey: 'club-1',
@@ -80,6 +81,9 @@
   violatedGuarantee: string | undefined;
 }
 
+const REFUSED = {status: 503, endedAt: 10_040};
+const SECOND_TRY = {tryNumber: 2, sentAt: 10_060, gateway: 'g2'};
+const RUN_OF_SECOND_TRY = {startedAt: 10_070, headers: {[TRY_HEADER]: '2'}};
 const STREAM = {kind: RequestKind.NonResumableStream};
 const COMPLETE_STREAM = {body: buildStreamBody(1, 2, 3, 4, 5, 6)};
 const DISRUPTION = {gateway: 'g1', from: 9_000, until: 9_500};
@@ -146,6 +150,92 @@
     }),
     violatedGuarantee: undefined,
   },
+  ...[408, 429, 503].flatMap(status => [
+    {
+      name: `an order that was refused with ${status} and run in its second try`,
+      observations: buildObservations({
+        sentRequests: [
+          buildSentRequest({}, {...REFUSED, status}),
+          buildSentRequest(SECOND_TRY, {}),
+        ],
+        upstreamRuns: [buildUpstreamRun(RUN_OF_SECOND_TRY)],
+      }),
+      violatedGuarantee: undefined,
+    },
+    {
+      name: `an order that was refused with ${status} and run before`,
+      observations: buildObservations({
+        sentRequests: [
+          buildSentRequest({}, {...REFUSED, status}),
+          buildSentRequest(SECOND_TRY, {...REFUSED, status}),
+        ],
+        upstreamRuns: [buildUpstreamRun({startedAt: 10_020})],
+      }),
+      violatedGuarantee: 'not run means not run',
+    },
+    {
+      name: `an order that was refused with ${status} twice and run later`,
+      observations: buildObservations({
+        sentRequests: [
+          buildSentRequest({}, {...REFUSED, status}),
+          buildSentRequest(SECOND_TRY, {...REFUSED, status}),
+        ],
+        upstreamRuns: [
+          buildUpstreamRun({...RUN_OF_SECOND_TRY, startedAt: 10_500}),
+        ],
+      }),
+      violatedGuarantee: 'not run means not run',
+    },
+  ]),
+  {
+    name: 'an order that was run in a try without an answer and in the next',
+    observations: buildObservations({
+      sentRequests: [
+        buildSentRequest({}, {status: 0, complete: false}),
+        buildSentRequest(SECOND_TRY, {}),
+      ],
+      upstreamRuns: [buildUpstreamRun(), buildUpstreamRun(RUN_OF_SECOND_TRY)],
+    }),
+    violatedGuarantee: 'at most once',
+  },
+  {
+    name: 'a stream whose refused try counts no tokens',
+    observations: buildObservations({
+      sentRequests: [
+        buildSentRequest(STREAM, REFUSED),
+        buildSentRequest({...STREAM, ...SECOND_TRY}, COMPLETE_STREAM),
+      ],
+      upstreamRuns: [buildUpstreamRun(RUN_OF_SECOND_TRY)],
+      grantedTokens: new Map([['club', 150]]),
+    }),
+    violatedGuarantee: undefined,
+  },
+  {
+    name: 'a second try run by a draining upstream, just after a disruption of its instance',
+    observations: buildObservations({
+      sentRequests: [
+        buildSentRequest({}, REFUSED),
+        buildSentRequest(SECOND_TRY, {}),
+      ],
+      upstreamRuns: [buildUpstreamRun(RUN_OF_SECOND_TRY)],
+      upstreamDrains: [{upstream: 'u1', announcedAt: 7_000}],
+      disruptions: [{...DISRUPTION, gateway: 'g2'}],
+    }),
+    violatedGuarantee: undefined,
+  },
+  {
+    name: 'a second try run by a draining upstream, just after a disruption of the first instance',
+    observations: buildObservations({
+      sentRequests: [
+        buildSentRequest({}, REFUSED),
+        buildSentRequest(SECOND_TRY, {}),
+      ],
+      upstreamRuns: [buildUpstreamRun(RUN_OF_SECOND_TRY)],
+      upstreamDrains: [{upstream: 'u1', announcedAt: 7_000}],
+      disruptions: [DISRUPTION],
+    }),
+    violatedGuarantee: 'an upstream that leaves gets nothing new',
+  },
   {
     name: 'a response with the identifier of another request',
     observations: buildObservations({
