Soak: callers come back under the same identifier after a refusal

A caller sent a refused request again as a new one over a new connection, so the same identifier never met the same upstream twice. Now it keeps the identifier for up to five tries after 408, 421, 429 and 503, waits for Retry-After, and comes back at once, a little later or at another instance. Reads also come back after an error or a lost answer. Tries share the agent, so open connections are used until they close; a quarter of the callers has a single connection of its own.

--- /dev/null
+++ b/packages/soak/src/lib/callers.ts
@@ -0,0 +1,266 @@
+/** Sends the requests of all callers of one run. */
+import {Agent} from 'node:http';
+import {seededRandom} from '@citrontrestle/runtime';
+import {
+  call,
+  completeEventIds,
+  pause,
+  tokenStreamHeaders,
+} from '@citrontrestle/stand_ins';
+import {
+  NOT_EXECUTED_STATUSES,
+  RequestKind,
+  STREAM_TOKENS,
+  TRY_HEADER,
+} from './checks.js';
+import {pickItem} from './faults.js';
+import type {SentRequest} from './checks.js';
+import type {Account, FaultInjector} from './faults.js';
+import type {RunPlan} from './plan.js';
+import type {
+  CallerResult,
+  GatewayProcess,
+  HostedFleet,
+} from '@citrontrestle/stand_ins';
+import type {Millis} from '@citrontrestle/decisions';
+
+/** Time after which a caller gives up; also the deadline that it sends. */
+const CALLER_TIMEOUT: Millis = 3_000;
+
+/** Number of shared HTTP agents; each keeps connections to all instances. */
+const AGENT_COUNT = 8;
+
+/** Share of the requests whose caller has one connection of its own. */
+const OWN_CONNECTION_SHARE = 0.25;
+
+/** Share of the streams with the part that crashes upstreams, if there is one. */
+const CRASHING_SHARE = 0.25;
+
+/** Number of sound parts that prompts share. */
+const SHARED_PARTS = 20;
+
+/**
+ * Longest Retry-After that a caller waits for, as a fraction of its remaining
+ * time.
+ */
+const MAX_RETRY_AFTER_FRACTION = 1 / 3;
+
+/** Maximum number of tries of one request. */
+const MAX_TRIES = 5;
+
+/** How a caller comes back after a refusal. */
+enum Return {
+  /** At once after Retry-After, over the same connection if it is open. */
+  AtOnce = 'at-once',
+  /** A little later, over any open connection to the same instance. */
+  Later = 'later',
+  /** A little later, at any instance. */
+  Elsewhere = 'elsewhere',
+}
+
+/** Minimum and maximum time that a caller waits beyond Retry-After. */
+const RETURN_DELAY = {min: 60, max: 120};
+
+/** Statuses after which a caller sends an idempotent request again. */
+const REPEATABLE_STATUSES = new Set([0, 502, 504, ...NOT_EXECUTED_STATUSES]);
+
+/** Statuses after which a caller comes back with the same identifier. */
+const RETURN_STATUSES: Readonly<Record<RequestKind, ReadonlySet<number>>> = {
+  [RequestKind.Read]: REPEATABLE_STATUSES,
+  [RequestKind.Order]: NOT_EXECUTED_STATUSES,
+  [RequestKind.NonResumableStream]: NOT_EXECUTED_STATUSES,
+  [RequestKind.ResumableStream]: NOT_EXECUTED_STATUSES,
+};
+
+/** Path, method, body and headers of each kind of request. */
+const REQUEST_OPTIONS: Readonly<
+  Record<RequestKind, Parameters<typeof call>[1]>
+> = {
+  [RequestKind.Read]: {path: '/read/1'},
+  [RequestKind.Order]: {path: '/order/1', method: 'POST', body: 'racket'},
+  [RequestKind.NonResumableStream]: streamRequestOptions('/talk/1'),
+  [RequestKind.ResumableStream]: streamRequestOptions('/long/1'),
+};
+
+function streamRequestOptions(path: string): Parameters<typeof call>[1] {
+  const headers = tokenStreamHeaders(
+    STREAM_TOKENS.input,
+    STREAM_TOKENS.maxOutput,
+  );
+  return {path, method: 'POST', body: 'prompt', headers};
+}
+
+/** A request as all its tries send it. */
+interface CallerRequest {
+  id: string;
+  kind: RequestKind;
+  account: string;
+  apiKey: string;
+  agent: Agent;
+  promptHeaders: Record<string, string>;
+  resumed: SentRequest['resumed'];
+}
+
+/** Sends the requests of all callers of one run. */
+export class Callers {
+  private readonly sentRequests: SentRequest[] = [];
+  /**
+   * Connections stay in use until they close, also while their instance stops.
+   */
+  private readonly agents = Array.from(
+    {length: AGENT_COUNT},
+    () => new Agent({keepAlive: true}),
+  );
+  private readonly random: () => number;
+  private requestCount = 0;
+
+  constructor(
+    private readonly fleet: HostedFleet,
+    private readonly accounts: Account[],
+    private readonly plan: RunPlan,
+    private readonly faultInjector: FaultInjector,
+  ) {
+    this.random = seededRandom(plan.seed + 1);
+  }
+
+  /**
+   * Sends requests at random intervals for the duration of the load; resolves
+   * when all have ended.
+   */
+  async run(): Promise<SentRequest[]> {
+    const {requestsPerSecond, loadDuration} = this.plan;
+    const pending: Promise<void>[] = [];
+    const endTime = Date.now() + loadDuration;
+    while (Date.now() < endTime) {
+      pending.push(this.sendNext());
+      await pause((-Math.log(1 - this.random()) * 1_000) / requestsPerSecond);
+    }
+    await Promise.all(pending);
+    this.agents.forEach(agent => agent.destroy());
+    return this.sentRequests;
+  }
+
+  /** Sends a random request; takes a stream up again that was broken off. */
+  private async sendNext(): Promise<void> {
+    const kind = pickItem(Object.values(RequestKind), this.random());
+    const account = pickItem(this.accounts, this.random());
+    const hasOwnConnection = this.random() < OWN_CONNECTION_SHARE;
+    const agent = hasOwnConnection
+      ? new Agent({keepAlive: true, maxSockets: 1})
+      : pickItem(this.agents, this.random());
+    const id = this.nextId();
+    const request: CallerRequest = {
+      id,
+      kind,
+      account: account.name,
+      apiKey: pickItem(account.apiKeys, this.random()),
+      agent,
+      promptHeaders: this.promptHeaders(kind, id),
+      resumed: undefined,
+    };
+    const result = await this.sendUntilAnswered(request);
+    const lastEvent = completeEventIds(result).at(-1);
+    const isBrokenOff = result.status === 200 && !result.complete;
+    if (
+      kind === RequestKind.ResumableStream &&
+      isBrokenOff &&
+      lastEvent !== undefined
+    ) {
+      await this.sendUntilAnswered({
+        ...request,
+        id: this.nextId(),
+        resumed: {id, lastEvent},
+      });
+    }
+    if (hasOwnConnection) {
+      agent.destroy();
+    }
+  }
+
+  /**
+   * Sends a request, and again under the same identifier after a refusal whose
+   * Retry-After leaves enough time.
+   */
+  private async sendUntilAnswered(
+    request: CallerRequest,
+  ): Promise<CallerResult> {
+    const giveUpAt = Date.now() + CALLER_TIMEOUT;
+    let gateway = this.pickGateway();
+    for (let tryNumber = 1; ; tryNumber++) {
+      const result = await this.send(request, tryNumber, gateway);
+      const retryAfter = Number(result.headers['retry-after'] ?? 0) * 1_000;
+      const remainingTime = giveUpAt - Date.now();
+      if (
+        tryNumber === MAX_TRIES ||
+        !RETURN_STATUSES[request.kind].has(result.status) ||
+        retryAfter > remainingTime * MAX_RETRY_AFTER_FRACTION
+      ) {
+        return result;
+      }
+      const way = pickItem(Object.values(Return), this.random());
+      const {min, max} = RETURN_DELAY;
+      const delay = min + this.random() * (max - min);
+      await pause(retryAfter + (way === Return.AtOnce ? 0 : delay));
+      gateway = way === Return.Elsewhere ? this.pickGateway() : gateway;
+    }
+  }
+
+  private pickGateway(): GatewayProcess {
+    return pickItem(this.fleet.gateways, this.random());
+  }
+
+  private nextId(): string {
+    this.requestCount += 1;
+    return `s${this.plan.seed}-${this.requestCount}`;
+  }
+
+  /** Sends one try of a request to an instance. */
+  private async send(
+    {promptHeaders, agent, ...details}: CallerRequest,
+    tryNumber: number,
+    gateway: GatewayProcess,
+  ): Promise<CallerResult> {
+    const {id, kind, apiKey, resumed} = details;
+    const options = REQUEST_OPTIONS[kind];
+    const result = {} as CallerResult;
+    this.sentRequests.push({
+      ...details,
+      tryNumber,
+      gateway: gateway.name,
+      sentAt: Date.now(),
+      result,
+    });
+    const response = await call(gateway.callerAddress, {
+      ...options,
+      agent,
+      disconnectAfterMs: CALLER_TIMEOUT,
+      headers: {
+        ...options.headers,
+        ...promptHeaders,
+        ...(resumed && {
+          'Last-Event-Id': String(resumed.lastEvent),
+          Resumes: resumed.id,
+        }),
+        Authorization: `Bearer ${apiKey}`,
+        'X-Request-Id': id,
+        [TRY_HEADER]: String(tryNumber),
+        'X-Request-Deadline-Ms': String(CALLER_TIMEOUT),
+      },
+    });
+    return Object.assign(result, response);
+  }
+
+  /** Returns the prompt of a stream; some have the part that crashes upstreams. */
+  private promptHeaders(kind: RequestKind, id: string): Record<string, string> {
+    if (REQUEST_OPTIONS[kind].headers === undefined) {
+      return {};
+    }
+    const crashingPart = this.faultInjector.crashingPartName();
+    const isBad = crashingPart !== undefined && this.random() < CRASHING_SHARE;
+    const shared = isBad
+      ? crashingPart
+      : `shared-${Math.floor(this.random() * SHARED_PARTS)}`;
+    const ownTokens = STREAM_TOKENS.input / 2;
+    return {'X-Prompt-Prefix': `${shared}:${ownTokens},${id}:${ownTokens}`};
+  }
+}
--- a/packages/soak/src/lib/checks.ts
+++ b/packages/soak/src/lib/checks.ts
@@ -139,7 +139,9 @@
 const REQUEST_READ_TIME: Millis = 200;
 
 /** Statuses that guarantee that the request was not and will not be run. */
-const NOT_EXECUTED_STATUSES = new Set([408, 421, 429, 503]);
+export const NOT_EXECUTED_STATUSES: ReadonlySet<number> = new Set([
+  408, 421, 429, 503,
+]);
 
 type Check = (observations: RunObservations) => Violation[];
 
