Soak: some callers don't wait for Retry-After

With one upstream of a service, a gateway states about a second, more than the third of its time for which a caller waits, so hardly one came back. Three of five ways to return now ignore Retry-After: at once, or after 60 to 120 ms at the same or another instance.

--- a/packages/soak/src/lib/callers.ts
+++ b/packages/soak/src/lib/callers.ts
@@ -49,16 +49,28 @@
 const MAX_TRIES = 5;
 
 /** How a caller comes back after a refusal. */
-enum Return {
-  /** At once after Retry-After, over the same connection if it is open. */
-  AtOnce = 'at-once',
-  /** A little later, over any open connection to the same instance. */
-  Later = 'later',
-  /** A little later, at any instance. */
-  Elsewhere = 'elsewhere',
+interface ReturnWay {
+  /** Whether it waits for Retry-After. */
+  isPatient: boolean;
+  /** Whether it comes back without a delay of its own. */
+  isAtOnce: boolean;
+  /** Whether it goes to any instance, and not to the same one. */
+  isElsewhere: boolean;
 }
 
-/** Minimum and maximum time that a caller waits beyond Retry-After. */
+/**
+ * The ways of callers, with equal shares. One that comes back at once uses the
+ * same connection if that is still open.
+ */
+const RETURN_WAYS: readonly ReturnWay[] = [
+  {isPatient: true, isAtOnce: true, isElsewhere: false},
+  {isPatient: true, isAtOnce: false, isElsewhere: true},
+  {isPatient: false, isAtOnce: true, isElsewhere: false},
+  {isPatient: false, isAtOnce: false, isElsewhere: false},
+  {isPatient: false, isAtOnce: false, isElsewhere: true},
+];
+
+/** Minimum and maximum delay of a caller that does not come back at once. */
 const RETURN_DELAY = {min: 60, max: 120};
 
 /** Statuses after which a caller sends an idempotent request again. */
@@ -178,8 +190,8 @@
   }
 
   /**
-   * Sends a request, and again under the same identifier after a refusal whose
-   * Retry-After leaves enough time.
+   * Sends a request, and again under the same identifier after a refusal, if
+   * enough time is left.
    */
   private async sendUntilAnswered(
     request: CallerRequest,
@@ -188,20 +200,21 @@
     let gateway = this.pickGateway();
     for (let tryNumber = 1; ; tryNumber++) {
       const result = await this.send(request, tryNumber, gateway);
+      const way = pickItem(RETURN_WAYS, this.random());
       const retryAfter = Number(result.headers['retry-after'] ?? 0) * 1_000;
+      const wait = way.isPatient ? retryAfter : 0;
       const remainingTime = giveUpAt - Date.now();
       if (
         tryNumber === MAX_TRIES ||
         !RETURN_STATUSES[request.kind].has(result.status) ||
-        retryAfter > remainingTime * MAX_RETRY_AFTER_FRACTION
+        wait > remainingTime * MAX_RETRY_AFTER_FRACTION
       ) {
         return result;
       }
-      const way = pickItem(Object.values(Return), this.random());
       const {min, max} = RETURN_DELAY;
-      const delay = min + this.random() * (max - min);
-      await pause(retryAfter + (way === Return.AtOnce ? 0 : delay));
-      gateway = way === Return.Elsewhere ? this.pickGateway() : gateway;
+      const delay = way.isAtOnce ? 0 : min + this.random() * (max - min);
+      await pause(wait + delay);
+      gateway = way.isElsewhere ? this.pickGateway() : gateway;
     }
   }
 
