Soak: upstreams refuse requests and write the refusals again

A server refuses half of the first requests of connections and a tenth of the others, with 503 or 429, and writes the refusal again: at once or 20 ms into the run of the same request, before the answer to another one, or on the idle connection. It comes like the other faults; a third of the runs also has a series of it at all upstreams or one, of which there are one or two a service, with or without partitions and the other faults. Partitions of instances from the upstreams are a fault of their own now.

A run that can't be carried out, as processes don't start in time on a busy machine, is printed and counted as failed; it ended all runs before.

--- a/packages/soak/src/lib/faults.ts
+++ b/packages/soak/src/lib/faults.ts
@@ -1,7 +1,10 @@
 /** Injects the planned faults into a fleet, from outside its processes. */
 import {
+  CopyOccasion,
+  Partition,
   StoreMode,
   pause,
+  RefusalCopier,
   RelayMode,
   ServerFault,
 } from '@citrontrestle/stand_ins';
@@ -76,6 +79,12 @@
   StoreMode.DelayedWrites,
 ];
 
+/** Statuses of refusals that are repeated. */
+const REPEATED_STATUSES = [503, 429];
+
+/** Share of the faults of refusals that concern all upstreams at once. */
+const ALL_UPSTREAMS_SHARE = 0.7;
+
 /** Modes of a link that count as a fault. */
 const LINK_FAULT_MODES = [
   RelayMode.Silent,
@@ -94,6 +103,7 @@
     crashingParts: [],
     evacuations: [],
   };
+  private readonly refusalCopiers: RefusalCopier[] = [];
   /** Prompt part under which model upstreams crash now. */
   private crashingPart: CrashingPart | undefined;
   private configurationVersion = 10;
@@ -117,6 +127,8 @@
       this.injectStoreFault(this.fleet.gateways, fault),
     [FaultKind.Compaction]: () => this.fleet.store.compact(),
     [FaultKind.UpstreamFault]: fault => this.injectUpstreamFault(fault),
+    [FaultKind.RepeatedRefusals]: fault => this.repeatRefusals(fault),
+    [FaultKind.Partition]: fault => this.partitionGateway(fault),
     [FaultKind.UpstreamCrash]: fault => this.crashUpstream(fault),
     [FaultKind.CrashingPart]: fault => this.letPartCrash(fault),
     [FaultKind.UpstreamDrain]: fault => this.drainUpstream(fault),
@@ -131,6 +143,7 @@
   constructor(
     private readonly fleet: HostedFleet,
     private readonly accounts: Account[],
+    private readonly random: () => number,
   ) {}
 
   /** Injects a fault; resolves when it is over. */
@@ -149,6 +162,11 @@
     this.fleet.configure(this.configurationVersion, {tenants});
   }
 
+  /** Returns the number of copies of refusals that upstreams wrote. */
+  copiedRefusals(): number {
+    return this.refusalCopiers.reduce((sum, {copyCount}) => sum + copyCount, 0);
+  }
+
   /** Returns the prompt part that crashes upstreams now, if there is one. */
   crashingPartName(): string | undefined {
     return this.crashingPart?.part;
@@ -274,6 +292,47 @@
     server.fault = ServerFault.None;
   }
 
+  /** Lets one upstream or all of them refuse requests and repeat this. */
+  private async repeatRefusals({
+    targetFraction,
+    variantFraction,
+    duration,
+  }: Fault): Promise<void> {
+    const {random} = this;
+    const servers = this.fleet.listedServers();
+    const concerned =
+      random() < ALL_UPSTREAMS_SHARE
+        ? servers
+        : [pickItem(servers, targetFraction)];
+    const occasion = pickItem(Object.values(CopyOccasion), variantFraction);
+    const status = pickItem(REPEATED_STATUSES, random());
+    const copiers = concerned.map(server => {
+      const copier = new RefusalCopier({status, occasion, random});
+      this.refusalCopiers.push(copier);
+      server.refusalCopier = copier;
+      return {server, copier};
+    });
+    await pause(duration);
+    for (const {server, copier} of copiers) {
+      // A later fault may have replaced it.
+      if (server.refusalCopier === copier) {
+        server.refusalCopier = undefined;
+      }
+    }
+  }
+
+  /** Partitions an instance from all upstreams that are listed now. */
+  private async partitionGateway(fault: Fault): Promise<void> {
+    const gateway = this.pickGateway(fault);
+    this.recordDisruption(gateway.name, fault.duration);
+    this.fleet.partition(
+      gateway,
+      pickItem(Object.values(Partition), fault.variantFraction),
+    );
+    await pause(fault.duration);
+    this.fleet.endPartition(gateway);
+  }
+
   private async crashUpstream(fault: Fault): Promise<void> {
     const server = this.pickReplaceableUpstream(fault);
     if (server === undefined) {
--- a/packages/soak/src/lib/plan.ts
+++ b/packages/soak/src/lib/plan.ts
@@ -22,6 +22,11 @@
   Compaction = 'compaction',
   /** An upstream rejects requests or sends faulty responses, or none. */
   UpstreamFault = 'upstream-fault',
+  /**
+   * Upstreams refuse some requests and write the refusals again, before the
+   * answer to the same or another request or to an idle connection.
+   */
+  RepeatedRefusals = 'repeated-refusals',
   /**
    * An upstream ends without notice; its list entry expires and a new upstream
    * is added.
@@ -46,6 +51,8 @@
    * upstream are reset.
    */
   ResetConnections = 'reset-connections',
+  /** An instance is partitioned from all upstreams, so that peers forward. */
+  Partition = 'partition',
   /** An account is granted more tokens. */
   TopUp = 'top-up',
   /** The operator evacuates a zone, and takes it back. */
@@ -76,6 +83,8 @@
   initialGrant: number;
   /** Mean rate of requests from all callers together. */
   requestsPerSecond: number;
+  /** Number of upstreams of each service at the start. */
+  upstreamsPerService: number;
   loadDuration: Millis;
   /** Sorted by start. */
   faults: Fault[];
@@ -108,6 +117,24 @@
 /** One in this many runs has an evacuation. */
 const RUNS_PER_EVACUATION = 3;
 
+/** Usual number of upstreams of each service. */
+const UPSTREAMS_PER_SERVICE = 3;
+
+/**
+ * One in `runsPerSeries` runs has a series of repeated refusals, with up to
+ * `maxUpstreams` upstreams of each service, as an instance with many of them
+ * sends a refused request elsewhere itself. A series may bring partitions, and
+ * one in `seriesPerSingle` comes without other faults.
+ */
+const REFUSAL_SERIES = {
+  runsPerSeries: 3,
+  seriesPerSingle: 3,
+  maxUpstreams: 2,
+  min: 2,
+  max: 4,
+  maxPartitions: 2,
+};
+
 /** Draws the plan of a run; the same seed always gives the same plan. */
 export function planRun(seed: number): RunPlan {
   const random = seededRandom(seed);
@@ -119,16 +146,19 @@
     kind => kind !== FaultKind.Evacuation,
   );
   const faultCount = drawInteger(FAULT_COUNT.min, FAULT_COUNT.max);
-  const faults: Fault[] = Array.from({length: faultCount}, () => ({
-    kind: kinds[drawInteger(0, kinds.length - 1)] ?? FaultKind.Kill,
-    startsAfter: drawInteger(
-      FAULT_FREE_MARGIN,
-      LOAD_DURATION - FAULT_FREE_MARGIN,
-    ),
+  const drawFault = (
+    kind: FaultKind,
+    lastStart = LOAD_DURATION - FAULT_FREE_MARGIN,
+  ): Fault => ({
+    kind,
+    startsAfter: drawInteger(FAULT_FREE_MARGIN, lastStart),
     duration: drawInteger(FAULT_DURATION.min, FAULT_DURATION.max),
     targetFraction: random(),
     variantFraction: random(),
-  }));
+  });
+  const faults = Array.from({length: faultCount}, () =>
+    drawFault(kinds[drawInteger(0, kinds.length - 1)] ?? FaultKind.Kill),
+  );
   const plan = {
     seed,
     gatewayCount: isLarge ? large : drawInteger(min, max),
@@ -138,18 +168,29 @@
       REQUESTS_PER_SECOND.min,
       REQUESTS_PER_SECOND.max,
     ),
+    upstreamsPerService: UPSTREAMS_PER_SERVICE,
     loadDuration: LOAD_DURATION,
     faults,
   };
   // Drawn last, so that the other faults of a seed do not depend on it.
   if (drawInteger(1, RUNS_PER_EVACUATION) === 1) {
-    faults.push({
-      kind: FaultKind.Evacuation,
-      startsAfter: drawInteger(FAULT_FREE_MARGIN, LOAD_DURATION / 2),
-      duration: drawInteger(FAULT_DURATION.min, FAULT_DURATION.max),
-      targetFraction: random(),
-      variantFraction: random(),
-    });
+    faults.push(drawFault(FaultKind.Evacuation, LOAD_DURATION / 2));
+  }
+  const {runsPerSeries, seriesPerSingle, maxUpstreams, maxPartitions} =
+    REFUSAL_SERIES;
+  if (drawInteger(1, runsPerSeries) === 1) {
+    plan.upstreamsPerService = drawInteger(1, maxUpstreams);
+    const length = drawInteger(REFUSAL_SERIES.min, REFUSAL_SERIES.max);
+    const partitions = drawInteger(0, maxPartitions);
+    if (drawInteger(1, seriesPerSingle) === 1) {
+      faults.length = 0;
+    }
+    for (let index = 0; index < length; index++) {
+      faults.push(drawFault(FaultKind.RepeatedRefusals));
+    }
+    for (let index = 0; index < partitions; index++) {
+      faults.push(drawFault(FaultKind.Partition));
+    }
   }
   faults.sort((a, b) => a.startsAfter - b.startsAfter);
   return plan;
--- a/packages/soak/src/lib/soak.ts
+++ b/packages/soak/src/lib/soak.ts
@@ -2,6 +2,7 @@
  * Executes a run: starts real gateways, sends load, injects faults and checks.
  */
 import {fileURLToPath} from 'node:url';
+import {seededRandom} from '@citrontrestle/runtime';
 import {HostedFleet, pause, waitUntil} from '@citrontrestle/stand_ins';
 import {Callers} from './callers.js';
 import {findViolations} from './checks.js';
@@ -23,6 +24,8 @@
   refusedCount: number;
   /** Requests answered with status 502 or not at all. */
   failedCount: number;
+  /** Copies of refusals that upstreams wrote. */
+  copiedRefusals: number;
   violations: Violation[];
   /**
    * Log lines of the gateways about the requests of the violations, as JSON.
@@ -40,22 +43,23 @@
  */
 const LATE_RUN_WAIT: Millis = 500;
 
-/** Number of upstreams of each service at the start. */
-const UPSTREAMS_PER_SERVICE = 3;
-
 /** Client accounts of the callers. */
 const ACCOUNT_NAMES = ['club', 'school'];
 
 /** Executes the run that a seed determines and stops all its processes. */
 export async function executeRun(seed: number): Promise<RunResult> {
   const plan = planRun(seed);
-  const fleet = new HostedFleet(GATEWAY_PROGRAM);
+  const fleet = new HostedFleet(GATEWAY_PROGRAM, true);
   const accounts: Account[] = ACCOUNT_NAMES.map(name => ({
     name,
     apiKeys: [`${name}-1`, `${name}-2`],
     grantedTokens: plan.initialGrant,
   }));
-  const faultInjector = new FaultInjector(fleet, accounts);
+  const faultInjector = new FaultInjector(
+    fleet,
+    accounts,
+    seededRandom(seed + 2),
+  );
   try {
     await startFleet(fleet, faultInjector, plan);
     const callers = new Callers(fleet, accounts, plan, faultInjector);
@@ -82,7 +86,7 @@
   plan: RunPlan,
 ): Promise<void> {
   faultInjector.configure();
-  for (let index = 1; index <= UPSTREAMS_PER_SERVICE; index++) {
+  for (let index = 1; index <= plan.upstreamsPerService; index++) {
     await faultInjector.addUpstream('desk');
     await faultInjector.addUpstream('models');
   }
@@ -140,6 +144,7 @@
     servedCount: countByStatus(status => status === 200),
     refusedCount: countByStatus(status => status >= 400 && status !== 502),
     failedCount: countByStatus(status => status === 0 || status === 502),
+    copiedRefusals: faultInjector.copiedRefusals(),
     violations,
     logLines,
   };
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -38,7 +38,7 @@
       const hasCount = this.count !== undefined;
       while (this.nextSeed < seedLimit && (hasCount || Date.now() < endTime)) {
         this.nextSeed += 1;
-        this.recordResult(await executeRun(this.nextSeed - 1));
+        await this.executeSeed(this.nextSeed - 1);
       }
     };
     await Promise.all(Array.from({length: Number(this.jobs)}, runSeeds));
@@ -47,6 +47,16 @@
     return this.failedRuns > 0 ? 1 : 0;
   }
 
+  /** Executes a run; one that can't be carried out counts as failed. */
+  private async executeSeed(seed: number): Promise<void> {
+    try {
+      this.recordResult(await executeRun(seed));
+    } catch (error) {
+      this.failedRuns += 1;
+      this.context.stdout.write(`seed ${seed}: not carried out: ${error}\n`);
+    }
+  }
+
   /** Prints the result of a run and counts it as passed or failed. */
   private recordResult(result: RunResult): void {
     const {
@@ -55,6 +65,7 @@
       servedCount,
       refusedCount,
       failedCount,
+      copiedRefusals,
       violations,
       logLines,
     } = result;
@@ -62,7 +73,7 @@
     const {stdout} = this.context;
     stdout.write(
       `seed ${plan.seed}: ${plan.gatewayCount} gateways, ${sentCount} sent, ` +
-        `${servedCount} served, ${refusedCount} refused, ${failedCount} failed; ${faults}\n`,
+        `${servedCount} served, ${refusedCount} refused, ${failedCount} failed, ${copiedRefusals} copies; ${faults}\n`,
     );
     for (const {guarantee, detail, requestIds} of violations) {
       stdout.write(
--- a/packages/stand_ins/src/lib/hosted/server.ts
+++ b/packages/stand_ins/src/lib/hosted/server.ts
@@ -6,6 +6,7 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import type {Millis} from '@citrontrestle/decisions';
+import type {RefusalCopier} from './refusal_copier.js';
 
 /** How a server treats the requests that reach it. */
 export enum ServerFault {
@@ -173,6 +174,8 @@
   oddHeadLine = '';
   /** Wrong identifiers of events in Latin-1, by the number of the event. */
   spoiledIds: ReadonlyMap<number, string> = new Map();
+  /** Refuses some requests and repeats the refusals; undefined for none. */
+  refusalCopier: RefusalCopier | undefined;
   /** Called when the server has crashed. */
   onCrash: () => void = () => undefined;
   /** Requests that it executed. */
@@ -290,6 +293,10 @@
       this.rejectForWantOfRoom(outgoing, run);
       return;
     }
+    const {refusalCopier} = this;
+    if (refusalCopier?.tryRefuse(outgoing, run.id, this.statementHeaders())) {
+      return;
+    }
     this.runs.push(run);
     this.runningCount += 1;
     outgoing.on('close', () => {
@@ -303,7 +310,12 @@
       setTimeout(() => this.crash(), this.settings.stepMs);
       return;
     }
-    FAULT_HANDLERS[this.fault](this, outgoing, run);
+    const wait = refusalCopier?.copyBeforeAnswer(outgoing, run.id) ?? 0;
+    if (wait === 0) {
+      FAULT_HANDLERS[run.fault](this, outgoing, run);
+    } else {
+      setTimeout(() => FAULT_HANDLERS[run.fault](this, outgoing, run), wait);
+    }
   }
 
   /** Rejects a request; falls over after too many rejections in a second. */
