Soak: partitions span repeated refusals, and most instances at once

The refusals through peers were few: with 2,000 tokens an account most streams of a series were refused for want of budget, and a partition of one instance met refusals only by chance. In a series, partitions now begin before refusals and last as long, accounts have at least 20,000 tokens, and half of all partitions leave a single instance that forwards.

--- a/packages/soak/src/lib/faults.ts
+++ b/packages/soak/src/lib/faults.ts
@@ -85,6 +85,9 @@
 /** Share of the faults of refusals that concern all upstreams at once. */
 const ALL_UPSTREAMS_SHARE = 0.7;
 
+/** Share of the partitions that concern all instances but one. */
+const MOST_INSTANCES_SHARE = 0.5;
+
 /** Modes of a link that count as a fault. */
 const LINK_FAULT_MODES = [
   RelayMode.Silent,
@@ -128,7 +131,7 @@
     [FaultKind.Compaction]: () => this.fleet.store.compact(),
     [FaultKind.UpstreamFault]: fault => this.injectUpstreamFault(fault),
     [FaultKind.RepeatedRefusals]: fault => this.repeatRefusals(fault),
-    [FaultKind.Partition]: fault => this.partitionGateway(fault),
+    [FaultKind.Partition]: fault => this.partitionGateways(fault),
     [FaultKind.UpstreamCrash]: fault => this.crashUpstream(fault),
     [FaultKind.CrashingPart]: fault => this.letPartCrash(fault),
     [FaultKind.UpstreamDrain]: fault => this.drainUpstream(fault),
@@ -321,16 +324,20 @@
     }
   }
 
-  /** Partitions an instance from all upstreams that are listed now. */
-  private async partitionGateway(fault: Fault): Promise<void> {
-    const gateway = this.pickGateway(fault);
-    this.recordDisruption(gateway.name, fault.duration);
-    this.fleet.partition(
-      gateway,
-      pickItem(Object.values(Partition), fault.variantFraction),
-    );
+  /** Partitions instances from all upstreams that are listed now. */
+  private async partitionGateways(fault: Fault): Promise<void> {
+    const picked = this.pickGateway(fault);
+    const gateways =
+      this.random() < MOST_INSTANCES_SHARE
+        ? this.fleet.gateways.filter(gateway => gateway !== picked)
+        : [picked];
+    const partition = pickItem(Object.values(Partition), fault.variantFraction);
+    for (const gateway of gateways) {
+      this.recordDisruption(gateway.name, fault.duration);
+      this.fleet.partition(gateway, partition);
+    }
     await pause(fault.duration);
-    this.fleet.endPartition(gateway);
+    gateways.forEach(gateway => this.fleet.endPartition(gateway));
   }
 
   private async crashUpstream(fault: Fault): Promise<void> {
--- a/packages/soak/src/lib/plan.ts
+++ b/packages/soak/src/lib/plan.ts
@@ -51,7 +51,10 @@
    * upstream are reset.
    */
   ResetConnections = 'reset-connections',
-  /** An instance is partitioned from all upstreams, so that peers forward. */
+  /**
+   * One instance is partitioned from all upstreams, or all but one are, so that
+   * peers forward.
+   */
   Partition = 'partition',
   /** An account is granted more tokens. */
   TopUp = 'top-up',
@@ -124,7 +127,8 @@
  * One in `runsPerSeries` runs has a series of repeated refusals, with up to
  * `maxUpstreams` upstreams of each service, as an instance with many of them
  * sends a refused request elsewhere itself. A series may bring partitions, and
- * one in `seriesPerSingle` comes without other faults.
+ * one in `seriesPerSingle` comes without other faults. Accounts get `minGrant`
+ * tokens, which last for most of a run.
  */
 const REFUSAL_SERIES = {
   runsPerSeries: 3,
@@ -133,8 +137,12 @@
   min: 2,
   max: 4,
   maxPartitions: 2,
+  minGrant: 20_000,
 };
 
+/** Time after which an instance has noticed that it is partitioned. */
+const PARTITION_DETECTION_TIME: Millis = 400;
+
 /** Draws the plan of a run; the same seed always gives the same plan. */
 export function planRun(seed: number): RunPlan {
   const random = seededRandom(seed);
@@ -180,17 +188,26 @@
     REFUSAL_SERIES;
   if (drawInteger(1, runsPerSeries) === 1) {
     plan.upstreamsPerService = drawInteger(1, maxUpstreams);
+    plan.initialGrant = Math.max(plan.initialGrant, REFUSAL_SERIES.minGrant);
     const length = drawInteger(REFUSAL_SERIES.min, REFUSAL_SERIES.max);
     const partitions = drawInteger(0, maxPartitions);
     if (drawInteger(1, seriesPerSingle) === 1) {
       faults.length = 0;
     }
-    for (let index = 0; index < length; index++) {
-      faults.push(drawFault(FaultKind.RepeatedRefusals));
-    }
-    for (let index = 0; index < partitions; index++) {
-      faults.push(drawFault(FaultKind.Partition));
-    }
+    const series = Array.from({length}, () =>
+      drawFault(FaultKind.RepeatedRefusals),
+    );
+    // A partition spans refusals, so that peers forward what is refused.
+    const partitioned = series.slice(0, partitions).map(refusals => {
+      const {duration, startsAfter} = refusals;
+      refusals.startsAfter += PARTITION_DETECTION_TIME;
+      return {
+        ...drawFault(FaultKind.Partition),
+        startsAfter,
+        duration: duration + PARTITION_DETECTION_TIME,
+      };
+    });
+    faults.push(...series, ...partitioned);
   }
   faults.sort((a, b) => a.startsAfter - b.startsAfter);
   return plan;
