Stand-in server: no unnamed copy of a refusal on a new connection

The server with the fault unnamed-refusal wrote the refusal of an 'earlier' request, without an identifier, as the first bytes of a new connection, where no request was earlier. Nobody can tell that from a refusal of the request itself, and the gateway rightly believes it there. The server now answers the first request of a connection normally and writes the copy from the second on, which is what repeated_refusal_test.ts tests (kept connections; it passes as before).

--- a/packages/stand_ins/src/lib/hosted/server.ts
+++ b/packages/stand_ins/src/lib/hosted/server.ts
@@ -562,6 +562,11 @@
     repeatRefusal(server, outgoing, run, 'X-Request-Id: earlier\r\n');
   },
   [ServerFault.UnnamedRefusal]: (server, outgoing, run) => {
+    if (outgoing.socket?.bytesWritten === 0) {
+      // A new connection has no earlier refusal, and an unnamed one is its own.
+      sendNormalAnswer(server, outgoing, run);
+      return;
+    }
     repeatRefusal(server, outgoing, run, '');
   },
   [ServerFault.CutHead]: (server, outgoing, run) => {
