--- a/packages/soak/src/lib/faults.ts
+++ b/packages/soak/src/lib/faults.ts
@@ -382,8 +382,8 @@
     this.record.crashingParts.push(this.crashingPart);
     this.setCrashingPart(part);
     await pause(fault.duration);
-    // A later fault may have replaced the part.
-    if (this.crashingPart.part === part) {
+    // A later fault may have replaced the part, and have ended.
+    if (this.crashingPart?.part === part) {
       this.crashingPart = undefined;
       this.setCrashingPart(undefined);
     }
--- a/packages/soak/src/lib/soak.ts
+++ b/packages/soak/src/lib/soak.ts
@@ -67,8 +67,7 @@
       await pause(fault.startsAfter);
       await faultInjector.inject(fault);
     });
-    const sentRequests = await callers.run();
-    await Promise.all(injections);
+    const [sentRequests] = await Promise.all([callers.run(), ...injections]);
     await pause(LATE_RUN_WAIT);
     return summarizeRun(plan, sentRequests, fleet, accounts, faultInjector);
   } finally {
