Relay: a delayed connection does not end before its delayed bytes

The upstream's fault unframed-whole met a delayed link; the relay held the bytes for 150 ms but closed the connection to the gateway at once, with an ordinary end, so the rest was lost without a trace, which no network does. The close is delayed as the bytes are now.

--- a/packages/stand_ins/src/lib/relay.ts
+++ b/packages/stand_ins/src/lib/relay.ts
@@ -135,7 +135,8 @@
       source.on('error', () => destination.destroy());
       source.on('close', () => {
         this.sockets.delete(source);
-        destination.destroy();
+        // After the delayed bytes, as the end of a connection is never ahead.
+        this.runWithDelay(relayed, () => destination.destroy());
       });
       source.on('data', bytes =>
         this.runWithDelay(relayed, () => destination.write(bytes)),
