--- a/packages/stand_ins/src/lib/hosted/server.ts
+++ b/packages/stand_ins/src/lib/hosted/server.ts
@@ -7,6 +7,7 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import type {Millis} from '@citrontrestle/decisions';
+import type {RefusalCopier} from './refusal_copier.js';
 
 /** How a server treats the requests that reach it. */
 export enum ServerFault {
@@ -174,6 +175,8 @@
   oddHeadLine = '';
   /** Wrong identifiers of events in Latin-1, by the number of the event. */
   spoiledIds: ReadonlyMap<number, string> = new Map();
+  /** Refuses some requests and repeats the refusals; undefined for none. */
+  refusalCopier: RefusalCopier | undefined;
   /** Called when the server has crashed. */
   onCrash: () => void = () => undefined;
   /** Requests that it executed. */
@@ -306,6 +309,10 @@
       this.rejectForWantOfRoom(outgoing, run);
       return;
     }
+    const {refusalCopier} = this;
+    if (refusalCopier?.tryRefuse(outgoing, run.id, this.statementHeaders())) {
+      return;
+    }
     this.runs.push(run);
     this.runningCount += 1;
     outgoing.on('close', () => {
@@ -319,7 +326,12 @@
       setTimeout(() => this.crash(), this.settings.stepMs);
       return;
     }
-    FAULT_HANDLERS[this.fault](this, outgoing, run);
+    const wait = refusalCopier?.copyBeforeAnswer(outgoing, run.id) ?? 0;
+    if (wait === 0) {
+      FAULT_HANDLERS[run.fault](this, outgoing, run);
+    } else {
+      setTimeout(() => FAULT_HANDLERS[run.fault](this, outgoing, run), wait);
+    }
   }
 
   /** Rejects a request; falls over after too many rejections in a second. */
@@ -550,6 +562,11 @@
     repeatRefusal(server, outgoing, run, 'X-Request-Id: earlier\r\n');
   },
   [ServerFault.UnnamedRefusal]: (server, outgoing, run) => {
+    if (outgoing.socket?.bytesWritten === 0) {
+      // A new connection has no earlier refusal, and an unnamed one is its own.
+      sendNormalAnswer(server, outgoing, run);
+      return;
+    }
     repeatRefusal(server, outgoing, run, '');
   },
   [ServerFault.CutHead]: (server, outgoing, run) => {
