--- a/packages/gateway/src/test/upstreams/endless_refusal_test.ts
+++ b/packages/gateway/src/test/upstreams/endless_refusal_test.ts
@@ -2,9 +2,8 @@
 import {createServer} from 'node:net';
 import {expect} from 'chai';
 import {CallFailure} from '../../lib/requests/call_failure.js';
-import {UpstreamAgent} from '../../lib/upstreams/upstream_agent.js';
-import {UpstreamCall} from '../../lib/upstreams/upstream_call.js';
-import type {Dialect} from '../../lib/process/ports.js';
+import {failureOf} from './failed_call.js';
+import type {UpstreamResponseHead} from '../../lib/process/ports.js';
 import type {AddressInfo, Server} from 'node:net';
 import type {Millis} from '@citrontrestle/decisions';
 
@@ -42,46 +41,13 @@
         server.listen(0, '127.0.0.1', () => resolve());
       });
       const startedAt = Date.now();
-      const failure = await refusedCall(server.address() as AddressInfo);
+      const {port} = server.address() as AddressInfo;
+      const parseUpstreamResponseHead = () =>
+        ({notExecuted: true}) as UpstreamResponseHead;
+      const failure = await failureOf(port, {}, {parseUpstreamResponseHead});
       expect(failure).to.equal(CallFailure.NotExecuted);
       await closed;
       expect(Date.now() - startedAt).to.be.below(MAX_TIME_HELD);
     });
   }
 });
-
-/** Sends a request; returns how it failed. */
-function refusedCall({port}: AddressInfo): Promise<CallFailure> {
-  const ignore = () => undefined;
-  const parseUpstreamResponseHead = () => ({notExecuted: true});
-  return new Promise(resolve => {
-    new UpstreamCall(
-      {
-        address: `127.0.0.1:${port}`,
-        method: 'GET',
-        target: '/',
-        headers: {},
-        body: Buffer.alloc(0),
-        requestId: 'r1',
-        agent: new UpstreamAgent(),
-        observer: {
-          onSent: ignore,
-          onConnected: ignore,
-          onConnectFailed: ignore,
-          onHeard: ignore,
-          onEnded: ignore,
-        },
-        isProxied: false,
-        mayStillSend: () => true,
-      },
-      {parseUpstreamResponseHead} as unknown as Dialect,
-      {
-        onHead: ignore,
-        onStatement: ignore,
-        onData: ignore,
-        onComplete: ignore,
-        onFailure: resolve,
-      },
-    );
-  });
-}
--- /dev/null
+++ b/packages/gateway/src/test/upstreams/failed_call.ts
@@ -0,0 +1,47 @@
+/** Sends one call that fails, for tests of how it fails. */
+import {UpstreamAgent} from '../../lib/upstreams/upstream_agent.js';
+import {UpstreamCall} from '../../lib/upstreams/upstream_call.js';
+import type {CallFailure} from '../../lib/requests/call_failure.js';
+import type {Dialect} from '../../lib/process/ports.js';
+import type {UpstreamRequest} from '../../lib/upstreams/upstream_call.js';
+
+const ignore = () => undefined;
+
+/** Sends a request to a port of this machine; returns how it failed. */
+export function failureOf(
+  port: number,
+  request: Partial<UpstreamRequest> = {},
+  dialect: Partial<Dialect> = {},
+): Promise<CallFailure> {
+  return new Promise(resolve => {
+    new UpstreamCall(
+      {
+        address: `127.0.0.1:${port}`,
+        method: 'GET',
+        target: '/',
+        headers: {Host: 'upstream'},
+        body: Buffer.alloc(0),
+        requestId: 'r1',
+        agent: new UpstreamAgent(),
+        observer: {
+          onSent: ignore,
+          onConnected: ignore,
+          onConnectFailed: ignore,
+          onHeard: ignore,
+          onEnded: ignore,
+        },
+        isProxied: false,
+        mayStillSend: () => true,
+        ...request,
+      },
+      dialect as Dialect,
+      {
+        onHead: ignore,
+        onStatement: ignore,
+        onData: ignore,
+        onComplete: ignore,
+        onFailure: resolve,
+      },
+    );
+  });
+}
--- a/packages/gateway/src/test/upstreams/proxied_failure_test.ts
+++ b/packages/gateway/src/test/upstreams/proxied_failure_test.ts
@@ -7,10 +7,10 @@
   withoutFailureHeaders,
 } from '../../lib/upstreams/proxy_protocol.js';
 import {UpstreamAgent} from '../../lib/upstreams/upstream_agent.js';
-import {UpstreamCall} from '../../lib/upstreams/upstream_call.js';
-import type {Dialect} from '../../lib/process/ports.js';
+import {failureOf} from './failed_call.js';
 import type {AddressInfo} from 'node:net';
 import type {OutgoingHttpHeaders} from 'node:http';
+import type {Millis} from '@citrontrestle/decisions';
 
 const {NotExecuted, NotSent, ResponseLost} = CallFailure;
 
@@ -60,41 +60,11 @@
   },
 ];
 
-/** Sends a request through a peer; returns how it failed. */
-function failureOf(port: number, requestId: string, agent: UpstreamAgent) {
-  const ignore = () => undefined;
-  const observer = {
-    onSent: ignore,
-    onConnected: ignore,
-    onConnectFailed: ignore,
-    onHeard: ignore,
-    onEnded: ignore,
-  };
-  return new Promise<CallFailure>(resolve => {
-    new UpstreamCall(
-      {
-        address: `127.0.0.1:${port}`,
-        method: 'GET',
-        target: '/',
-        headers: {Host: 'peer'},
-        body: Buffer.alloc(0),
-        requestId,
-        agent,
-        observer,
-        isProxied: true,
-        mayStillSend: () => true,
-      },
-      {} as Dialect,
-      {
-        onHead: ignore,
-        onStatement: ignore,
-        onData: ignore,
-        onComplete: ignore,
-        onFailure: failure => setTimeout(() => resolve(failure), 20),
-      },
-    );
-  });
-}
+/** Time after which the connection of a call is idle. */
+const IDLE_TIME: Millis = 20;
+
+const pauseUntilIdle = () =>
+  new Promise(resolve => setTimeout(resolve, IDLE_TIME));
 
 describe('a failure that a peer states', () => {
   for (const {name, stated, names, ids, read} of CASES) {
@@ -109,7 +79,9 @@
       const agent = new UpstreamAgent();
       const failures = [];
       for (const id of ids) {
-        failures.push(await failureOf(port, id, agent));
+        const call = {requestId: id, agent, isProxied: true};
+        failures.push(await failureOf(port, call));
+        await pauseUntilIdle();
       }
       agent.destroy();
       server.close();
--- a/packages/gateway/src/test/upstreams/upstream_call_test.ts
+++ b/packages/gateway/src/test/upstreams/upstream_call_test.ts
@@ -5,9 +5,7 @@
 import {createServer} from 'node:net';
 import {expect} from 'chai';
 import {CallFailure} from '../../lib/requests/call_failure.js';
-import {UpstreamAgent} from '../../lib/upstreams/upstream_agent.js';
-import {UpstreamCall} from '../../lib/upstreams/upstream_call.js';
-import type {Dialect} from '../../lib/process/ports.js';
+import {failureOf} from './failed_call.js';
 import type {AddressInfo, Server} from 'node:net';
 
 const CASES = [
@@ -43,36 +41,12 @@
   for (const {name, mayStillSend, receives} of CASES) {
     it(name, async () => {
       const {port} = server.address() as AddressInfo;
-      const ignore = () => undefined;
-      const failure = await new Promise<CallFailure>(resolve => {
-        new UpstreamCall(
-          {
-            address: `127.0.0.1:${port}`,
-            method: 'POST',
-            target: '/order/1',
-            headers: {},
-            body: Buffer.from('order'),
-            requestId: 'r1',
-            agent: new UpstreamAgent(),
-            observer: {
-              onSent: ignore,
-              onConnected: ignore,
-              onConnectFailed: ignore,
-              onHeard: ignore,
-              onEnded: ignore,
-            },
-            isProxied: false,
-            mayStillSend: () => mayStillSend,
-          },
-          {} as Dialect,
-          {
-            onHead: ignore,
-            onStatement: ignore,
-            onData: ignore,
-            onComplete: ignore,
-            onFailure: resolve,
-          },
-        );
+      const failure = await failureOf(port, {
+        method: 'POST',
+        target: '/order/1',
+        headers: {},
+        body: Buffer.from('order'),
+        mayStillSend: () => mayStillSend,
       });
       await hasClosed;
       const {NotSent, ResponseLost} = CallFailure;
