One rule for whose answer it is, for gateway and engine client

Both had written the same comparison of identifier and connection; it is now isOwnAnswer beside RequestAgent, which knows the connection. The engine client throws the same error in one place in place of two.

--- a/packages/engine/src/lib/engine.ts
+++ b/packages/engine/src/lib/engine.ts
@@ -5,7 +5,12 @@
  */
 import {request} from 'node:http';
 import {AttemptOutcome} from '@citrontrestle/decisions';
-import {discardBody, RequestAgent, splitAddress} from '@citrontrestle/runtime';
+import {
+  discardBody,
+  isOwnAnswer,
+  RequestAgent,
+  splitAddress,
+} from '@citrontrestle/runtime';
 import {EventReader} from './event_reader.js';
 import type {Millis} from '@citrontrestle/decisions';
 import type {ConnectionHistory} from '@citrontrestle/runtime';
@@ -183,10 +188,8 @@
     // Engines send this header only with requests that they did not run.
     const notRun = incoming.headers['x-not-run'];
     const name = incoming.headers['x-request-id'];
-    if (notRun === undefined && name === undefined) {
-      throw new Error(reason);
-    }
-    if (!this.isOwnAnswer(name)) {
+    const isUnnamedError = notRun === undefined && name === undefined;
+    if (!isUnnamedError && !this.isOwnAnswer(name)) {
       throw new RequestIdMismatchError(
         'the answer may be that to another request',
       );
@@ -200,18 +203,9 @@
     this.resolveFailure(isLeaving ? Leaving : Refused, reason);
   }
 
-  /**
-   * Whether an answer with an identifier, or without one, surely belongs to
-   * this request: an engine may send an earlier answer on the connection again.
-   */
   private isOwnAnswer(name: string | string[] | undefined): boolean {
-    if (this.history === undefined) {
-      return false;
-    }
-    const {requests, hadRequest} = this.history;
-    return name === undefined
-      ? requests === 0
-      : name === this.completion.id && !hadRequest;
+    const {history, completion} = this;
+    return history !== undefined && isOwnAnswer(completion.id, name, history);
   }
 
   private async handleEvent(data: string): Promise<void> {
--- a/packages/gateway/src/lib/upstreams/upstream_call.ts
+++ b/packages/gateway/src/lib/upstreams/upstream_call.ts
@@ -5,6 +5,7 @@
 import {request} from 'node:http';
 import {
   discardBody,
+  isOwnAnswer,
   MAX_INTERIM_RESPONSES,
   splitAddress,
 } from '@citrontrestle/runtime';
@@ -357,19 +358,20 @@
   }
 
   /**
-   * Whether a response answers this request. On a kept connection it may be one
-   * to an earlier request that the upstream repeats; none of those had the same
-   * identifier. Only a rejection without an identifier on a new connection can't
-   * be a repeated one.
+   * Whether a response surely answers this request. Only a rejection may lack
+   * the identifier.
    */
   private isOwnResponse({
     requestId,
     notExecuted,
   }: UpstreamResponseHead): boolean {
-    const {requests = Infinity, hadRequest = true} = this.connection ?? {};
-    return requestId === undefined
-      ? notExecuted && requests === 0
-      : !hadRequest && requestId === this.upstreamRequest.requestId;
+    const {connection, upstreamRequest} = this;
+    const isNamedIfNeeded = requestId !== undefined || notExecuted;
+    return (
+      connection !== undefined &&
+      isNamedIfNeeded &&
+      isOwnAnswer(upstreamRequest.requestId, requestId, connection)
+    );
   }
 
   private handleEnd(response: IncomingMessage): void {
--- a/packages/runtime/src/lib/request_agent.ts
+++ b/packages/runtime/src/lib/request_agent.ts
@@ -25,6 +25,22 @@
   hadRequest: boolean;
 }
 
+/**
+ * Whether an answer surely belongs to a request: a server may send an earlier
+ * answer on the connection again.
+ * @param statedId identifier that the answer names, if it names one.
+ * @param history what the connection had carried before the request.
+ */
+export function isOwnAnswer(
+  requestId: string,
+  statedId: string | string[] | undefined,
+  {requests, hadRequest}: ConnectionHistory,
+): boolean {
+  return statedId === undefined
+    ? requests === 0
+    : statedId === requestId && !hadRequest;
+}
+
 /** What a connection has carried. */
 class ConnectionRecord {
   /** Hashes of the identifiers of its requests. */
