--- a/packages/gateway/src/lib/budgets/prepaid_budgets.ts
+++ b/packages/gateway/src/lib/budgets/prepaid_budgets.ts
@@ -278,8 +278,7 @@
         patience,
         mayAskPeers,
         peersAskedSince: undefined,
-        askedOfRelay: undefined,
-        relayAsk: undefined,
+        relayQuestion: undefined,
         relayRefusal: undefined,
         askedBeforePooling: false,
         resolve,
@@ -367,13 +366,14 @@
     const request = this.queue
       .of(account)
       .find(
-        ({askedOfRelay, relayAsk}) =>
-          askedOfRelay === tokens && (ask === undefined || relayAsk === ask),
+        ({relayQuestion}) =>
+          relayQuestion?.tokens === tokens &&
+          (ask === undefined || relayQuestion.ask === ask),
       );
     if (request === undefined) {
       return;
     }
-    request.askedOfRelay = undefined;
+    request.relayQuestion = undefined;
     if (age !== undefined) {
       const readAt = this.clock.now() - age;
       this.relayReadAt.set(account, readAt);
@@ -711,7 +711,7 @@
     }
     // Called for each waiting request, so the request is not spread.
     const {tokens, waitingSince, patience, peersAskedSince} = request;
-    const awaitsRelay = request.askedOfRelay !== undefined;
+    const awaitsRelay = request.relayQuestion !== undefined;
     return decideTokenWait(
       {tokens, waitingSince, patience, awaitsRelay, peersAskedSince},
       situation,
@@ -782,8 +782,9 @@
       wait,
       ask,
     });
-    request.relayAsk = ask;
-    request.askedOfRelay = isAsked ? Math.ceil(tokens) : undefined;
+    request.relayQuestion = isAsked
+      ? {ask, tokens: Math.ceil(tokens)}
+      : undefined;
     request.askedBeforePooling = false;
   }
 
@@ -798,7 +799,7 @@
     if (heldTokens > 0 && this.context.returnToRelay(account, heldTokens)) {
       shares.receiveFromPeer(account, -heldTokens);
       for (const other of this.queue.of(account)) {
-        other.askedBeforePooling = other.askedOfRelay !== undefined;
+        other.askedBeforePooling = other.relayQuestion !== undefined;
       }
     }
     this.askRelay(request, tokens, 0);
--- a/packages/gateway/src/lib/budgets/token_queue.ts
+++ b/packages/gateway/src/lib/budgets/token_queue.ts
@@ -2,15 +2,20 @@
 import type {ReservationOutcome} from './prepaid_budgets.js';
 import type {TokenWait, WaitDecision} from '@citrontrestle/decisions';
 
+/** A question for tokens to the relay. */
+export interface RelayQuestion {
+  /** Identifies it; the relay's refusal names it. */
+  ask: number;
+  tokens: number;
+}
+
 /** A request that waits for tokens. */
 export interface WaitingRequest extends Omit<TokenWait, 'awaitsRelay'> {
   account: string;
   /** Whether the relay and the peers may be asked for tokens. */
   mayAskPeers: boolean;
-  /** Tokens for which the relay was asked and has not answered, if any. */
-  askedOfRelay: number | undefined;
-  /** Identifies that question; the relay's refusal names it. */
-  relayAsk: number | undefined;
+  /** Question to the relay that it has not answered, if any. */
+  relayQuestion: RelayQuestion | undefined;
   /** Whether tokens of this instance went to the relay after it was asked. */
   askedBeforePooling: boolean;
   /** How the relay has finally refused it; undefined if it has not. */
