--- a/packages/soak/src/lib/checks.ts
+++ b/packages/soak/src/lib/checks.ts
@@ -406,9 +406,7 @@
   disruptions,
   upstreamDrains,
 }: RunObservations): Violation[] {
-  const gatewaysByTry = new Map(
-    sentRequests.map(request => [tryOf(request), request.gateway]),
-  );
+  const gatewayOf = gatewayFinder(sentRequests);
   return upstreamRuns
     .filter(({upstream, run}) => {
       const drain = upstreamDrains.find(
@@ -417,7 +415,7 @@
       const isLate =
         run.startedAt >
         (drain?.announcedAt ?? Infinity) + CHANGE_PROPAGATION_LIMIT;
-      const gateway = gatewaysByTry.get(tryOfRun(run)) ?? '';
+      const gateway = gatewayOf(run);
       return (
         isLate &&
         isUndisturbed(disruptions, gateway, run.startedAt, run.startedAt)
@@ -425,7 +423,7 @@
     })
     .map(({upstream, run}) => ({
       guarantee: 'an upstream that leaves gets nothing new',
-      detail: `draining ${upstream} ran a request from ${gatewaysByTry.get(tryOfRun(run))}`,
+      detail: `draining ${upstream} ran a request from ${gatewayOf(run)}`,
       requestIds: [run.id],
     }));
 }
@@ -440,9 +438,7 @@
   disruptions,
   evacuations,
 }: RunObservations): Violation[] {
-  const gatewaysByTry = new Map(
-    sentRequests.map(request => [tryOf(request), request.gateway]),
-  );
+  const gatewayOf = gatewayFinder(sentRequests);
   return upstreamRuns
     .filter(({zone, run}) => {
       const {startedAt} = run;
@@ -452,14 +448,14 @@
           startedAt > evacuation.orderedAt + CHANGE_PROPAGATION_LIMIT &&
           startedAt < evacuation.takenBackAt,
       );
-      const gateway = gatewaysByTry.get(tryOfRun(run)) ?? '';
+      const gateway = gatewayOf(run);
       return (
         isLate && isUndisturbed(disruptions, gateway, startedAt, startedAt)
       );
     })
     .map(({upstream, zone, run}) => ({
       guarantee: 'an evacuated zone gets nothing new',
-      detail: `${upstream} in ${zone} ran a request from ${gatewaysByTry.get(tryOfRun(run))}`,
+      detail: `${upstream} in ${zone} ran a request from ${gatewayOf(run)}`,
       requestIds: [run.id],
     }));
 }
@@ -491,9 +487,7 @@
   disruptions,
   crashingParts,
 }: RunObservations): Violation[] {
-  const gatewaysByTry = new Map(
-    sentRequests.map(request => [tryOf(request), request.gateway]),
-  );
+  const gatewayOf = gatewayFinder(sentRequests);
   return crashingParts.flatMap(({part, crashTimes}) => {
     const fifthCrashAt = crashTimes[FREE_CRASHES - 1] ?? Infinity;
     const late = upstreamRuns.filter(
@@ -502,7 +496,7 @@
         run.startedAt > fifthCrashAt + CRASH_PROPAGATION_LIMIT &&
         isUndisturbed(
           disruptions,
-          gatewaysByTry.get(tryOfRun(run)) ?? '',
+          gatewayOf(run),
           run.startedAt,
           run.startedAt,
         ),
@@ -519,6 +513,16 @@
   });
 }
 
+/** Returns a function that tells which instance got the try of a run. */
+function gatewayFinder(
+  sentRequests: readonly SentRequest[],
+): (run: ServerRun) => string {
+  const gateways = new Map(
+    sentRequests.map(request => [tryOf(request), request.gateway]),
+  );
+  return run => gateways.get(tryOfRun(run)) ?? '';
+}
+
 /** Returns a key of a try. */
 function tryOf({id, tryNumber}: Pick<SentRequest, 'id' | 'tryNumber'>): string {
   return `${id} ${tryNumber}`;
--- a/packages/soak/src/test/checks_test.ts
+++ b/packages/soak/src/test/checks_test.ts
@@ -84,6 +84,14 @@
 const REFUSED = {status: 503, endedAt: 10_040};
 const SECOND_TRY = {tryNumber: 2, sentAt: 10_060, gateway: 'g2'};
 const RUN_OF_SECOND_TRY = {startedAt: 10_070, headers: {[TRY_HEADER]: '2'}};
+const SECOND_TRY_AT_DRAINING = {
+  sentRequests: [
+    buildSentRequest({}, REFUSED),
+    buildSentRequest(SECOND_TRY, {}),
+  ],
+  upstreamRuns: [buildUpstreamRun(RUN_OF_SECOND_TRY)],
+  upstreamDrains: [{upstream: 'u1', announcedAt: 7_000}],
+};
 const STREAM = {kind: RequestKind.NonResumableStream};
 const COMPLETE_STREAM = {body: buildStreamBody(1, 2, 3, 4, 5, 6)};
 const DISRUPTION = {gateway: 'g1', from: 9_000, until: 9_500};
@@ -213,12 +221,7 @@
   {
     name: 'a second try run by a draining upstream, just after a disruption of its instance',
     observations: buildObservations({
-      sentRequests: [
-        buildSentRequest({}, REFUSED),
-        buildSentRequest(SECOND_TRY, {}),
-      ],
-      upstreamRuns: [buildUpstreamRun(RUN_OF_SECOND_TRY)],
-      upstreamDrains: [{upstream: 'u1', announcedAt: 7_000}],
+      ...SECOND_TRY_AT_DRAINING,
       disruptions: [{...DISRUPTION, gateway: 'g2'}],
     }),
     violatedGuarantee: undefined,
@@ -226,12 +229,7 @@
   {
     name: 'a second try run by a draining upstream, just after a disruption of the first instance',
     observations: buildObservations({
-      sentRequests: [
-        buildSentRequest({}, REFUSED),
-        buildSentRequest(SECOND_TRY, {}),
-      ],
-      upstreamRuns: [buildUpstreamRun(RUN_OF_SECOND_TRY)],
-      upstreamDrains: [{upstream: 'u1', announcedAt: 7_000}],
+      ...SECOND_TRY_AT_DRAINING,
       disruptions: [DISRUPTION],
     }),
     violatedGuarantee: 'an upstream that leaves gets nothing new',
