Stand-ins: one way to write a raw answer, news of a server, parts of a prompt

The search compares the identifier in place of looking for it in the line's text, which is stricter.

--- a/packages/soak/src/lib/callers.ts
+++ b/packages/soak/src/lib/callers.ts
@@ -5,6 +5,7 @@
   call,
   completeEventIds,
   pause,
+  promptHeaders,
   tokenStreamHeaders,
 } from '@citrontrestle/stand_ins';
 import {
@@ -274,6 +275,9 @@
       ? crashingPart
       : `shared-${Math.floor(this.random() * SHARED_PARTS)}`;
     const ownTokens = STREAM_TOKENS.input / 2;
-    return {'X-Prompt-Prefix': `${shared}:${ownTokens},${id}:${ownTokens}`};
+    return promptHeaders([
+      [shared, ownTokens],
+      [id, ownTokens],
+    ]);
   }
 }
--- a/packages/stand_ins/src/lib/hosted/answer_copier.ts
+++ b/packages/stand_ins/src/lib/hosted/answer_copier.ts
@@ -3,6 +3,7 @@
  * answer once more on the same connection, while a request with the same
  * identifier is under way on it again.
  */
+import {formatAnswer} from './raw_answer.js';
 import type {Millis} from '@citrontrestle/decisions';
 import type {ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
@@ -69,13 +70,9 @@
     }
     this.answerCounts.set(id, count + 1);
     const {status, body} = answer;
-    const length = {'Content-Length': `${Buffer.byteLength(body)}`};
-    const headers = {...usualHeaders, ...answer.headers, ...length};
-    const lines = Object.entries(headers).map(
-      ([name, value]) => `${name}: ${value}\r\n`,
-    );
+    const headers = {...usualHeaders, ...answer.headers};
     const copies = this.copies.get(socket) ?? new Map<string, string>();
-    copies.set(id, `HTTP/1.1 ${status} Copy\r\n${lines.join('')}\r\n${body}`);
+    copies.set(id, formatAnswer(status, headers, body));
     this.copies.set(socket, copies);
     return {...answer, headers};
   }
--- a/packages/stand_ins/src/lib/hosted/caller.ts
+++ b/packages/stand_ins/src/lib/hosted/caller.ts
@@ -38,11 +38,23 @@
 ): Record<string, string> {
   return {
     'X-Token-Usage': `${inputTokens},${maxOutputTokens}`,
-    'X-Prompt-Prefix': `a1:${inputTokens - 10},b2:10`,
+    ...promptHeaders([
+      ['a1', inputTokens - 10],
+      ['b2', 10],
+    ]),
     'X-Model': 'm',
   };
 }
 
+/** Returns the headers that name the parts of a prompt and their tokens. */
+export function promptHeaders(
+  parts: readonly (readonly [id: string, tokens: number])[],
+): Record<string, string> {
+  return {
+    'X-Prompt-Prefix': parts.map(part => part.join(':')).join(','),
+  };
+}
+
 /** Returns the identifiers of the events that a caller got whole, in order. */
 export function completeEventIds({body}: Pick<CallerResult, 'body'>): number[] {
   const events = body.matchAll(/^id: (\d+)\ndata: token \d+(?: of \S+)?\n\n/gm);
--- a/packages/stand_ins/src/lib/hosted/fleet.ts
+++ b/packages/stand_ins/src/lib/hosted/fleet.ts
@@ -215,6 +215,13 @@
   eventLines(event: string): LogLine[] {
     return this.logLines.filter(line => line.event === event);
   }
+
+  /** Whether it has logged news of a server. */
+  hasNewsOf(serverId: string): boolean {
+    return this.eventLines('upstream.news').some(
+      line => line['upstream'] === serverId,
+    );
+  }
 }
 
 /** The store, servers and gateways of one test or soak run. */
--- a/packages/stand_ins/src/lib/hosted/refusal_copier.ts
+++ b/packages/stand_ins/src/lib/hosted/refusal_copier.ts
@@ -2,6 +2,7 @@
  * Lets a server refuse some requests and write copies of these refusals, which
  * nobody asked for, to the same connections later.
  */
+import {formatAnswer, refusalHeaders} from './raw_answer.js';
 import type {ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import type {Millis} from '@citrontrestle/decisions';
@@ -92,8 +93,7 @@
     state.refusals.set(id, occasion);
     outgoing.writeHead(this.settings.status, {
       ...headers,
-      'X-Not-Executed': '1',
-      'X-Request-Id': id,
+      ...refusalHeaders(id),
       'Content-Length': 0,
     });
     outgoing.end();
@@ -135,10 +135,7 @@
       return;
     }
     this.copyCount += 1;
-    socket.write(
-      `HTTP/1.1 ${this.settings.status} Refused\r\nX-Not-Executed: 1\r\n` +
-        `X-Request-Id: ${id}\r\nContent-Length: 0\r\n\r\n`,
-    );
+    socket.write(formatAnswer(this.settings.status, refusalHeaders(id)));
   }
 
   private nextOccasion(): CopyOccasion {
--- a/packages/stand_ins/src/lib/hosted/server.ts
+++ b/packages/stand_ins/src/lib/hosted/server.ts
@@ -4,6 +4,7 @@
  */
 import {createServer} from 'node:http';
 import {AnswerCopier} from './answer_copier.js';
+import {formatAnswer, refusalHeaders} from './raw_answer.js';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import type {Millis} from '@citrontrestle/decisions';
@@ -289,8 +290,7 @@
         ...(retryAfterSeconds !== undefined && {
           'Retry-After': String(retryAfterSeconds),
         }),
-        'X-Not-Executed': '1',
-        'X-Request-Id': run.id,
+        ...refusalHeaders(run.id),
       });
       outgoing.end();
       return;
@@ -300,8 +300,9 @@
     if (copied !== undefined) {
       this.runs.push(...(copied.hasRun ? [run] : []));
       const {status, headers, body} = copied;
+      const length = {'Content-Length': Buffer.byteLength(body)};
       setTimeout(() => {
-        outgoing.writeHead(status, headers).end(body);
+        outgoing.writeHead(status, {...headers, ...length}).end(body);
       }, this.settings.stepMs);
       return;
     }
@@ -343,8 +344,7 @@
     this.rejectionTimes.push(now);
     outgoing.writeHead(503, {
       ...this.statementHeaders(),
-      'X-Not-Executed': '1',
-      'X-Request-Id': run.id,
+      ...refusalHeaders(run.id),
     });
     outgoing.end();
     if (this.rejectionTimes.length > (this.brittleness ?? Infinity)) {
@@ -476,9 +476,9 @@
   server: HostedServer,
   outgoing: ServerResponse,
   run: ServerRun,
-  idLine: string,
+  headers: Record<string, string>,
 ): void {
-  const refusal = `HTTP/1.1 503 Service Unavailable\r\n${idLine}X-Not-Executed: 1\r\nServer-Leaving: 1\r\nContent-Length: 0\r\n\r\n`;
+  const refusal = formatAnswer(503, {...headers, 'Server-Leaving': '1'});
   writeRaw(outgoing, refusal, false);
   setTimeout(
     () => writeRaw(outgoing, `${formatHead(server, run, 4)}done`, false),
@@ -559,7 +559,7 @@
     setTimeout(() => writeRaw(outgoing, answer, false), server.settings.stepMs);
   },
   [ServerFault.RepeatedRefusal]: (server, outgoing, run) => {
-    repeatRefusal(server, outgoing, run, 'X-Request-Id: earlier\r\n');
+    repeatRefusal(server, outgoing, run, refusalHeaders('earlier'));
   },
   [ServerFault.UnnamedRefusal]: (server, outgoing, run) => {
     if (outgoing.socket?.bytesWritten === 0) {
@@ -567,7 +567,7 @@
       sendNormalAnswer(server, outgoing, run);
       return;
     }
-    repeatRefusal(server, outgoing, run, '');
+    repeatRefusal(server, outgoing, run, {'X-Not-Executed': '1'});
   },
   [ServerFault.CutHead]: (server, outgoing, run) => {
     const {bytes, interim, resets} = server.headCut;
