--- a/packages/gateway/src/lib/budgets/prepaid_budgets.ts
+++ b/packages/gateway/src/lib/budgets/prepaid_budgets.ts
@@ -504,6 +504,16 @@
     );
   }
 
+  /**
+   * Returns the same for logs; undefined if a relay supplies this instance, whose
+   * own page may then be as old as the process.
+   */
+  knownUntakenTokens(account: string): number | undefined {
+    return this.context.hasResponsiveRelay()
+      ? undefined
+      : this.untakenTokens(account);
+  }
+
   /** Returns what is known of an account. For logs. */
   evidence(account: string): BudgetEvidence {
     const page = this.pageOf(account);
--- a/packages/gateway/src/lib/process/gateway.ts
+++ b/packages/gateway/src/lib/process/gateway.ts
@@ -31,6 +31,7 @@
 import {LimitWatch} from '../upstreams/limit_watch.js';
 import {GatewayMetrics} from './gateway_metrics.js';
 import {HeldBytes} from './held_bytes.js';
+import {LoopDelay} from './loop_delay.js';
 import {PeerMessageKind} from '../fleet/peer_message.js';
 import {PeerExchange} from '../fleet/peer_exchange.js';
 import {PeerNetwork} from '../fleet/peer_network.js';
@@ -140,12 +141,14 @@
   private readonly shutdown: Shutdown;
   private readonly recorder: RequestRecorder;
   private readonly linkAdmission: LinkAdmission;
+  private readonly loopDelay: LoopDelay;
 
   constructor(private readonly dependencies: GatewayDependencies) {
     const {settings, store, dialect, log} = dependencies;
     const {clock} = this;
     const {instance, zone, peers, repeats} = settings;
     this.linkLoad = new LinkLoad(settings.machine.linkMbps);
+    this.loopDelay = new LoopDelay(clock, log);
     this.shutdown = this.createShutdown();
     // Identity of this process, under which it holds prepaid tokens and
     // connects to peers; a restarted instance gets another one.
@@ -570,6 +573,7 @@
     this.sharedVerdicts.start();
     this.streamRecords.start();
     this.reachability.start();
+    this.loopDelay.start();
     this.budgets.start();
     this.peerExchange.sendLoadPeriodically();
     setInterval(() => this.prune(), PRUNE_INTERVAL);
@@ -714,6 +718,8 @@
       followers: followers.length,
       equals: meshPeers.length,
       cpuMs: Math.round(process.cpuUsage().user / 1_000),
+      maxDelayMs: Math.round(this.loopDelay.takeMax()),
+      storeSilentMs: Math.round(this.storeSilence()),
     });
   }
 }
--- a/packages/gateway/src/lib/requests/request_recorder.ts
+++ b/packages/gateway/src/lib/requests/request_recorder.ts
@@ -77,7 +77,7 @@
       granted: account && this.routeTable.grantedTokens(account.name),
       available:
         account && Math.round(this.budgets.availableTokens(account.name)),
-      untaken: account && this.budgets.untakenTokens(account.name),
+      untaken: account && this.budgets.knownUntakenTokens(account.name),
       ...this.refusalEvidence(admitted, result),
       version: this.routeTable.version(),
       wholeMs,
