--- a/packages/gateway/src/test/upstreams/failed_call.ts
+++ b/packages/gateway/src/test/upstreams/failed_call.ts
@@ -1,4 +1,4 @@
-/** Sends one call that fails, for tests of how it fails. */
+/** Sends one call that fails or is cancelled, for tests of how it ends. */
 import {UpstreamAgent} from '../../lib/upstreams/upstream_agent.js';
 import {UpstreamCall} from '../../lib/upstreams/upstream_call.js';
 import type {CallFailure} from '../../lib/requests/call_failure.js';
@@ -14,34 +14,44 @@
   dialect: Partial<Dialect> = {},
 ): Promise<CallFailure> {
   return new Promise(resolve => {
-    new UpstreamCall(
-      {
-        address: `127.0.0.1:${port}`,
-        method: 'GET',
-        target: '/',
-        headers: {Host: 'upstream'},
-        body: Buffer.alloc(0),
-        requestId: 'r1',
-        agent: new UpstreamAgent(),
-        observer: {
-          onSent: ignore,
-          onConnected: ignore,
-          onConnectFailed: ignore,
-          onHeard: ignore,
-          onEnded: ignore,
-        },
-        isProxied: false,
-        mayStillSend: () => true,
-        ...request,
-      },
-      dialect as Dialect,
-      {
-        onHead: ignore,
-        onStatement: ignore,
-        onData: ignore,
-        onComplete: ignore,
-        onFailure: resolve,
-      },
-    );
+    startCall(port, request, dialect, resolve);
   });
 }
+
+/** Sends a request to a port of this machine. */
+export function startCall(
+  port: number,
+  request: Partial<UpstreamRequest> = {},
+  dialect: Partial<Dialect> = {},
+  onFailure: (failure: CallFailure) => void = ignore,
+): UpstreamCall {
+  return new UpstreamCall(
+    {
+      address: `127.0.0.1:${port}`,
+      method: 'GET',
+      target: '/',
+      headers: {Host: 'upstream'},
+      body: Buffer.alloc(0),
+      requestId: 'r1',
+      agent: new UpstreamAgent(),
+      observer: {
+        onSent: ignore,
+        onConnected: ignore,
+        onConnectFailed: ignore,
+        onHeard: ignore,
+        onEnded: ignore,
+      },
+      isProxied: false,
+      mayStillSend: () => true,
+      ...request,
+    },
+    dialect as Dialect,
+    {
+      onHead: ignore,
+      onStatement: ignore,
+      onData: ignore,
+      onComplete: ignore,
+      onFailure,
+    },
+  );
+}
