A cancelled or failed call takes back what is under way to the upstream

Cause: a call ended by closing its connection, and a closed connection still delivers all that the kernel has taken, however long a full link needs for it.

Change: connections of RequestAgent are reset when they are destroyed. All calls to upstreams, to peers that forward, and those of the own interface to engines and services use it, so cancelled calls, abandoned and failed attempts, time limits and stops are covered in one place.

--- a/packages/runtime/src/lib/request_agent.ts
+++ b/packages/runtime/src/lib/request_agent.ts
@@ -4,7 +4,9 @@
  * its identifier, if no connection carries the same identifier twice.
  */
 import {Agent} from 'node:http';
+import {Socket} from 'node:net';
 import {textHash} from '@citrontrestle/decisions';
+import {resetWhenDestroyed} from './connection_reset.js';
 import {splitAddress} from './http.js';
 import type {AgentOptions} from 'node:http';
 import type {Duplex} from 'node:stream';
@@ -56,14 +58,33 @@
   unexpectedData: number;
 }
 
+/**
+ * An agent whose connections are reset when they are destroyed, so that a server
+ * gets nothing more of a request that was cancelled or has failed.
+ */
+export class ResettingAgent extends Agent {
+  override createConnection(
+    ...parameters: Parameters<Agent['createConnection']>
+  ): ReturnType<Agent['createConnection']> {
+    const connection = super.createConnection(...parameters);
+    if (connection instanceof Socket) {
+      resetWhenDestroyed(connection);
+    }
+    return connection;
+  }
+}
+
 /**
  * An HTTP agent that closes an idle connection when data arrives on it, as such
  * data would be taken for the answer to the next request.
  */
-export class RequestAgent extends Agent {
+export class RequestAgent extends ResettingAgent {
   readonly counts: AgentCounts = {ownConnections: 0, unexpectedData: 0};
   /** Opens a connection for each request. */
-  private readonly singleAgent = new Agent({keepAlive: false, noDelay: true});
+  private readonly singleAgent = new ResettingAgent({
+    keepAlive: false,
+    noDelay: true,
+  });
   private readonly records = new WeakMap<Duplex, ConnectionRecord>();
   /** Listeners that destroy an idle connection when data arrives. */
   private readonly dataListeners = new WeakMap<Duplex, () => void>();
--- a/packages/service/src/lib/service.ts
+++ b/packages/service/src/lib/service.ts
@@ -1,7 +1,10 @@
 /** Client for plain services: one call, one answer with the id of the call. */
-import {Agent} from 'node:http';
 import {AttemptOutcome} from '@citrontrestle/decisions';
-import {HttpOutcome, sendHttpRequest} from '@citrontrestle/runtime';
+import {
+  HttpOutcome,
+  ResettingAgent,
+  sendHttpRequest,
+} from '@citrontrestle/runtime';
 import type {Millis} from '@citrontrestle/decisions';
 import type {HttpResult} from '@citrontrestle/runtime';
 
@@ -34,7 +37,7 @@
   // No keep-alive: if the service closes a reused connection while a call is
   // being sent, it is unknown whether the call ran. Nor can a new connection
   // carry a copy of the answer to an earlier call.
-  private readonly agent = new Agent({keepAlive: false});
+  private readonly agent = new ResettingAgent({keepAlive: false});
 
   /** Sends a call once, without retries; failures are results. */
   async call(options: ServiceCall): Promise<ServiceResult> {
