Work for a request only after its connection has been read to the end

Cause: an instance that comes late finds a request and the end of its connection together, and acted on the first before it read the second. The same held for a peer that forwards, for an attempt that is repeated after a failure found in the same moment, for silence that a timer judges before the answer in the socket is read, and for waits for tokens, for room and for the origin of a stream.

Callers are asked for by the state of their connection, as its events come a turn of the event loop later. Requests whose caller had left are counted (departed, citrontrestle_departed_requests_total).

--- a/packages/gateway/src/lib/process/gateway.ts
+++ b/packages/gateway/src/lib/process/gateway.ts
@@ -45,6 +45,7 @@
 import {ReturnPlanner} from '../requests/return_planner.js';
 import {SharedVerdicts} from '../crashes/shared_verdicts.js';
 import {Shutdown} from './shutdown.js';
+import {SocketReads} from './socket_reads.js';
 import {StatementWatch} from '../upstreams/statement_watch.js';
 import {StateSync} from '../fleet/state_sync.js';
 import {StreamRecords} from '../streams/stream_records.js';
@@ -142,6 +143,7 @@
   private readonly recorder: RequestRecorder;
   private readonly linkAdmission: LinkAdmission;
   private readonly loopDelay: LoopDelay;
+  private readonly socketReads = new SocketReads(this.clock);
 
   constructor(private readonly dependencies: GatewayDependencies) {
     const {settings, store, dialect, log} = dependencies;
@@ -344,6 +346,7 @@
       log,
       heldRequests,
       bufferCollection,
+      this.socketReads,
     );
     this.readyServer = new ReadyServer(() => this.isReady(), log);
     const returnPlanner = new ReturnPlanner(this.linkLoad, clock, Math.random);
@@ -388,9 +391,11 @@
       heldResponses: new HeldBytes(maxHeldBytes),
       bufferCollection,
       returnPlanner,
+      socketReads: this.socketReads,
       linkLoad: this.linkLoad,
       admits: deadline => this.shutdown.admits(deadline),
       instanceCount: () => this.instanceCount(),
+      recordDeparture: () => this.metrics.recordDeparture(),
       recordHeldBack: service => this.metrics.recordHeldBack(service),
       random: Math.random,
     };
@@ -641,6 +646,11 @@
     return limits?.maxBodyBytes ?? INITIAL_MAX_BODY_BYTES;
   }
 
+  /** Counts a request whose caller left before anything was done for it. */
+  recordDeparture(): void {
+    this.metrics.recordDeparture();
+  }
+
   /** Serves a request whose body has been read. */
   serve(request: BufferedRequest, response: CallerResponse): RequestHandle {
     return this.requestService.serve(request, response);
@@ -718,6 +728,7 @@
       followers: followers.length,
       equals: meshPeers.length,
       cpuMs: Math.round(process.cpuUsage().user / 1_000),
+      departed: this.metrics.departures(),
       maxDelayMs: Math.round(this.loopDelay.takeMax()),
       storeSilentMs: Math.round(this.storeSilence()),
     });
--- a/packages/gateway/src/lib/process/gateway_metrics.ts
+++ b/packages/gateway/src/lib/process/gateway_metrics.ts
@@ -48,6 +48,8 @@
   private readonly totalTime: Histogram;
   private readonly timeToFirstByte: Histogram;
   private readonly heldBack: Counter;
+  private readonly departed: Counter;
+  private departureCount = 0;
   private readonly server: Server;
 
   constructor(store: Store, sources: MetricSources) {
@@ -112,6 +114,11 @@
       labelNames: ['service'],
       registers,
     });
+    this.departed = new Counter({
+      name: 'citrontrestle_departed_requests_total',
+      help: 'Requests whose caller left before anything was done for them',
+      registers,
+    });
     const coldUpstreams = new Gauge({
       name: 'citrontrestle_cold_upstreams',
       help: 'Upstreams that are cold or may be, by service',
@@ -200,6 +207,17 @@
     return this.labelledZones.has(zone) ? zone : OTHER_ZONES_LABEL;
   }
 
+  /** Counts a request whose caller left before anything was done for it. */
+  recordDeparture(): void {
+    this.departureCount += 1;
+    this.departed.inc();
+  }
+
+  /** Returns the number of such requests since the start. */
+  departures(): number {
+    return this.departureCount;
+  }
+
   /** Counts a request that was refused because upstreams are cold. */
   recordHeldBack(service: string): void {
     this.heldBack.inc({service});
--- a/packages/gateway/src/lib/process/instance_context.ts
+++ b/packages/gateway/src/lib/process/instance_context.ts
@@ -3,6 +3,7 @@
 import type {BrittleWatch} from '../upstreams/brittle_watch.js';
 import type {BufferCollection} from './buffer_collection.js';
 import type {HeldBytes} from './held_bytes.js';
+import type {SocketReads} from './socket_reads.js';
 import type {EvacuationWatch} from '../fleet/evacuation_watch.js';
 import type {ColdWatch} from '../upstreams/cold_watch.js';
 import type {CrashWatch} from '../crashes/crash_watch.js';
@@ -53,6 +54,8 @@
   bufferCollection: BufferCollection;
   /** Chooses when refused callers are to return. */
   returnPlanner: ReturnPlanner;
+  /** Orders steps after the reading of sockets. */
+  socketReads: SocketReads;
   /** Traffic on the machine's network link. */
   linkLoad: LinkLoad;
   /**
@@ -62,6 +65,8 @@
   admits(deadline: Millis): boolean;
   /** Returns the number of instances that may be running, at least 1. */
   instanceCount(): number;
+  /** Counts a request whose caller left before anything was done for it. */
+  recordDeparture(): void;
   /** Counts a request that was refused because upstreams are cold. */
   recordHeldBack(service: string): void;
   /** Returns a uniformly distributed random number in [0, 1). */
--- a/packages/gateway/src/lib/requests/caller_response.ts
+++ b/packages/gateway/src/lib/requests/caller_response.ts
@@ -19,6 +19,15 @@
     response.sendDate = false;
   }
 
+  /**
+   * Whether the caller has left, as far as its connection has been read. It is
+   * told by events only later.
+   */
+  hasCallerLeft(): boolean {
+    const {socket} = this.response.req;
+    return socket.destroyed || socket.readableEnded;
+  }
+
   /** Whether the head has been sent. */
   hasBegun(): boolean {
     return this.response.headersSent;
--- a/packages/gateway/src/lib/requests/forwarding.ts
+++ b/packages/gateway/src/lib/requests/forwarding.ts
@@ -185,6 +185,28 @@
     this.guard(() => this.startAttempt());
   }
 
+  /**
+   * Starts another attempt once the sockets have been read, unless the caller has
+   * left or the request has ended by then.
+   */
+  private startNextAttempt(): void {
+    this.afterReading(() => this.startAttempt());
+  }
+
+  /** Runs a step after the sockets have been read, if the caller is still there. */
+  private afterReading(step: () => void): void {
+    this.context.socketReads.runAfter(() => {
+      if (this.isFinished) {
+        return;
+      }
+      if (this.response.hasCallerLeft()) {
+        this.cancel();
+      } else {
+        this.guard(step);
+      }
+    });
+  }
+
   /**
    * Runs a step of this request. An exception ends the request, and nothing else:
    * each timer and each event of a call enters through here.
@@ -344,7 +366,7 @@
       return false;
     }
     this.roomTimer = setTimeout(
-      () => this.guard(() => this.startAttempt()),
+      () => this.startNextAttempt(),
       ROOM_CHECK_INTERVAL,
     );
     return true;
@@ -399,10 +421,17 @@
       silenceTimeout(this.request.route),
     );
     clearTimeout(this.silenceTimer);
-    this.silenceTimer = setTimeout(
-      () => this.guard(() => this.handleSilence()),
-      timeout,
-    );
+    this.silenceTimer = setTimeout(() => this.endIfSilent(), timeout);
+  }
+
+  /** Judges the current attempt, once what the upstream has sent was read. */
+  private endIfSilent(): void {
+    const {call} = this;
+    this.afterReading(() => {
+      if (this.call === call) {
+        this.handleSilence();
+      }
+    });
   }
 
   /** Repeats the request, if allowed, unless the upstream has responded. */
@@ -413,7 +442,7 @@
     }
     if (this.tryTakeRepeat()) {
       this.abandonAttempt('silent', PlacementOutcome.Failed);
-      this.startAttempt();
+      this.startNextAttempt();
     }
   }
 
@@ -653,7 +682,7 @@
       return false;
     }
     this.abandonAttempt(reason, outcome);
-    this.startAttempt();
+    this.startNextAttempt();
     return true;
   }
 
@@ -734,7 +763,7 @@
     if (this.unsentAttempts > MAX_UNSENT_RETRIES) {
       this.giveUp(RefusalReason.NoUpstream);
     } else {
-      this.startAttempt();
+      this.startNextAttempt();
     }
   }
 
@@ -767,7 +796,7 @@
       hasTime &&
       context.repeatAllowance.tryTake(this.serviceName, instanceCount, now)
     ) {
-      this.startAttempt();
+      this.startNextAttempt();
     } else {
       onDenied();
     }
--- a/packages/gateway/src/lib/requests/front_server.ts
+++ b/packages/gateway/src/lib/requests/front_server.ts
@@ -13,6 +13,7 @@
 import {RefusalReason} from './refusal.js';
 import type {BufferCollection} from '../process/buffer_collection.js';
 import type {HeldBytes} from '../process/held_bytes.js';
+import type {SocketReads} from '../process/socket_reads.js';
 import type {Dialect} from '../process/ports.js';
 import type {CallerLimits, Millis} from '@citrontrestle/decisions';
 import type {Log} from '@citrontrestle/runtime';
@@ -33,6 +34,8 @@
   isClosing(): boolean;
   /** Returns the maximum size of a request body in bytes. */
   maxBodyBytes(): number;
+  /** Is told of a request whose caller left before it was served. */
+  recordDeparture(): void;
   /** Is told of bytes that were received from callers. */
   recordReceived(bytes: number): void;
   /**
@@ -71,6 +74,14 @@
 /** Maximum number of connections that wait to be accepted. */
 const LISTEN_BACKLOG = 1_024;
 
+/** How far a request has come. */
+interface ServingState {
+  /** Whether its response has ended or its connection has closed. */
+  isClosed: boolean;
+  /** Undefined until it is served. */
+  handle?: RequestHandle;
+}
+
 /** Reads the requests of callers and passes them to a handler. */
 export class FrontServer {
   private readonly server: Server;
@@ -87,6 +98,7 @@
     private readonly heldRequests: HeldBytes,
     /** Is told of all bytes of bodies that are read. */
     private readonly bufferCollection: BufferCollection,
+    private readonly socketReads: SocketReads,
   ) {
     this.server = createServer(
       {maxHeaderSize: MAX_HEAD_BYTES, noDelay: true},
@@ -146,9 +158,7 @@
       return;
     }
     this.activeCount += 1;
-    const state: {isClosed: boolean; handle?: RequestHandle} = {
-      isClosed: false,
-    };
+    const state: ServingState = {isClosed: false};
     const held = new HeldPart(this.heldRequests);
     serverResponse.on('close', () => {
       this.activeCount -= 1;
@@ -169,18 +179,44 @@
         return;
       }
       const body = await this.readBodyOrRefuse(incoming, response, held);
-      if (body === undefined || state.isClosed) {
-        return;
+      if (body !== undefined) {
+        this.socketReads.runAfter(() =>
+          this.serveUnlessLeft({incoming, body}, response, state),
+        );
       }
-      state.handle = this.handler.serve({incoming, body}, response);
+    } catch (error) {
+      this.endOnException(error, incoming, response);
+    }
+  }
+
+  /** Serves a request, unless its caller has left. */
+  private serveUnlessLeft(
+    request: BufferedRequest,
+    response: CallerResponse,
+    state: ServingState,
+  ): void {
+    if (state.isClosed || response.hasCallerLeft()) {
+      this.handler.recordDeparture();
+      return;
+    }
+    try {
+      state.handle = this.handler.serve(request, response);
       this.handles.add(state.handle);
     } catch (error) {
-      const request = String(incoming.headers['x-request-id']);
-      this.log.error('request.threw', {request, ...exceptionFields(error)});
-      response.abort();
+      this.endOnException(error, request.incoming, response);
     }
   }
 
+  private endOnException(
+    error: unknown,
+    incoming: IncomingMessage,
+    response: CallerResponse,
+  ): void {
+    const request = String(incoming.headers['x-request-id']);
+    this.log.error('request.threw', {request, ...exceptionFields(error)});
+    response.abort();
+  }
+
   /**
    * Refuses a request before its body is read and returns true, if the link is
    * too full for it.
--- a/packages/gateway/src/lib/requests/request_service.ts
+++ b/packages/gateway/src/lib/requests/request_service.ts
@@ -20,6 +20,9 @@
 import type {InstanceContext} from '../process/instance_context.js';
 import type {Millis, RouteTable} from '@citrontrestle/decisions';
 
+/** Time from which on a reservation was a wait, in which callers may leave. */
+const LONG_RESERVATION: Millis = 1;
+
 /** What happens to a request while it is served. */
 interface ServingState {
   /** Whether its caller has disconnected or has got its final response. */
@@ -146,7 +149,8 @@
   ): Promise<void> {
     const {streamTracker} = this.context;
     const version = await streamTracker.versionToResume(admitted);
-    if (state.hasEnded) {
+    await this.context.socketReads.completed();
+    if (state.hasEnded || response.hasCallerLeft()) {
       return;
     }
     if (version === undefined) {
@@ -234,7 +238,10 @@
       }
       return;
     }
-    if (state.hasEnded) {
+    if (this.context.clock.now() - startedAt >= LONG_RESERVATION) {
+      await this.context.socketReads.completed();
+    }
+    if (state.hasEnded || response.hasCallerLeft()) {
       this.budgets.settle(accountName, tokens, 0);
       return;
     }
--- a/packages/gateway/src/lib/upstreams/proxy_server.ts
+++ b/packages/gateway/src/lib/upstreams/proxy_server.ts
@@ -73,6 +73,8 @@
   | 'coldWatch'
   | 'reachability'
   | 'admits'
+  | 'socketReads'
+  | 'recordDeparture'
 > {
   fleetKey: string;
   agent: UpstreamAgent;
@@ -136,7 +138,13 @@
       sendFailure(response, order, {failure, reason: NO_ROOM});
       return;
     }
-    if (body === undefined || outgoing.destroyed) {
+    if (body === undefined) {
+      outgoing.destroy();
+      return;
+    }
+    await this.context.socketReads.completed();
+    if (outgoing.destroyed || response.hasCallerLeft()) {
+      this.context.recordDeparture();
       outgoing.destroy();
       return;
     }
--- a/packages/gateway/src/test/requests/exception_guard_test.ts
+++ b/packages/gateway/src/test/requests/exception_guard_test.ts
@@ -7,6 +7,7 @@
 import {CallerResponse} from '../../lib/requests/caller_response.js';
 import {Forwarding} from '../../lib/requests/forwarding.js';
 import {FrontServer} from '../../lib/requests/front_server.js';
+import {SocketReads} from '../../lib/process/socket_reads.js';
 import {HeldBytes} from '../../lib/process/held_bytes.js';
 import type {AddressInfo, Server} from 'node:net';
 import type {AdmittedRequest} from '../../lib/requests/admission.js';
@@ -182,11 +183,13 @@
         isClosing: () => false,
         maxBodyBytes: () => 100,
         recordReceived: () => undefined,
+        recordDeparture: () => undefined,
         delayOfRefusedHead: () => undefined,
       },
       log,
       new HeldBytes(1_000),
       stub({}),
+      new SocketReads({now: () => 0}),
     );
     server = createServer();
     await new Promise<void>(resolve => {
--- a/packages/gateway/src/test/requests/front_server_test.ts
+++ b/packages/gateway/src/test/requests/front_server_test.ts
@@ -8,6 +8,7 @@
   PROCESS_BUFFERS,
 } from '../../lib/process/buffer_collection.js';
 import {HeldBytes} from '../../lib/process/held_bytes.js';
+import {SocketReads} from '../../lib/process/socket_reads.js';
 import {FrontServer} from '../../lib/requests/front_server.js';
 import type {AddressInfo} from 'node:net';
 import type {Dialect} from '../../lib/process/ports.js';
@@ -62,6 +63,7 @@
       },
       isClosing: () => false,
       maxBodyBytes: () => 2 * LARGE_BYTES,
+      recordDeparture: () => undefined,
       recordReceived: bytes => void (received += bytes),
       delayOfRefusedHead: () => (refusesHeads ? DELAY : undefined),
     };
@@ -73,6 +75,7 @@
       LOG,
       new HeldBytes(2 * LARGE_BYTES),
       new BufferCollection(PROCESS_BUFFERS, 2 * LARGE_BYTES),
+      new SocketReads({now: () => 0}),
     );
     await front.listen(address);
   });
--- a/packages/gateway/src/test/upstreams/proxy_server_test.ts
+++ b/packages/gateway/src/test/upstreams/proxy_server_test.ts
@@ -11,6 +11,7 @@
   orderHeaders,
   parseFailure,
 } from '../../lib/upstreams/proxy_protocol.js';
+import {SocketReads} from '../../lib/process/socket_reads.js';
 import {ProxyServer} from '../../lib/upstreams/proxy_server.js';
 import type {AddressInfo} from 'node:net';
 import type {StatedFailure} from '../../lib/upstreams/proxy_protocol.js';
@@ -89,6 +90,7 @@
       heldRequests,
       maxBodyBytes: () => Infinity,
       admits: () => true,
+      socketReads: new SocketReads({now: () => 0}),
       clock: {now: () => 0},
       log: {info: () => undefined},
       linkLoad: {isSaturated: () => false},
