Cancel all requests of a connection when its caller leaves

Cause: node:http tells only the response that is being sent that the connection has closed; those that wait behind it were neither cancelled nor counted as ended, so a planned stop waited for them as well.

Change: FrontServer keeps what ends the responses of each connection.

Result: front_server_test.ts, three requests on one connection: one of them was cancelled before, now three, and none is counted as running.

--- a/packages/gateway/src/lib/requests/front_server.ts
+++ b/packages/gateway/src/lib/requests/front_server.ts
@@ -89,6 +89,8 @@
   private readonly handles = new Set<RequestHandle>();
   /** Connections that end with the refusal of a request whose body is unread. */
   private readonly closingSockets = new WeakSet<Duplex>();
+  /** What ends the responses of each connection that have not ended. */
+  private readonly openResponses = new WeakMap<Duplex, Set<() => void>>();
 
   constructor(
     private readonly dialect: Dialect,
@@ -104,6 +106,9 @@
       {maxHeaderSize: MAX_HEAD_BYTES, noDelay: true},
       (incoming, response) => void this.handleRequest(incoming, response),
     );
+    this.server.on('connection', connection => {
+      this.watchConnection(connection);
+    });
     this.server.on('clientError', (error, socket) => {
       if (this.closingSockets.has(socket)) {
         socket.destroy();
@@ -160,7 +165,7 @@
     this.activeCount += 1;
     const state: ServingState = {isClosed: false};
     const held = new HeldPart(this.heldRequests);
-    serverResponse.on('close', () => {
+    this.whenEnded(serverResponse, () => {
       this.activeCount -= 1;
       held.resize(0);
       state.isClosed = true;
@@ -189,6 +194,28 @@
     }
   }
 
+  /**
+   * Calls back once when a response has ended or its connection has closed. A
+   * response that waits behind another one on its connection is not told of that.
+   */
+  private whenEnded(response: ServerResponse, callback: () => void): void {
+    const responses = this.openResponses.get(response.req.socket);
+    const end = () => {
+      if (responses?.delete(end) !== false) {
+        callback();
+      }
+    };
+    responses?.add(end);
+    response.on('close', end);
+  }
+
+  /** Keeps what is to be called when a connection closes. */
+  private watchConnection(connection: Duplex): void {
+    const responses = new Set<() => void>();
+    this.openResponses.set(connection, responses);
+    connection.once('close', () => responses.forEach(end => end()));
+  }
+
   /** Serves a request, unless its caller has left. */
   private serveUnlessLeft(
     request: BufferedRequest,
--- a/packages/gateway/src/test/requests/front_server_test.ts
+++ b/packages/gateway/src/test/requests/front_server_test.ts
@@ -50,16 +50,23 @@
   let served: number;
   let received: number;
   let refusesHeads: boolean;
+  /** Whether requests stay without a response. */
+  let holdsRequests: boolean;
+  let cancelled: number;
 
   beforeEach(async () => {
     served = 0;
     received = 0;
     refusesHeads = false;
+    holdsRequests = false;
+    cancelled = 0;
     const handler: FrontServerHandler = {
       serve: (_request, response) => {
         served += 1;
-        response.send(200, {}, Buffer.alloc(0));
-        return {cancel: () => undefined, stop: () => undefined};
+        if (!holdsRequests) {
+          response.send(200, {}, Buffer.alloc(0));
+        }
+        return {cancel: () => void (cancelled += 1), stop: () => undefined};
       },
       isClosing: () => false,
       maxBodyBytes: () => 2 * LARGE_BYTES,
@@ -118,6 +125,19 @@
     });
   }
 
+  it('cancels all requests of a connection when its caller leaves', async () => {
+    holdsRequests = true;
+    const socket = connect(port, '127.0.0.1');
+    const request = 'GET /a HTTP/1.1\r\nHost: h\r\n\r\n';
+    socket.write(request + request + request);
+    await pause(50);
+    expect(served).to.equal(3);
+    socket.destroy();
+    await pause(50);
+    expect(cancelled).to.equal(3);
+    expect(front.activeRequests()).to.equal(0);
+  });
+
   it('reads nothing of a body whose caller reads the answer first', async () => {
     refusesHeads = true;
     const answer = await new Promise<string>(resolve => {
