A full link of an instance's own is not a partition from the upstreams

Cause: the account's callers reach a few small instances, whose links they fill. There a new connection takes longer than 300 ms, as its packets wait. Those instances took that for a partition (upstreams.unreachable although an upstream was heard 1 ms before), sent requests through peers over the same link, and failed after five attempts: 14,089 of 14,811 failed attempts of the zone are 'connection timed out' at a peer, 2,688 of the account's 5,630 ended requests are no-upstream after 1.2 s. Each attempt was counted as use of the link though nothing had been sent, so the use was reported as up to 1.8 and 6,972 requests were refused as machine-busy.

Change: while the own link is crowded (0.4), connecting may take 1 s, and a timeout is no evidence of a partition; after a process was held up, a connection that is established by then counts. Only what is written to a connection counts as use.

--- a/packages/decisions/src/lib/admission/link_load.ts
+++ b/packages/decisions/src/lib/admission/link_load.ts
@@ -12,7 +12,10 @@
 /** Utilisation above which callers are asked to connect to other instances. */
 export const BUSY_UTILISATION = 0.5;
 
-/** Utilisation above which large bodies wait, so that other requests have room. */
+/**
+ * Utilisation above which large bodies wait, so that other requests have room,
+ * and above which packets may wait behind others.
+ */
 const CROWDED_UTILISATION = 0.4;
 
 /**
@@ -40,6 +43,12 @@
  */
 const SATURATED_HOLD_TIME: Millis = 30_000;
 
+/** Time within which a connection is established while the link has room. */
+const CONNECT_TIME: Millis = 300;
+
+/** The same while the link is crowded. */
+const CROWDED_CONNECT_TIME: Millis = 1_000;
+
 const BITS_PER_BYTE = 8;
 
 /** Bits per millisecond at 1 Mbit/s. */
@@ -69,6 +78,11 @@
     return this.utilisation(now) > CROWDED_UTILISATION;
   }
 
+  /** Returns the time within which a new connection is established. */
+  connectTimeout(now: Millis): Millis {
+    return this.isCrowded(now) ? CROWDED_CONNECT_TIME : CONNECT_TIME;
+  }
+
   /** Returns the used fraction of the link in its busier direction. */
   utilisation(now: Millis): number {
     const bytes = Math.max(this.received.total(now), this.sent.total(now));
--- a/packages/gateway/src/lib/process/gateway.ts
+++ b/packages/gateway/src/lib/process/gateway.ts
@@ -319,6 +319,7 @@
       new Reachability(),
       this.upstreamRegistry,
       this.upstreamAgent,
+      this.linkLoad,
       clock,
       log,
       () => this.peerNetwork.sendHeartbeats(),
@@ -331,6 +332,7 @@
       agent: this.upstreamAgent,
       reachability: this.reachability,
       evacuationWatch: this.evacuationWatch,
+      linkLoad: this.linkLoad,
       proxies: () => this.peerNetwork.proxies(),
       random: Math.random,
     });
--- a/packages/gateway/src/lib/requests/forwarding.ts
+++ b/packages/gateway/src/lib/requests/forwarding.ts
@@ -279,11 +279,6 @@
     context.limitWatch.recordSent(placed.upstream.id);
     context.coldWatch.recordSent(placed.upstream.id);
     this.attemptStartedAt = now;
-    context.linkLoad.recordBytes(
-      0,
-      request.body.length + ESTIMATED_HEAD_BYTES,
-      now,
-    );
     this.startSilenceTimer();
     const {callerRequest, account} = request;
     this.call = context.paths.send(
@@ -304,6 +299,12 @@
       },
       this.deadline - now,
       {
+        onSent: () =>
+          context.linkLoad.recordBytes(
+            0,
+            request.body.length + ESTIMATED_HEAD_BYTES,
+            context.clock.now(),
+          ),
         onHead: received => this.guard(() => this.handleHead(received)),
         onStatement: head =>
           this.guard(() =>
--- a/packages/gateway/src/lib/upstreams/connection_check.ts
+++ b/packages/gateway/src/lib/upstreams/connection_check.ts
@@ -8,6 +8,8 @@
   Accepted = 'accepted',
   /** Refused, so that no process listens there or the network refuses it. */
   Refused = 'refused',
+  /** Not established in time; the network or the own link may be at fault. */
+  TimedOut = 'timed-out',
   /** No connection for another reason; the network may be at fault. */
   Failed = 'failed',
 }
@@ -17,10 +19,13 @@
 
 /** Tries to connect to an address (`ip:port`), and disconnects. */
 export function checkConnection(address: string): Promise<ConnectionCheck> {
-  const {Accepted, Refused, Failed} = ConnectionCheck;
+  const {Accepted, Refused, Failed, TimedOut} = ConnectionCheck;
   return new Promise(resolve => {
     const socket = connect(splitAddress(address));
-    const timer = setTimeout(() => finish(Failed), CHECK_TIMEOUT);
+    const timer = setTimeout(() => {
+      // If this process was held up, the connection may be established.
+      setImmediate(() => finish(TimedOut));
+    }, CHECK_TIMEOUT);
     const finish = (result: ConnectionCheck) => {
       clearTimeout(timer);
       socket.destroy();
--- a/packages/gateway/src/lib/upstreams/proxy_server.ts
+++ b/packages/gateway/src/lib/upstreams/proxy_server.ts
@@ -221,10 +221,8 @@
     const startedAt = clock.now();
     const recordBytes = (received: number, sent: number) =>
       linkLoad.recordBytes(received, sent, clock.now());
-    recordBytes(
-      body.length + ESTIMATED_HEAD_BYTES,
-      body.length + ESTIMATED_HEAD_BYTES,
-    );
+    const requestBytes = body.length + ESTIMATED_HEAD_BYTES;
+    recordBytes(requestBytes, 0);
     const finish = (outcome: string) => {
       clearTimeout(deadlineTimer);
       log.info('request.proxied', {
@@ -236,6 +234,7 @@
       });
     };
     const listener: UpstreamCallListener = {
+      onSent: () => recordBytes(0, requestBytes),
       onHead: received =>
         this.sendHead(response, received, target, incoming.headers),
       onStatement: head =>
@@ -272,6 +271,7 @@
         agent,
         observer: reachability.observerOf(target.id),
         isProxied: false,
+        connectTimeout: linkLoad.connectTimeout(startedAt),
         mayStillSend: () =>
           !this.context.evacuationWatch.isEvacuated(target.zone),
       },
--- a/packages/gateway/src/lib/upstreams/reachability_watch.ts
+++ b/packages/gateway/src/lib/upstreams/reachability_watch.ts
@@ -9,6 +9,7 @@
 import type {UpstreamAgent} from './upstream_agent.js';
 import type {
   Clock,
+  LinkLoad,
   Millis,
   Reachability,
   UpstreamListing,
@@ -30,6 +31,7 @@
     private readonly reachability: Reachability,
     private readonly registry: UpstreamRegistry,
     private readonly agent: UpstreamAgent,
+    private readonly linkLoad: LinkLoad,
     private readonly clock: Clock,
     private readonly log: Log,
     /** Called when the instance has become partitioned, or no longer is. */
@@ -93,7 +95,8 @@
       onSent: () => this.reachability.recordSent(this.clock.now()),
       onHeard: () => this.reachability.recordHeard(this.clock.now()),
       onConnected: () => this.recordConnected(),
-      onConnectFailed: () => this.recordConnectFailure(upstream),
+      onConnectFailed: timedOut =>
+        this.recordConnectFailure(upstream, timedOut),
       onEnded: () => undefined,
     };
   }
@@ -103,7 +106,14 @@
     this.handleChange();
   }
 
-  private recordConnectFailure(upstream: string): void {
+  /**
+   * While the own link is crowded, a connection that takes long proves nothing: its
+   * packets may wait behind others.
+   */
+  private recordConnectFailure(upstream: string, timedOut: boolean): void {
+    if (timedOut && this.linkLoad.isCrowded(this.clock.now())) {
+      return;
+    }
     this.reachability.recordConnectFailure(upstream);
     this.handleChange();
     this.probeIfDue();
@@ -156,7 +166,8 @@
     if (result === ConnectionCheck.Accepted) {
       this.recordConnected();
     } else {
-      this.recordConnectFailure(upstream);
+      const timedOut = result === ConnectionCheck.TimedOut;
+      this.recordConnectFailure(upstream, timedOut);
     }
   }
 }
--- a/packages/gateway/src/lib/upstreams/upstream_call.ts
+++ b/packages/gateway/src/lib/upstreams/upstream_call.ts
@@ -57,6 +57,8 @@
  * `onFailure` or `cancel`.
  */
 export interface UpstreamCallListener {
+  /** The request is written to a connection, at once or after the call began. */
+  onSent(): void;
   onHead(receivedHead: ReceivedHead): void;
   /**
    * Called with the head of each response to this request, before any other
@@ -74,8 +76,11 @@
   onSent(): void;
   /** A new connection was established. */
   onConnected(): void;
-  /** No connection could be established. */
-  onConnectFailed(): void;
+  /**
+   * No connection could be established.
+   * @param timedOut whether it took too long, rather than being refused.
+   */
+  onConnectFailed(timedOut: boolean): void;
   /** Something was received. */
   onHeard(): void;
   /** The call has completed, failed or been cancelled. */
@@ -97,6 +102,8 @@
   observer: ConnectionObserver;
   /** Whether a peer forwards the request. */
   isProxied: boolean;
+  /** Time within which a new connection is established. */
+  connectTimeout: Millis;
   /**
    * Whether the request may still be sent. Asked when a new connection has been
    * established, before anything is written to it.
@@ -113,8 +120,8 @@
 /** Reason of a call that may not be sent once it has a connection. */
 const WITHDRAWN = 'no more requests may be sent to the upstream';
 
-/** Maximum time to establish a new connection. */
-const CONNECT_TIMEOUT: Millis = 300;
+/** Reason of a call whose connection was not established in time. */
+const CONNECT_TIMED_OUT = 'connection timed out';
 
 /**
  * One HTTP request to an upstream. The constructor sends it; it throws an error
@@ -195,19 +202,24 @@
   private attachHandlers(): void {
     const {outgoingRequest} = this;
     outgoingRequest.on('socket', socket => {
-      const {agent, requestId} = this.upstreamRequest;
+      const {agent, requestId, connectTimeout} = this.upstreamRequest;
       const {Kept, New} = ConnectionKind;
       this.connection = {
         ...agent.recordSent(socket, requestId),
         kind: socket.connecting ? New : Kept,
       };
       if (!socket.connecting) {
-        this.mayHaveSent = true;
+        this.recordSent();
         return;
       }
       this.connectTimer = setTimeout(() => {
-        this.failUnsent('connection timed out');
-      }, CONNECT_TIMEOUT);
+        // If this process was held up, the connection may be established.
+        setImmediate(() => {
+          if (socket.connecting) {
+            this.failUnsent(CONNECT_TIMED_OUT);
+          }
+        });
+      }, connectTimeout);
       socket.once('connect', () => {
         const {observer, mayStillSend} = this.upstreamRequest;
         clearTimeout(this.connectTimer);
@@ -217,7 +229,7 @@
           this.fail(CallFailure.NotSent, WITHDRAWN);
           return;
         }
-        this.mayHaveSent = true;
+        this.recordSent();
       });
     });
     outgoingRequest.on('error', (error: NodeJS.ErrnoException) => {
@@ -244,6 +256,13 @@
     });
   }
 
+  private recordSent(): void {
+    this.mayHaveSent = true;
+    if (!this.hasEnded) {
+      this.listener.onSent();
+    }
+  }
+
   private handleResponse(response: IncomingMessage): void {
     this.incomingResponse = response;
     const {observer, isProxied} = this.upstreamRequest;
@@ -399,7 +418,7 @@
     if (this.hasEnded) {
       return;
     }
-    observer.onConnectFailed();
+    observer.onConnectFailed(reason === CONNECT_TIMED_OUT);
     const ownFailure = reason === 'ECONNREFUSED' ? ConnectionRefused : NotSent;
     this.fail(isProxied ? ProxyFailed : ownFailure, reason);
   }
--- a/packages/gateway/src/lib/upstreams/upstream_paths.ts
+++ b/packages/gateway/src/lib/upstreams/upstream_paths.ts
@@ -18,6 +18,7 @@
 import type {
   Clock,
   Homes,
+  LinkLoad,
   Millis,
   ProxyPeer,
   UpstreamListing,
@@ -45,6 +46,8 @@
   agent: UpstreamAgent;
   reachability: ReachabilityWatch;
   evacuationWatch: EvacuationWatch;
+  /** Traffic on the machine's network link. */
+  linkLoad: LinkLoad;
   /** Returns the peers that forward requests and reach the upstreams. */
   proxies(): ProxyPeer[];
   random(): number;
@@ -94,8 +97,10 @@
     remainingTime: Millis,
     listener: UpstreamCallListener,
   ): UpstreamCall {
-    const {agent, dialect, reachability, evacuationWatch} = this.context;
+    const {agent, dialect, reachability, evacuationWatch, linkLoad, clock} =
+      this.context;
     const mayStillSend = () => !evacuationWatch.isEvacuated(upstream.zone);
+    const connectTimeout = linkLoad.connectTimeout(clock.now());
     if (proxy === undefined) {
       const {address} = upstream;
       const observer = reachability.observerOf(upstream.id);
@@ -106,6 +111,7 @@
           agent,
           observer,
           isProxied: false,
+          connectTimeout,
           mayStillSend,
         },
         dialect,
@@ -125,6 +131,7 @@
         agent: this.proxyAgent,
         observer: this.proxyObserver(proxy.address),
         isProxied: true,
+        connectTimeout,
         mayStillSend,
       },
       dialect,
--- a/packages/stand_ins/src/lib/hosted/fleet.ts
+++ b/packages/stand_ins/src/lib/hosted/fleet.ts
@@ -319,6 +319,7 @@
     const [callers, ready, listen, proxy] = ports.map(
       port => `127.0.0.1:${port}`,
     );
+    this.proxyPorts.push(splitAddress(proxy ?? '').port);
     const storeEndpoint = this.store.createEndpoint();
     const name = `g${this.gateways.length + 1}`;
     const seeds = this.peerAddresses.slice(0, 3).join(',');
@@ -363,6 +364,15 @@
     }
   }
 
+  /** Sets how the new connections of a gateway to servers and peers end. */
+  setNewConnections(
+    gateway: GatewayProcess,
+    newConnections: NewConnections,
+  ): void {
+    const ports = [...this.serverPorts(), ...this.proxyPorts];
+    gateway.setNewConnections({newConnections, ports});
+  }
+
   /** Ends the partition of a gateway. */
   endPartition(gateway: GatewayProcess): void {
     gateway.setNewConnections({newConnections: NewConnections.Open, ports: []});
@@ -401,6 +411,8 @@
     });
   }
 
+  /** Ports on which gateways take the requests of peers. */
+  private readonly proxyPorts: number[] = [];
   /** Addresses of the servers' relays. */
   private readonly serverAddresses: string[] = [];
   /** Addresses that the gateways advertise to each other. */
--- a/packages/stand_ins/src/lib/hosted/partition.ts
+++ b/packages/stand_ins/src/lib/hosted/partition.ts
@@ -15,8 +15,13 @@
   Open = 'open',
   Refused = 'refused',
   Hanging = 'hanging',
+  /** Established after `LATE_CONNECTION_TIME`, as over a full link. */
+  Late = 'late',
 }
 
+/** Time after which a late connection is established, in milliseconds. */
+export const LATE_CONNECTION_TIME = 450;
+
 /** How new connections end in each kind of partition. */
 export const NEW_CONNECTIONS: Readonly<Record<Partition, NewConnections>> = {
   [Partition.Hanging]: NewConnections.Hanging,
--- a/packages/stand_ins/src/lib/hosted/partition_preload.ts
+++ b/packages/stand_ins/src/lib/hosted/partition_preload.ts
@@ -5,7 +5,11 @@
  * the same source address, by which relays tell the gateways apart.
  */
 import {Socket} from 'node:net';
-import {NewConnections, SOURCE_VARIABLE} from './partition.js';
+import {
+  LATE_CONNECTION_TIME,
+  NewConnections,
+  SOURCE_VARIABLE,
+} from './partition.js';
 import type {PartitionCommand} from './partition.js';
 import type {TcpSocketConnectOpts} from 'node:net';
 
@@ -37,6 +41,14 @@
   const {newConnections, ports} = command;
   if (newConnections !== NewConnections.Open && ports.includes(options.port)) {
     this.connecting = true;
+    if (newConnections === NewConnections.Late) {
+      setTimeout(() => {
+        if (!this.destroyed) {
+          setSource(args);
+          originalConnect.apply(this, args);
+        }
+      }, LATE_CONNECTION_TIME);
+    }
     if (newConnections === NewConnections.Refused) {
       const error = new Error('connection refused by the test');
       setImmediate(() =>
@@ -45,10 +57,15 @@
     }
     return this;
   }
-  if (localAddress !== undefined) {
-    // A copy: an agent keeps connections by their options, and finds none that
-    // it kept once these differ from those that it asked for.
-    args[0][0] = {...options, localAddress};
-  }
+  setSource(args);
   return originalConnect.apply(this, args);
 };
+
+/** Gives a connection the source address of the process, if it has one. */
+function setSource([parameters]: ConnectArguments): void {
+  // A copy: an agent keeps connections by their options, and finds none that it
+  // kept once these differ from those that it asked for.
+  if (localAddress !== undefined) {
+    parameters[0] = {...parameters[0], localAddress};
+  }
+}
