Soak: callers that leave at any moment, instances that stall again and again

A seventh of the tries are left after 2 to 900 ms, half by closing, half by a reset; one run in three has one to three series of stalls (0.9 s of 2 s, or 0.21 s of 0.3 s), which overlap the other faults. New check: no upstream begins to run a request more than 0.5 s after its caller left; a stalled instance is no excuse, bytes that a link held are.

--- a/packages/soak/src/lib/callers.ts
+++ b/packages/soak/src/lib/callers.ts
@@ -34,6 +34,15 @@
 /** Share of the requests whose caller has one connection of its own. */
 const OWN_CONNECTION_SHARE = 0.25;
 
+/** Share of the tries whose caller leaves before its time is up. */
+const LEAVING_SHARE = 0.15;
+
+/** Minimum and maximum time after which such a caller leaves. */
+const LEAVING_TIME = {min: 2, max: 900};
+
+/** Share of those callers that reset their connection. */
+const RESET_SHARE = 0.5;
+
 /** Share of the streams with the part that crashes upstreams, if there is one. */
 const CRASHING_SHARE = 0.25;
 
@@ -103,6 +112,12 @@
   return {path, method: 'POST', body: 'prompt', headers};
 }
 
+/** How a caller leaves before its time is up. */
+interface Departure {
+  after: Millis;
+  resets: boolean;
+}
+
 /** A request as all its tries send it. */
 interface CallerRequest {
   id: string;
@@ -125,6 +140,8 @@
     () => new Agent({keepAlive: true}),
   );
   private readonly random: () => number;
+  /** Separate, so that the requests of a seed do not depend on departures. */
+  private readonly departureRandom: () => number;
   private requestCount = 0;
 
   constructor(
@@ -134,6 +151,7 @@
     private readonly faultInjector: FaultInjector,
   ) {
     this.random = seededRandom(plan.seed + 1);
+    this.departureRandom = seededRandom(plan.seed + 3);
   }
 
   /**
@@ -200,13 +218,14 @@
     const giveUpAt = Date.now() + CALLER_TIMEOUT;
     let gateway = this.pickGateway();
     for (let tryNumber = 1; ; tryNumber++) {
-      const result = await this.send(request, tryNumber, gateway);
+      const {result, leftAt} = await this.send(request, tryNumber, gateway);
       const way = pickItem(RETURN_WAYS, this.random());
       const retryAfter = Number(result.headers['retry-after'] ?? 0) * 1_000;
       const wait = way.isPatient ? retryAfter : 0;
       const remainingTime = giveUpAt - Date.now();
       if (
         tryNumber === MAX_TRIES ||
+        leftAt !== undefined ||
         !RETURN_STATUSES[request.kind].has(result.status) ||
         wait > remainingTime * MAX_RETRY_AFTER_FRACTION
       ) {
@@ -233,21 +252,23 @@
     {promptHeaders, agent, ...details}: CallerRequest,
     tryNumber: number,
     gateway: GatewayProcess,
-  ): Promise<CallerResult> {
+  ): Promise<SentRequest> {
     const {id, kind, apiKey, resumed} = details;
     const options = REQUEST_OPTIONS[kind];
-    const result = {} as CallerResult;
-    this.sentRequests.push({
+    const sentRequest: SentRequest = {
       ...details,
       tryNumber,
       gateway: gateway.name,
       sentAt: Date.now(),
-      result,
-    });
+      result: {} as CallerResult,
+    };
+    this.sentRequests.push(sentRequest);
+    const departure = this.drawDeparture();
     const response = await call(gateway.callerAddress, {
       ...options,
       agent,
-      disconnectAfterMs: CALLER_TIMEOUT,
+      disconnectAfterMs: departure?.after ?? CALLER_TIMEOUT,
+      resets: departure?.resets === true,
       headers: {
         ...options.headers,
         ...promptHeaders,
@@ -261,7 +282,23 @@
         'X-Request-Deadline-Ms': String(CALLER_TIMEOUT),
       },
     });
-    return Object.assign(result, response);
+    Object.assign(sentRequest.result, response);
+    const {sentAt, result} = sentRequest;
+    const leavesAt = sentAt + (departure?.after ?? CALLER_TIMEOUT);
+    if (!result.complete && result.endedAt >= leavesAt) {
+      sentRequest.leftAt = result.endedAt;
+    }
+    return sentRequest;
+  }
+
+  /** Draws how a caller leaves; undefined if it stays. */
+  private drawDeparture(): Departure | undefined {
+    const random = this.departureRandom;
+    const {min, max} = LEAVING_TIME;
+    const [leaves, time, end] = [random(), random(), random()];
+    return leaves < LEAVING_SHARE
+      ? {after: min + time * (max - min), resets: end < RESET_SHARE}
+      : undefined;
   }
 
   /** Returns the prompt of a stream; some have the part that crashes upstreams. */
--- a/packages/soak/src/lib/checks.ts
+++ b/packages/soak/src/lib/checks.ts
@@ -35,6 +35,8 @@
   sentAt: number;
   /** The request whose stream it takes up, and the last event of that. */
   resumed?: {id: string; lastEvent: number} | undefined;
+  /** When its caller left before the response had ended; undefined if it stayed. */
+  leftAt?: number;
   /** Filled in once the response or the connection has ended. */
   result: CallerResult;
 }
@@ -45,6 +47,8 @@
   gateway: string | undefined;
   from: number;
   until: number;
+  /** Whether a link held bytes back, which may arrive after a request has ended. */
+  holdsBytes: boolean;
 }
 
 /** An API key that was removed from the configuration. */
@@ -138,6 +142,9 @@
  */
 const REQUEST_READ_TIME: Millis = 200;
 
+/** Time after its caller has left from which on a request must not begin to run. */
+export const DEPARTURE_LIMIT: Millis = 500;
+
 /** Statuses that guarantee that the request was not and will not be run. */
 export const NOT_EXECUTED_STATUSES: ReadonlySet<number> = new Set([
   408, 421, 429, 503,
@@ -164,6 +171,7 @@
   'an evacuated zone gets nothing new': findRunsAfterEvacuation,
   'a stream goes on at one version': findJoinedStreams,
   'what crashes upstreams is refused': findLateCrashes,
+  'nobody works for a caller that has left': findRunsAfterDeparture,
 };
 
 /**
@@ -348,6 +356,7 @@
       );
       return (
         stop !== undefined &&
+        request.leftAt === undefined &&
         isIncomplete &&
         wasRead &&
         wasUndisturbed &&
@@ -396,6 +405,33 @@
     }));
 }
 
+/**
+ * Finds tries that an upstream began to run when their caller had left for longer
+ * than the limit. Instances that stall are no excuse; bytes that a link held are.
+ */
+function findRunsAfterDeparture({
+  sentRequests,
+  upstreamRuns,
+  disruptions,
+}: RunObservations): Violation[] {
+  const held = disruptions.filter(({holdsBytes}) => holdsBytes);
+  const runsByTry = new Map(upstreamRuns.map(({run}) => [tryOfRun(run), run]));
+  return sentRequests.flatMap(request => {
+    const {id, kind, gateway, sentAt, leftAt = Infinity} = request;
+    const startedAt = runsByTry.get(tryOf(request))?.startedAt ?? 0;
+    const isLate = startedAt - leftAt > DEPARTURE_LIMIT;
+    return isLate && isUndisturbed(held, gateway, sentAt, startedAt)
+      ? [
+          {
+            guarantee: 'nobody works for a caller that has left',
+            detail: `${kind} began to run ${startedAt - leftAt} ms after its caller had left ${gateway}`,
+            requestIds: [id],
+          },
+        ]
+      : [];
+  });
+}
+
 /**
  * Finds requests that an upstream started to run after it had been draining for
  * longer than the propagation limit.
--- a/packages/soak/src/lib/faults.ts
+++ b/packages/soak/src/lib/faults.ts
@@ -79,6 +79,12 @@
   StoreMode.DelayedWrites,
 ];
 
+/** How long an instance stalls in each interval: seldom and long, or often. */
+const STALL_TIMES = [
+  {duration: 900, interval: 2_000},
+  {duration: 210, interval: 300},
+] as const;
+
 /** Statuses of refusals that are repeated. */
 const REPEATED_STATUSES = [503, 429];
 
@@ -123,6 +129,7 @@
       );
     },
     [FaultKind.Freeze]: fault => this.freezeGateway(fault),
+    [FaultKind.StallSeries]: fault => this.stallGateway(fault),
     [FaultKind.Reload]: fault => this.pickGateway(fault).sendSignal('SIGHUP'),
     [FaultKind.StoreFault]: fault =>
       this.injectStoreFault([this.pickGateway(fault)], fault),
@@ -226,12 +233,14 @@
   private recordDisruption(
     gateway: string | undefined,
     duration: Millis,
+    holdsBytes = false,
   ): void {
     const startedAt = Date.now();
     this.record.disruptions.push({
       gateway,
       from: startedAt,
       until: startedAt + duration,
+      holdsBytes,
     });
   }
 
@@ -271,6 +280,15 @@
     gateway.sendSignal('SIGCONT');
   }
 
+  /** Lets an instance stall several times, for a part of each interval. */
+  private async stallGateway(fault: Fault): Promise<void> {
+    const stall = STALL_TIMES[fault.variantFraction < 0.5 ? 0 : 1];
+    for (let time = 0; time < fault.duration; time += stall.interval) {
+      await this.freezeGateway({...fault, duration: stall.duration});
+      await pause(stall.interval - stall.duration);
+    }
+  }
+
   private async injectStoreFault(
     gateways: GatewayProcess[],
     {duration, variantFraction}: Fault,
@@ -333,7 +351,7 @@
         : [picked];
     const partition = pickItem(Object.values(Partition), fault.variantFraction);
     for (const gateway of gateways) {
-      this.recordDisruption(gateway.name, fault.duration);
+      this.recordDisruption(gateway.name, fault.duration, true);
       this.fleet.partition(gateway, partition);
     }
     await pause(fault.duration);
@@ -408,7 +426,7 @@
     const server = pickItem(this.fleet.listedServers(), fault.targetFraction);
     const relay = this.fleet.serverRelays.get(server);
     // Bytes held by the relay may arrive late, so time bounds don't hold.
-    this.recordDisruption(undefined, fault.duration);
+    this.recordDisruption(undefined, fault.duration, true);
     relay?.setMode(pickItem(LINK_FAULT_MODES, fault.variantFraction));
     await pause(fault.duration);
     relay?.setMode(RelayMode.Open);
--- a/packages/soak/src/lib/plan.ts
+++ b/packages/soak/src/lib/plan.ts
@@ -58,6 +58,8 @@
   Partition = 'partition',
   /** An account is granted more tokens. */
   TopUp = 'top-up',
+  /** One instance does not run for parts of a time, again and again. */
+  StallSeries = 'stall-series',
   /** The operator evacuates a zone, and takes it back. */
   Evacuation = 'evacuation',
   /** The oldest API key of an account is replaced by a new one. */
@@ -120,6 +122,13 @@
 /** One in this many runs has an evacuation. */
 const RUNS_PER_EVACUATION = 3;
 
+/** One in this many runs has instances that stall again and again. */
+const RUNS_PER_STALL_SERIES = 3;
+
+/** Minimum and maximum number of those series, which may overlap. */
+const MIN_STALL_SERIES = 1;
+const MAX_STALL_SERIES = 3;
+
 /** Usual number of upstreams of each service. */
 const UPSTREAMS_PER_SERVICE = 3;
 
@@ -151,7 +160,7 @@
   const {min, max, large, runsPerLargeRun} = GATEWAY_COUNT;
   const isLarge = drawInteger(1, runsPerLargeRun) === 1;
   const kinds = Object.values(FaultKind).filter(
-    kind => kind !== FaultKind.Evacuation,
+    kind => kind !== FaultKind.Evacuation && kind !== FaultKind.StallSeries,
   );
   const faultCount = drawInteger(FAULT_COUNT.min, FAULT_COUNT.max);
   const drawFault = (
@@ -209,6 +218,12 @@
     });
     faults.push(...series, ...partitioned);
   }
+  if (drawInteger(1, RUNS_PER_STALL_SERIES) === 1) {
+    const stalls = drawInteger(MIN_STALL_SERIES, MAX_STALL_SERIES);
+    for (let count = 0; count < stalls; count++) {
+      faults.push(drawFault(FaultKind.StallSeries));
+    }
+  }
   faults.sort((a, b) => a.startsAfter - b.startsAfter);
   return plan;
 }
--- a/packages/soak/src/test/checks_test.ts
+++ b/packages/soak/src/test/checks_test.ts
@@ -94,7 +94,17 @@
 };
 const STREAM = {kind: RequestKind.NonResumableStream};
 const COMPLETE_STREAM = {body: buildStreamBody(1, 2, 3, 4, 5, 6)};
-const DISRUPTION = {gateway: 'g1', from: 9_000, until: 9_500};
+const DISRUPTION = {
+  gateway: 'g1',
+  from: 9_000,
+  until: 9_500,
+  holdsBytes: false,
+};
+const DEPARTED = buildSentRequest(
+  {leftAt: 10_020},
+  {status: 0, complete: false},
+);
+const LATE_RUN = buildUpstreamRun({startedAt: 10_600});
 const ABORTED_ANSWER = {status: 0, complete: false, endedAt: 11_000};
 const PLANNED_STOPS = [{gateway: 'g1', signalledAt: 10_500}];
 
@@ -108,6 +118,29 @@
 }
 
 const CASES: Case[] = [
+  {
+    name: 'a run that began just after its caller had left',
+    observations: buildObservations({sentRequests: [DEPARTED]}),
+    violatedGuarantee: undefined,
+  },
+  {
+    name: 'a run that began long after its caller had left a stalled instance',
+    observations: buildObservations({
+      sentRequests: [DEPARTED],
+      upstreamRuns: [LATE_RUN],
+      disruptions: [DISRUPTION],
+    }),
+    violatedGuarantee: 'nobody works for a caller that has left',
+  },
+  {
+    name: 'the same of bytes that a link held',
+    observations: buildObservations({
+      sentRequests: [DEPARTED],
+      upstreamRuns: [LATE_RUN],
+      disruptions: [{...DISRUPTION, holdsBytes: true}],
+    }),
+    violatedGuarantee: undefined,
+  },
   {
     name: 'an order that was answered',
     observations: buildObservations({}),
--- a/packages/stand_ins/src/lib/hosted/caller.ts
+++ b/packages/stand_ins/src/lib/hosted/caller.ts
@@ -76,6 +76,8 @@
     body?: string;
     /** Time after which the caller closes the connection, in milliseconds. */
     disconnectAfterMs?: number;
+    /** Whether it then resets the connection in place of closing it. */
+    resets?: boolean;
     /** Pool of connections; without one, the call opens a new connection. */
     agent?: Agent;
   },
@@ -108,7 +110,12 @@
       },
     });
     if (options.disconnectAfterMs !== undefined) {
-      setTimeout(() => clientRequest.destroy(), options.disconnectAfterMs);
+      setTimeout(() => {
+        if (options.resets === true) {
+          clientRequest.socket?.resetAndDestroy();
+        }
+        clientRequest.destroy();
+      }, options.disconnectAfterMs);
     }
     const finish = (isComplete: boolean) => {
       // Node ends a response without a length also after a reset, as if it were
