--- a/packages/gateway/src/lib/process/gateway.ts
+++ b/packages/gateway/src/lib/process/gateway.ts
@@ -238,8 +238,9 @@
           this.tokenExchange.requestFromPeers(account, tokens),
         giveToRandomPeer: (account, tokens) =>
           this.tokenExchange.giveToRandomPeer(account, tokens),
+        // Waits are judged only when the answers to their questions were read.
         callAfter: (delay, callback) => {
-          setTimeout(callback, delay);
+          setTimeout(() => this.socketReads.runAfter(callback), delay);
         },
       },
     );
--- a/packages/gateway/src/lib/process/socket_reads.ts
+++ b/packages/gateway/src/lib/process/socket_reads.ts
@@ -35,7 +35,7 @@
 
   constructor(private readonly clock: Clock) {}
 
-  /** Runs a step after the sockets have been read; it must not throw. */
+  /** Runs a step after the sockets have been read. */
   runAfter(run: () => void): void {
     this.waiting.push({run, turn: this.turn + TURNS_TO_WAIT});
     this.scheduleTurn();
@@ -57,11 +57,14 @@
     this.isScheduled = false;
     this.turn += 1;
     const endsAt = this.clock.now() + MAX_RUN_TIME;
-    while (this.isFirstDue() && this.clock.now() < endsAt) {
-      this.waiting.shift()?.run();
-    }
-    if (this.waiting.length > 0) {
-      this.scheduleTurn();
+    try {
+      while (this.isFirstDue() && this.clock.now() < endsAt) {
+        this.waiting.shift()?.run();
+      }
+    } finally {
+      if (this.waiting.length > 0) {
+        this.scheduleTurn();
+      }
     }
   }
 
--- a/packages/gateway/src/lib/streams/stream_tracker.ts
+++ b/packages/gateway/src/lib/streams/stream_tracker.ts
@@ -143,7 +143,10 @@
         }
         resolve(version);
       };
-      const timer = setTimeout(() => finish(undefined), QUERY_TIMEOUT);
+      const timer = setTimeout(() => {
+        // If this process was held up, the answer may lie in a socket.
+        setImmediate(() => finish(undefined));
+      }, QUERY_TIMEOUT);
       waiters.add(finish);
       this.context.ask(stream);
     });
