--- a/packages/gateway/src/lib/requests/forwarding.ts
+++ b/packages/gateway/src/lib/requests/forwarding.ts
@@ -36,6 +36,7 @@
   UNSENT_FAILURES,
 } from './forwarding_result.js';
 import {RefusalReason} from './refusal.js';
+import {ResponseFlow} from './response_flow.js';
 import {CallFailure} from './call_failure.js';
 import {Candidates} from '../upstreams/candidates.js';
 import {connectionFieldsOf} from '../upstreams/connection_fields.js';
@@ -74,9 +75,6 @@
 /** Maximum time for which a request waits for room at brittle upstreams. */
 const MAX_ROOM_WAIT: Millis = 100;
 
-/** Interval at which a paused large body looks for room on the link. */
-const BULK_CHECK_INTERVAL: Millis = 50;
-
 /** Interval at which a request that waits for room looks for some. */
 const ROOM_CHECK_INTERVAL: Millis = 10;
 
@@ -118,6 +116,7 @@
   /** Number of attempts of which no byte was sent. */
   private unsentAttempts = 0;
   private readonly responseRelay: ResponseRelay;
+  private readonly flow: ResponseFlow;
   private readonly result: ForwardingResult = {
     outcome: '',
     upstream: undefined,
@@ -130,8 +129,6 @@
   private deadlineTimer: NodeJS.Timeout | undefined;
   private silenceTimer: NodeJS.Timeout | undefined;
   private roomTimer: NodeJS.Timeout | undefined;
-  /** Ends the pause of a large body. */
-  private bulkTimer: NodeJS.Timeout | undefined;
   /** When it first waited for room at brittle upstreams. */
   private waitsForRoomSince: Millis | undefined;
   private attemptStartedAt: Millis = 0;
@@ -160,6 +157,7 @@
       parts: callerRequest.promptParts,
       promptTokens: callerRequest.usage?.inputTokens ?? 0,
     };
+    this.flow = new ResponseFlow(context.linkLoad, context.clock);
     this.responseRelay = new ResponseRelay(
       response,
       context.dialect,
@@ -546,21 +544,7 @@
 
   /** Reads on, unless a large body is to leave room on the link for others. */
   readOnIfRoom(): void {
-    const {call} = this;
-    const {linkLoad, clock} = this.context;
-    const hasRoom = () => !linkLoad.isCrowded(clock.now());
-    if (!this.responseRelay.relaysBulk() || hasRoom()) {
-      call?.setFlowing(true);
-      return;
-    }
-    call?.setFlowing(false);
-    clearInterval(this.bulkTimer);
-    this.bulkTimer = setInterval(() => {
-      if (hasRoom()) {
-        clearInterval(this.bulkTimer);
-        call?.setFlowing(true);
-      }
-    }, BULK_CHECK_INTERVAL);
+    this.flow.readOnIfRoom(this.call, this.responseRelay.relaysBulk());
   }
 
   /** Stops reading from the upstream until the caller has room for more data. */
@@ -891,7 +875,7 @@
     }
     this.isFinished = true;
     this.responseRelay.discard();
-    clearInterval(this.bulkTimer);
+    this.flow.stop();
     clearTimeout(this.deadlineTimer);
     clearTimeout(this.silenceTimer);
     clearTimeout(this.roomTimer);
