--- a/packages/soak/src/test/soak_test.ts
+++ b/packages/soak/src/test/soak_test.ts
@@ -10,6 +10,11 @@
 const REGRESSION_SEEDS: {seed: number; cause: string}[] = [
   {seed: 20, cause: 'copy of a refusal taken for the response, also by a peer'},
   {seed: 38, cause: 'copy of a refusal taken for the response to a stream'},
+  {seed: 6001, cause: 'order read by a stalled instance after its caller left'},
+  {
+    seed: 6004,
+    cause: 'stream read by a stalled instance after its caller left',
+  },
 ];
 
 describe('soak runs on real gateways', function () {
