--- a/packages/stand_ins/src/lib/relay.ts
+++ b/packages/stand_ins/src/lib/relay.ts
@@ -41,6 +41,8 @@
   isTowardsTarget: boolean;
   /** Address from which the connection comes. */
   source: string;
+  /** What is to be forwarded after a delay, oldest first. */
+  delayed: Array<() => void>;
 }
 
 /** Forwards connections to a target address. */
@@ -130,7 +132,7 @@
       [socket, targetSocket, true],
       [targetSocket, socket, false],
     ] as const) {
-      const relayed = {isTowardsTarget, source: sourceAddress};
+      const relayed = {isTowardsTarget, source: sourceAddress, delayed: []};
       this.sockets.set(source, relayed);
       source.on('error', () => destination.destroy());
       source.on('close', () => {
@@ -169,10 +171,15 @@
     return this.sourceModes.get(source) ?? this.mode;
   }
 
-  /** Runs an action at once, or after the delay in `RelayMode.Delayed`. */
+  /**
+   * Runs an action at once, or after the delay in `RelayMode.Delayed`; in any case
+   * after earlier ones of the same socket.
+   */
   private runWithDelay(relayed: RelayedSocket, action: () => void): void {
-    if (this.modeOf(relayed) === RelayMode.Delayed) {
-      setTimeout(action, FORWARDING_DELAY);
+    const {delayed} = relayed;
+    if (this.modeOf(relayed) === RelayMode.Delayed || delayed.length > 0) {
+      delayed.push(action);
+      setTimeout(() => delayed.shift()?.(), FORWARDING_DELAY);
     } else {
       action();
     }
