--- a/packages/decisions/src/lib/admission/link_load.ts
+++ b/packages/decisions/src/lib/admission/link_load.ts
@@ -60,6 +60,8 @@
 export class LinkLoad {
   private readonly received = new SlidingSum(AVERAGING_WINDOW);
   private readonly sent = new SlidingSum(AVERAGING_WINDOW);
+  /** Bytes that wait for a connection on which they are sent. */
+  private waiting = 0;
   private lastBusyAt: Millis | undefined;
   /** Highest utilisation since the machine became busy; 0 if it is not. */
   private busyPeak = 0;
@@ -73,6 +75,14 @@
     this.sent.add(sent, now);
   }
 
+  /**
+   * Records bytes that wait to be sent, or with a negative number, that no longer
+   * do. They count as sent, as they take that much of the link soon.
+   */
+  recordWaiting(bytes: number): void {
+    this.waiting += bytes;
+  }
+
   /** Whether large bodies are to leave room on the link for other requests. */
   isCrowded(now: Millis): boolean {
     return this.utilisation(now) > CROWDED_UTILISATION;
@@ -85,7 +95,8 @@
 
   /** Returns the used fraction of the link in its busier direction. */
   utilisation(now: Millis): number {
-    const bytes = Math.max(this.received.total(now), this.sent.total(now));
+    const sent = this.sent.total(now) + this.waiting;
+    const bytes = Math.max(this.received.total(now), sent);
     return this.utilisationOf(bytes);
   }
 
--- a/packages/decisions/src/test/admission/link_load_test.ts
+++ b/packages/decisions/src/test/admission/link_load_test.ts
@@ -94,3 +94,16 @@
     });
   }
 });
+
+describe('bytes that wait for a connection', () => {
+  it('count as use of the link until they are sent or given up', () => {
+    const link = new LinkLoad(1);
+    link.recordWaiting(50_000);
+    expect(link.utilisation(0)).to.equal(0.4);
+    expect(link.utilisation(5_000)).to.equal(0.4);
+    link.recordWaiting(-50_000);
+    link.recordBytes(0, 50_000, 5_000);
+    expect(link.utilisation(5_000)).to.equal(0.4);
+    expect(link.utilisation(7_000)).to.equal(0);
+  });
+});
--- a/packages/gateway/src/lib/requests/forwarding.ts
+++ b/packages/gateway/src/lib/requests/forwarding.ts
@@ -132,6 +132,8 @@
   /** When it first waited for room at brittle upstreams. */
   private waitsForRoomSince: Millis | undefined;
   private attemptStartedAt: Millis = 0;
+  /** Bytes of the request that wait for a connection. */
+  private waitingBytes = 0;
   private isFinished = false;
   private readonly deadline: Millis;
   private readonly serviceName: string;
@@ -277,6 +279,7 @@
     context.limitWatch.recordSent(placed.upstream.id);
     context.coldWatch.recordSent(placed.upstream.id);
     this.attemptStartedAt = now;
+    this.recordWaiting(request.body.length + ESTIMATED_HEAD_BYTES);
     this.startSilenceTimer();
     const {callerRequest, account} = request;
     this.call = context.paths.send(
@@ -297,12 +300,7 @@
       },
       this.deadline - now,
       {
-        onSent: () =>
-          context.linkLoad.recordBytes(
-            0,
-            request.body.length + ESTIMATED_HEAD_BYTES,
-            context.clock.now(),
-          ),
+        onSent: () => this.guard(() => this.handleSent()),
         onHead: received => this.guard(() => this.handleHead(received)),
         onStatement: head =>
           this.guard(() =>
@@ -316,6 +314,12 @@
     );
   }
 
+  /** Records how many bytes of the request wait for a connection. */
+  private recordWaiting(bytes: number): void {
+    this.context.linkLoad.recordWaiting(bytes - this.waitingBytes);
+    this.waitingBytes = bytes;
+  }
+
   /** Returns the way to an upstream; undefined if there is none. */
   private pathTo(
     {upstream}: PlacedRequest,
@@ -503,6 +507,13 @@
     return Math.round(this.context.clock.now() - this.attemptStartedAt);
   }
 
+  private handleSent(): void {
+    const {linkLoad, clock} = this.context;
+    const bytes = this.waitingBytes;
+    this.recordWaiting(0);
+    linkLoad.recordBytes(0, bytes, clock.now());
+  }
+
   private handleHead(receivedHead: ReceivedHead): void {
     this.responseRelay.setHead(receivedHead);
     clearTimeout(this.silenceTimer);
@@ -851,6 +862,7 @@
     }
     this.call?.cancel();
     this.call = undefined;
+    this.recordWaiting(0);
     const {placed} = this;
     if (placed !== undefined) {
       this.triedUpstreams.add(placed.upstream.id);
