--- a/packages/soak/src/lib/callers.ts
+++ b/packages/soak/src/lib/callers.ts
@@ -283,10 +283,8 @@
       },
     });
     Object.assign(sentRequest.result, response);
-    const {sentAt, result} = sentRequest;
-    const leavesAt = sentAt + (departure?.after ?? CALLER_TIMEOUT);
-    if (!result.complete && result.endedAt >= leavesAt) {
-      sentRequest.leftAt = result.endedAt;
+    if (response.hasLeft) {
+      sentRequest.leftAt = response.endedAt;
     }
     return sentRequest;
   }
--- a/packages/soak/src/test/checks_test.ts
+++ b/packages/soak/src/test/checks_test.ts
@@ -23,6 +23,7 @@
     body: 'done',
     complete: true,
     hasFraming: true,
+    hasLeft: false,
   };
   return {
     id: REQUEST_ID,
--- a/packages/stand_ins/src/lib/hosted/caller.ts
+++ b/packages/stand_ins/src/lib/hosted/caller.ts
@@ -27,6 +27,8 @@
    * epoch.
    */
   endedAt: number;
+  /** Whether the caller disconnected before the answer had ended. */
+  hasLeft: boolean;
   /** Whether the answer has a Content-Length or a Transfer-Encoding header. */
   hasFraming: boolean;
 }
@@ -92,6 +94,7 @@
     hasSeal: false,
     complete: false,
     endedAt: 0,
+    hasLeft: false,
     hasFraming: false,
   };
   return new Promise(resolve => {
@@ -111,6 +114,7 @@
     });
     if (options.disconnectAfterMs !== undefined) {
       setTimeout(() => {
+        result.hasLeft = result.endedAt === 0;
         if (options.resets === true) {
           clientRequest.socket?.resetAndDestroy();
         }
