A link that was more than full counts as full in the zone's mean

Change: each link counts at most 1 in the mean; the order of the fullest stays.

Result: busy_zone_test.ts, red before.

--- a/packages/decisions/src/lib/admission/zone_links.ts
+++ b/packages/decisions/src/lib/admission/zone_links.ts
@@ -12,7 +12,7 @@
 export interface ZoneLinks {
   /** Number of instances that are known. */
   size: number;
-  /** Mean utilisation of their links. */
+  /** Mean utilisation of their links; one that is more than full counts as full. */
   use: number;
   /**
    * Utilisation from which an instance may be not ready; at most `maxUnready`
@@ -39,7 +39,7 @@
 /** Summarises the utilisation of all links of a zone, the own one included. */
 export function summariseLinks(utilisations: readonly number[]): ZoneLinks {
   const size = utilisations.length;
-  const total = utilisations.reduce((sum, use) => sum + use, 0);
+  const total = utilisations.reduce((sum, use) => sum + countedUse(use), 0);
   const heaviest = [...utilisations].sort((a, b) => b - a);
   const allowed = maxUnready(size);
   const last = heaviest[allowed - 1];
@@ -59,6 +59,15 @@
  * @param ownUse utilisation of the own link, which is part of the mean.
  */
 export function hasZoneRoom({size, use}: ZoneLinks, ownUse: number): boolean {
-  const useOfOthers = (use * size - ownUse) / (size - 1);
+  const useOfOthers = (use * size - countedUse(ownUse)) / (size - 1);
   return size >= 2 && useOfOthers < FULL_ZONE_UTILISATION;
 }
+
+/**
+ * Returns how much a link counts in the mean. Instances report the highest use
+ * since they became busy: a few of them would make the zone look full that has
+ * room for their callers.
+ */
+function countedUse(utilisation: number): number {
+  return Math.min(1, utilisation);
+}
--- a/packages/decisions/src/test/admission/busy_zone_test.ts
+++ b/packages/decisions/src/test/admission/busy_zone_test.ts
@@ -129,4 +129,10 @@
     expect(roomBeside(1, 0.1, 0.1)).to.equal(true);
     expect(roomBeside(0.9, 0.7)).to.equal(false);
   });
+
+  it('has room beside a few links that were more than full', () => {
+    const calm = Array.from({length: 15}, () => 0.05);
+    const links = summariseLinks([1.8, 1.6, 1.8, 1.5, 1.6, 1.8, 1.7, ...calm]);
+    expect(hasZoneRoom(links, 1.8)).to.equal(true);
+  });
 });
