Refuse a request at once if the own link keeps it from getting a connection

Change: such a request is refused as machine-busy (503, not run), with the time to come back. A connection may take 0.6 s then in place of 1 s; the time is looked up again when it is over, as the link may have filled meanwhile.

--- a/packages/decisions/src/lib/admission/link_load.ts
+++ b/packages/decisions/src/lib/admission/link_load.ts
@@ -47,7 +47,7 @@
 const CONNECT_TIME: Millis = 300;
 
 /** The same while the link is crowded. */
-const CROWDED_CONNECT_TIME: Millis = 1_000;
+const CROWDED_CONNECT_TIME: Millis = 600;
 
 const BITS_PER_BYTE = 8;
 
--- a/packages/gateway/src/lib/requests/forwarding.ts
+++ b/packages/gateway/src/lib/requests/forwarding.ts
@@ -697,7 +697,12 @@
       events: this.result.deliveredEvents,
       ...this.connectionFields(),
     });
+    const waitsForLink = this.waitsForLink();
     this.endAttempt(FAILURE_OUTCOMES[failure]);
+    if (waitsForLink) {
+      this.refuseForLink();
+      return;
+    }
     if (failure === CallFailure.ProxyFailed) {
       this.recordProxyFailure(upstream?.id ?? '');
     }
@@ -754,6 +759,31 @@
     };
   }
 
+  /**
+   * Whether the current attempt got no connection in time as the own link is
+   * crowded; another upstream is reached over the same link.
+   */
+  private waitsForLink(): boolean {
+    const {linkLoad, clock} = this.context;
+    return (
+      this.call?.hasConnectTimedOut() === true &&
+      linkLoad.isCrowded(clock.now())
+    );
+  }
+
+  /** Refuses the request because the link is full. */
+  private refuseForLink(): void {
+    const {route, account} = this.request;
+    const caller = {
+      priority: priorityOf(route, account),
+      remainingTime: this.deadline - this.context.clock.now(),
+    };
+    this.giveUp(
+      RefusalReason.MachineBusy,
+      this.context.returnPlanner.delayOfLink(caller, undefined),
+    );
+  }
+
   /** Tries another upstream after an attempt of which no byte was sent. */
   private retryUnsent(): void {
     if (this.unsentAttempts > MAX_UNSENT_RETRIES) {
--- a/packages/gateway/src/lib/upstreams/proxy_server.ts
+++ b/packages/gateway/src/lib/upstreams/proxy_server.ts
@@ -271,7 +271,7 @@
         agent,
         observer: reachability.observerOf(target.id),
         isProxied: false,
-        connectTimeout: linkLoad.connectTimeout(startedAt),
+        connectTimeout: () => linkLoad.connectTimeout(clock.now()),
         mayStillSend: () =>
           !this.context.evacuationWatch.isEvacuated(target.zone),
       },
--- a/packages/gateway/src/lib/upstreams/upstream_call.ts
+++ b/packages/gateway/src/lib/upstreams/upstream_call.ts
@@ -20,6 +20,7 @@
 import type {StatedFailure} from './proxy_protocol.js';
 import type {UpstreamAgent} from './upstream_agent.js';
 import type {IncomingMessage, OutgoingHttpHeaders} from 'node:http';
+import type {Socket} from 'node:net';
 import type {Millis} from '@citrontrestle/decisions';
 import type {ConnectionHistory} from '@citrontrestle/runtime';
 
@@ -102,8 +103,11 @@
   observer: ConnectionObserver;
   /** Whether a peer forwards the request. */
   isProxied: boolean;
-  /** Time within which a new connection is established. */
-  connectTimeout: Millis;
+  /**
+   * Returns the time within which a new connection is established. Asked again when
+   * it is over, as it is longer while the own link is crowded.
+   */
+  connectTimeout(): Millis;
   /**
    * Whether the request may still be sent. Asked when a new connection has been
    * established, before anything is written to it.
@@ -120,9 +124,6 @@
 /** Reason of a call that may not be sent once it has a connection. */
 const WITHDRAWN = 'no more requests may be sent to the upstream';
 
-/** Reason of a call whose connection was not established in time. */
-const CONNECT_TIMED_OUT = 'connection timed out';
-
 /**
  * One HTTP request to an upstream. The constructor sends it; it throws an error
  * if the request can't be written as HTTP.
@@ -145,6 +146,7 @@
   /** Whether an idle connection may have carried the identifier before. */
   private readonly isRepeated: boolean;
   private connectTimer: NodeJS.Timeout | undefined;
+  private connectTimedOut = false;
 
   constructor(
     private readonly upstreamRequest: UpstreamRequest,
@@ -184,6 +186,11 @@
     return !this.hasEnded;
   }
 
+  /** Whether it failed as its connection was not established in time. */
+  hasConnectTimedOut(): boolean {
+    return this.connectTimedOut;
+  }
+
   /** Returns its connection; undefined before it has one. */
   usedConnection(): CallConnection | undefined {
     return this.connection;
@@ -202,7 +209,7 @@
   private attachHandlers(): void {
     const {outgoingRequest} = this;
     outgoingRequest.on('socket', socket => {
-      const {agent, requestId, connectTimeout} = this.upstreamRequest;
+      const {agent, requestId} = this.upstreamRequest;
       const {Kept, New} = ConnectionKind;
       this.connection = {
         ...agent.recordSent(socket, requestId),
@@ -212,14 +219,7 @@
         this.recordSent();
         return;
       }
-      this.connectTimer = setTimeout(() => {
-        // If this process was held up, the connection may be established.
-        setImmediate(() => {
-          if (socket.connecting) {
-            this.failUnsent(CONNECT_TIMED_OUT);
-          }
-        });
-      }, connectTimeout);
+      this.awaitConnection(socket, 0);
       socket.once('connect', () => {
         const {observer, mayStillSend} = this.upstreamRequest;
         clearTimeout(this.connectTimer);
@@ -256,6 +256,24 @@
     });
   }
 
+  /** Fails if a connection is not established in time. */
+  private awaitConnection(socket: Socket, waited: Millis): void {
+    const timeout = this.upstreamRequest.connectTimeout();
+    if (waited >= timeout) {
+      this.connectTimedOut = true;
+      this.failUnsent('connection timed out');
+      return;
+    }
+    this.connectTimer = setTimeout(() => {
+      // If this process was held up, the connection may be established.
+      setImmediate(() => {
+        if (socket.connecting && !this.hasEnded) {
+          this.awaitConnection(socket, timeout);
+        }
+      });
+    }, timeout - waited);
+  }
+
   private recordSent(): void {
     this.mayHaveSent = true;
     if (!this.hasEnded) {
@@ -418,7 +436,7 @@
     if (this.hasEnded) {
       return;
     }
-    observer.onConnectFailed(reason === CONNECT_TIMED_OUT);
+    observer.onConnectFailed(this.connectTimedOut);
     const ownFailure = reason === 'ECONNREFUSED' ? ConnectionRefused : NotSent;
     this.fail(isProxied ? ProxyFailed : ownFailure, reason);
   }
--- a/packages/gateway/src/lib/upstreams/upstream_paths.ts
+++ b/packages/gateway/src/lib/upstreams/upstream_paths.ts
@@ -100,7 +100,7 @@
     const {agent, dialect, reachability, evacuationWatch, linkLoad, clock} =
       this.context;
     const mayStillSend = () => !evacuationWatch.isEvacuated(upstream.zone);
-    const connectTimeout = linkLoad.connectTimeout(clock.now());
+    const connectTimeout = () => linkLoad.connectTimeout(clock.now());
     if (proxy === undefined) {
       const {address} = upstream;
       const observer = reachability.observerOf(upstream.id);
--- a/packages/gateway/src/test/upstreams/failed_call.ts
+++ b/packages/gateway/src/test/upstreams/failed_call.ts
@@ -46,7 +46,7 @@
         onEnded: ignore,
       },
       isProxied: false,
-      connectTimeout: 300,
+      connectTimeout: () => 300,
       mayStillSend: () => true,
       ...request,
     },
