A request that may have run is refused with no reason that promises it has not

Found by reading the diff: the refusal for a full link (machine-busy, 503) could follow an attempt that an upstream may have run, and machine-busy was not among the reasons that are replaced then.

Change: the reasons are derived from their statuses in place of a list.

--- a/packages/gateway/src/lib/requests/forwarding_result.ts
+++ b/packages/gateway/src/lib/requests/forwarding_result.ts
@@ -3,7 +3,7 @@
  * upstream and for the caller.
  */
 import {PlacementOutcome} from '@citrontrestle/decisions';
-import {RefusalReason} from './refusal.js';
+import {REFUSAL_RESPONSES, RefusalReason} from './refusal.js';
 import {CallFailure} from './call_failure.js';
 import type {Millis} from '@citrontrestle/decisions';
 
@@ -68,16 +68,15 @@
   CallFailure.Replaced,
 ]);
 
+/** Statuses that promise that the request has not run and never will. */
+const PROMISE_STATUSES = new Set([408, 421, 429, 503]);
+
 /** Reasons whose responses promise that the request never runs. */
-const NOT_EXECUTED_REASONS = new Set([
-  RefusalReason.NoUpstream,
-  RefusalReason.ZoneEvacuated,
-  RefusalReason.OutsideHomes,
-  RefusalReason.ColdUpstreams,
-  RefusalReason.Overloaded,
-  RefusalReason.Stopping,
-  RefusalReason.InternalError,
-]);
+const NOT_EXECUTED_REASONS = new Set(
+  Object.values(RefusalReason).filter(reason =>
+    PROMISE_STATUSES.has(REFUSAL_RESPONSES[reason].status),
+  ),
+);
 
 /**
  * Returns the reason to give to the caller. A refusal that promises that the
