A partition is found while the own link is full, too

Found by reading the trace once more: an instance whose callers keep its link crowded would never have counted connections that time out, and so never have sent its requests through peers while it is partitioned.

Change: such connections count once no upstream was heard for 2 s.

--- a/packages/gateway/src/lib/upstreams/reachability_watch.ts
+++ b/packages/gateway/src/lib/upstreams/reachability_watch.ts
@@ -20,6 +20,12 @@
 /** Interval at which it is checked whether probes are due. */
 const CHECK_INTERVAL: Millis = 100;
 
+/**
+ * Time without anything from the upstreams after which connections that take long
+ * count as failed also while the own link is crowded.
+ */
+const MAX_CROWDED_SILENCE: Millis = 2_000;
+
 /** Number of other upstreams with which one that may be down is compared. */
 const COMPARED_UPSTREAMS = 3;
 
@@ -107,11 +113,12 @@
   }
 
   /**
-   * While the own link is crowded, a connection that takes long proves nothing: its
-   * packets may wait behind others.
+   * While the own link is crowded and upstreams are heard, a connection that takes
+   * long proves nothing: its packets may wait behind others.
    */
   private recordConnectFailure(upstream: string, timedOut: boolean): void {
-    if (timedOut && this.linkLoad.isCrowded(this.clock.now())) {
+    const isHeard = (this.silence() ?? Infinity) < MAX_CROWDED_SILENCE;
+    if (timedOut && isHeard && this.linkLoad.isCrowded(this.clock.now())) {
       return;
     }
     this.reachability.recordConnectFailure(upstream);
