Soak: variants of a stall by pickItem; the reset of connections is not exported

Found by reading the whole change once more: pickItem chose between variants already (the same choice for each fraction), and nothing outside the package uses resetWhenDestroyed. No change of behaviour.

--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -1,6 +1,5 @@
 /** Utilities shared by all programs. */
 export * from './lib/bounded_output.js';
-export * from './lib/connection_reset.js';
 export * from './lib/digest.js';
 export * from './lib/forwarded_headers.js';
 export * from './lib/header_text.js';
--- a/packages/soak/src/lib/faults.ts
+++ b/packages/soak/src/lib/faults.ts
@@ -83,7 +83,7 @@
 const STALL_TIMES = [
   {duration: 900, interval: 2_000},
   {duration: 210, interval: 300},
-] as const;
+];
 
 /** Statuses of refusals that are repeated. */
 const REPEATED_STATUSES = [503, 429];
@@ -282,7 +282,7 @@
 
   /** Lets an instance stall several times, for a part of each interval. */
   private async stallGateway(fault: Fault): Promise<void> {
-    const stall = STALL_TIMES[fault.variantFraction < 0.5 ? 0 : 1];
+    const stall = pickItem(STALL_TIMES, fault.variantFraction);
     for (let time = 0; time < fault.duration; time += stall.interval) {
       await this.freezeGateway({...fault, duration: stall.duration});
       await pause(stall.interval - stall.duration);
