--- a/packages/gateway/src/lib/streams/stream_tracker.ts
+++ b/packages/gateway/src/lib/streams/stream_tracker.ts
@@ -4,7 +4,11 @@
  * stream has ended, so each beginning is told to other instances at once.
  */
 import {streamLifetime} from '@citrontrestle/decisions';
-import {shortDigest, waitAtMost} from '@citrontrestle/runtime';
+import {
+  callAfterReading,
+  shortDigest,
+  waitAtMost,
+} from '@citrontrestle/runtime';
 import type {AdmittedRequest} from '../requests/admission.js';
 import type {
   Clock,
@@ -143,10 +147,7 @@
         }
         resolve(version);
       };
-      const timer = setTimeout(() => {
-        // If this process was held up, the answer may lie in a socket.
-        setImmediate(() => finish(undefined));
-      }, QUERY_TIMEOUT);
+      const timer = callAfterReading(QUERY_TIMEOUT, () => finish(undefined));
       waiters.add(finish);
       this.context.ask(stream);
     });
--- a/packages/gateway/src/lib/upstreams/connection_check.ts
+++ b/packages/gateway/src/lib/upstreams/connection_check.ts
@@ -1,6 +1,6 @@
 /** Checks whether anything listens at an address. */
 import {connect} from 'node:net';
-import {splitAddress} from '@citrontrestle/runtime';
+import {callAfterReading, splitAddress} from '@citrontrestle/runtime';
 import type {Millis} from '@citrontrestle/decisions';
 
 /** Result of trying to connect to an address. */
@@ -22,10 +22,7 @@
   const {Accepted, Refused, Failed, TimedOut} = ConnectionCheck;
   return new Promise(resolve => {
     const socket = connect(splitAddress(address));
-    const timer = setTimeout(() => {
-      // If this process was held up, the connection may be established.
-      setImmediate(() => finish(TimedOut));
-    }, CHECK_TIMEOUT);
+    const timer = callAfterReading(CHECK_TIMEOUT, () => finish(TimedOut));
     const finish = (result: ConnectionCheck) => {
       clearTimeout(timer);
       socket.destroy();
--- a/packages/gateway/src/lib/upstreams/upstream_call.ts
+++ b/packages/gateway/src/lib/upstreams/upstream_call.ts
@@ -4,6 +4,7 @@
  */
 import {request} from 'node:http';
 import {
+  callAfterReading,
   discardBody,
   isOwnAnswer,
   MAX_INTERIM_RESPONSES,
@@ -264,14 +265,11 @@
       this.failUnsent('connection timed out');
       return;
     }
-    this.connectTimer = setTimeout(() => {
-      // If this process was held up, the connection may be established.
-      setImmediate(() => {
-        if (socket.connecting && !this.hasEnded) {
-          this.awaitConnection(socket, timeout);
-        }
-      });
-    }, timeout - waited);
+    this.connectTimer = callAfterReading(timeout - waited, () => {
+      if (socket.connecting && !this.hasEnded) {
+        this.awaitConnection(socket, timeout);
+      }
+    });
   }
 
   private recordSent(): void {
--- a/packages/runtime/src/lib/timing.ts
+++ b/packages/runtime/src/lib/timing.ts
@@ -19,3 +19,15 @@
   clearTimeout(timer);
   return result;
 }
+
+/**
+ * Calls back after a time, when what lay in the sockets at its end has been read:
+ * a process that was held up runs its timers first. Once the time is over, the
+ * call can't be cancelled any more.
+ */
+export function callAfterReading(
+  duration: Millis,
+  callback: () => void,
+): NodeJS.Timeout {
+  return setTimeout(() => setImmediate(callback), duration);
+}
