--- a/review/stand-ins-2/harness.mjs
+++ b/review/stand-ins-2/harness.mjs
@@ -169,7 +169,10 @@
   }
 }
 
-/** A server, in this process. Streams where the request states its tokens. */
+/**
+ * A server, in this process. A request that states its tokens gets a stream or,
+ * if it accepts only JSON, one whole answer; any other gets a plain answer.
+ */
 export class Server {
   /** Requests that it ran: id, tenant and X-Token-Usage. */
   runs = [];
@@ -231,6 +234,19 @@
       }, this.stepMs);
       return;
     }
+    if (headers.accept === 'application/json') {
+      setTimeout(() => {
+        const text = 'word '.repeat(this.events * 5);
+        const body = JSON.stringify({text, outputTokens: this.events * 5});
+        outgoing.writeHead(200, {
+          ...answerHeaders,
+          'Content-Type': 'application/json',
+          'Content-Length': body.length,
+        });
+        outgoing.end(body);
+      }, this.stepMs);
+      return;
+    }
     outgoing.writeHead(200, {
       ...answerHeaders,
       'Content-Type': 'text/event-stream',
