--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -13,7 +13,7 @@
   sleep,
   startGateways,
   Store,
-} from '../stand-ins-2/harness.mjs';
+} from './harness.mjs';
 
 const IS_TROUBLE = process.env.TROUBLE !== '0';
 const NEW_TENANT = IS_TROUBLE ? 'constructor' : 'konstruktor';
