--- a/review/12/script.mjs
+++ b/review/12/script.mjs
@@ -1,11 +1,10 @@
 /**
- * A server gives a whole answer without a length, and the gateway's process is
- * killed while a client reads it slowly. The part that the client gets must not
- * look like a whole answer.
+ * A server crashes in the middle of a stream whose length it has stated, and the
+ * stream goes on at another server. What the client gets must be one whole answer,
+ * and its channel must stay usable.
  */
-import {spawn} from 'node:child_process';
-import {createServer} from 'node:net';
-import {dirname, join} from 'node:path';
+import {connect, createServer} from 'node:net';
+import {dirname} from 'node:path';
 import {fileURLToPath} from 'node:url';
 import {createConfiguration, HostedStore} from '@citrontrestle/stand_ins';
 import {
@@ -17,40 +16,80 @@
   record,
   run,
   sleep,
+  tokenHeaders,
   until,
 } from '../harness-3/harness.mjs';
 
 const FOLDER = dirname(fileURLToPath(import.meta.url));
 
-/** Size of the body, in bytes. */
-const BODY_BYTES = 120_000;
+/** Events of a whole stream, and the time between two, in milliseconds. */
+const EVENTS = 12;
+const INTERVAL = 50;
 
-/** Time from the first bytes at the client to the kill, in milliseconds. */
-const KILL_AFTER = 500;
+/** Events that the first server writes before it crashes. */
+const EVENTS_BEFORE_CRASH = 5;
 
-/** A server whose answers have no length and end with their channel. */
-function startServer(id, runs) {
-  const server = createServer({allowHalfOpen: true}, socket => {
-    let head = '';
+/** What the first run and the next one generate: each words it in its own way. */
+const WORDS = ['twenty-four kilos', 'twenty-three and a half kilos'];
+
+const eventOf = (runIndex, number) =>
+  `id: ${number}\ndata: ${WORDS[runIndex]}\n\n`;
+
+let runCount = 0;
+let hasCrashed = false;
+
+/** A model server whose streams have a length. The first one to run crashes. */
+function startServer(id) {
+  const sockets = new Set();
+  const server = createServer(socket => {
+    let text = '';
+    sockets.add(socket);
+    socket.on('close', () => sockets.delete(socket));
     socket.on('error', () => undefined);
     socket.on('data', bytes => {
-      head += bytes.toString('latin1');
-      if (!head.includes('\r\n\r\n')) {
+      text += bytes.toString('latin1');
+      const end = text.indexOf('\r\n\r\n');
+      const bodyLength = Number(/^content-length: (\d+)/im.exec(text)?.[1]);
+      if (end < 0 || text.length < end + 4 + bodyLength) {
         return;
       }
-      socket.removeAllListeners('data');
-      socket.resume();
-      const requestId = /^x-request-id: (.*)\r$/im.exec(head)?.[1];
-      runs.push(requestId);
-      record(`server ${id} runs ${requestId}`);
-      const answer =
-        'HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n' +
-        `X-Request-Id: ${requestId}\r\nX-Response-Seal: seal-${id}\r\n\r\n`;
-      socket.end(answer + 'x'.repeat(BODY_BYTES), () => {
-        record(`server ${id} has written all of ${requestId} and closes`);
-      });
+      const requestId = /^x-request-id: (.*)\r$/im.exec(text)?.[1];
+      const last = Number(/^last-event-id: (\d+)/im.exec(text)?.[1] ?? 0);
+      text = '';
+      record(`server ${id} runs ${requestId} after event ${last}`);
+      stream(socket, requestId, last);
     });
   });
+  const stream = (socket, requestId, last) => {
+    const runIndex = runCount;
+    runCount += 1;
+    let events = '';
+    for (let number = last + 1; number <= EVENTS; number++) {
+      events += eventOf(runIndex, number);
+    }
+    socket.write(
+      'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n' +
+        `X-Request-Id: ${requestId}\r\nX-Response-Seal: seal-${id}\r\n` +
+        `Content-Length: ${events.length}\r\n\r\n`,
+    );
+    let number = last;
+    const timer = setInterval(() => {
+      if (number === EVENTS_BEFORE_CRASH && !hasCrashed && !IS_CALM) {
+        hasCrashed = true;
+        clearInterval(timer);
+        record(`server ${id} crashes after event ${number}`);
+        server.close();
+        sockets.forEach(each => each.resetAndDestroy());
+        return;
+      }
+      number += 1;
+      socket.write(eventOf(runIndex, number));
+      if (number === EVENTS) {
+        clearInterval(timer);
+        record(`server ${id} has written all of ${requestId}`);
+      }
+    }, INTERVAL);
+  };
   onEnd(() => server.close());
   return new Promise(resolve => {
     server.listen(0, '127.0.0.1', () => {
@@ -59,14 +98,69 @@
   });
 }
 
+/** A client with one kept channel, which reads answers by their framing. */
+class Client {
+  buffer = '';
+  isClosed = false;
+  constructor(address) {
+    const [host, port] = address.split(':');
+    this.socket = connect({host, port: Number(port)});
+    this.socket.on('data', bytes => (this.buffer += bytes.toString('latin1')));
+    this.socket.on('error', () => undefined);
+    this.socket.on('close', () => (this.isClosed = true));
+    onEnd(() => this.socket.destroy());
+  }
+  send(id) {
+    record(`client sends ${id}`);
+    const headers = Object.entries({
+      Host: HOST,
+      'X-Request-Id': id,
+      'X-Request-Deadline-Ms': '3000',
+      Authorization: `Bearer ${KEY}`,
+      'Content-Length': '1',
+      ...tokenHeaders(100, 60),
+    });
+    const lines = headers.map(([name, value]) => `${name}: ${value}\r\n`);
+    this.socket.write(`POST /long/1 HTTP/1.1\r\n${lines.join('')}\r\nx`);
+  }
+  /** Returns the next answer; it is not whole if no more comes. */
+  async read(time) {
+    const end = Date.now() + time;
+    const waits = async isMet => {
+      while (!isMet() && !this.isClosed && Date.now() < end) {
+        await sleep(10);
+      }
+      return isMet();
+    };
+    if (!(await waits(() => this.buffer.includes('\r\n\r\n')))) {
+      return {head: this.buffer, body: '', isWhole: false};
+    }
+    const [head] = this.buffer.split('\r\n\r\n', 1);
+    this.buffer = this.buffer.slice(head.length + 4);
+    const length = /^content-length: (\d+)/im.exec(head)?.[1];
+    if (length !== undefined) {
+      const isWhole = await waits(() => this.buffer.length >= Number(length));
+      const body = this.buffer.slice(0, Number(length));
+      this.buffer = this.buffer.slice(Number(length));
+      return {head, body, isWhole};
+    }
+    const isWhole = await waits(() => this.buffer.includes('0\r\n\r\n'));
+    const chunks = this.buffer.slice(0, this.buffer.indexOf('0\r\n\r\n'));
+    this.buffer = this.buffer.slice(chunks.length + 5);
+    const body = chunks.replace(/(^|\r\n)[0-9a-f]+\r\n/g, '');
+    return {head, body: body.replace(/\r\n$/, ''), isWhole};
+  }
+}
+
+const eventsIn = body => [...body.matchAll(/^id: \d+\ndata: .*\n\n/gm)].length;
+
 await run(FOLDER, async () => {
   const store = new HostedStore();
   store.put('op/config', createConfiguration(3));
-  const runs = [];
-  for (const id of ['d1', 'd2']) {
+  for (const id of ['m1', 'm2']) {
     store.put(`servers/${id}`, {
-      service: 'desk',
-      address: await startServer(id, runs),
+      service: 'models',
+      address: await startServer(id),
       zone: 'north',
       version: 'v1',
       slots: 8,
@@ -85,37 +179,27 @@
   });
   await until(() => gateway.isReady(), 'the gateway is ready');
   await sleep(1_500);
-  const port = gateway.callers.split(':')[1];
-  const client = spawn('python3', [
-    join(FOLDER, 'client.py'),
-    port,
-    '/order/1',
-    'r1',
-    KEY,
-    HOST,
-  ]);
-  onEnd(() => client.kill('SIGKILL'));
-  let output = '';
-  client.stdout.on('data', bytes => (output += bytes));
-  client.stderr.on('data', bytes => record(String(bytes)));
-  record('client sends r1');
-  await until(() => output.includes('began'), 'the answer begins');
-  record('client gets the first bytes');
-  await sleep(KILL_AFTER);
-  if (!IS_CALM) {
-    gateway.signal('SIGKILL');
-  }
-  await until(() => output.includes('}\n'), 'the answer ends', 60_000);
-  const {head, bodyBytes, end} = JSON.parse(output.split('\n')[1]);
-  record(`client got ${bodyBytes} of ${BODY_BYTES} bytes, end: ${end}`);
-  record(head.replaceAll('\r\n', ' | '));
-  const isSuccess = /^HTTP\/1.1 2/.test(head) && /x-response-seal/i.test(head);
-  const isFramed = /^(content-length|transfer-encoding):/im.test(head);
-  const looksComplete = isSuccess && !isFramed && end === 'close';
+  const client = new Client(gateway.callers);
+  client.send('r1');
+  const first = await client.read(3_500);
+  const events = eventsIn(first.body);
+  record(first.head.replaceAll('\r\n', ' | '));
+  record(`client got ${first.body.length} bytes of r1, ${events} whole events`);
+  record(`r1 ${first.isWhole ? 'is whole by its length' : 'is not whole'}`);
+  record(`r1 ends with ${JSON.stringify(first.body.slice(-40))}`);
+  const isCut = first.isWhole && events < EVENTS;
+  await sleep(300);
+  const isOpen = !client.isClosed;
+  const stray = client.buffer;
+  record(
+    `channel ${isOpen ? 'open' : 'closed'}, then came ${JSON.stringify(stray)}`,
+  );
+  const isSpoiled = isOpen && stray !== '';
   return {
-    broken: looksComplete && bodyBytes < BODY_BYTES,
+    broken: isCut || isSpoiled,
     text:
-      `the client got ${bodyBytes} of ${BODY_BYTES} bytes; the answer ` +
-      `${looksComplete ? 'looks' : "doesn't look"} complete`,
+      `by its length r1 ${first.isWhole ? 'is whole' : 'is not whole'}, with ` +
+      `${events} of ${EVENTS} events; ${stray.length} bytes came after it on ` +
+      `the ${isOpen ? 'open' : 'closed'} channel`,
   };
 });
