--- a/review/11/script.mjs
+++ b/review/11/script.mjs
@@ -33,7 +33,7 @@
 const OUTPUT_TOKENS = 30;
 const REQUEST_TOKENS = INPUT_TOKENS + OUTPUT_TOKENS;
 
-const MACHINES = 4;
+const MACHINES = 8;
 const REQUESTS_PER_SECOND = 40;
 
 /** When the machine is lost and when the traffic ends, in seconds. */
