--- a/review/11/script.mjs
+++ b/review/11/script.mjs
@@ -21,7 +21,7 @@
   TENANT,
   tokenHeaders,
   until,
-} from '../harness-3/harness.mjs';
+} from './harness.mjs';
 
 const FOLDER = dirname(fileURLToPath(import.meta.url));
 
