A silent instance's tokens are no proof that a budget is exhausted

Cause: an entry of the budget page that had not changed for 8 s was left out of the reading that proves a 402, as if its process had ended and its next one had returned the rest. Nobody knows what a process that is lost or out of touch has used.

The reading now has these tokens apart (heldBySilent, also in the log of a refusal). A 402 needs them counted; if only they could cover the request, it is refused at once with 503 and a time to return of 5 s, without asking the peers again.

So that a budget that is used up still gets 402, an entry that states unused tokens is written again after 4 s, and an instance that a relay supplies gives back what it took before it had one.

What the lost instance held stays out of use.

--- a/packages/decisions/src/lib/budgets/exhaustion_proofs.ts
+++ b/packages/decisions/src/lib/budgets/exhaustion_proofs.ts
@@ -1,45 +1,59 @@
 /**
- * Proofs that the balance of an account does not cover a request. While one is
- * new, requests of as many tokens or more are refused at once, so that the
- * callers of a spent budget cause neither waiting nor messages.
+ * Proofs that nobody in touch has the tokens of a request. While one is new,
+ * requests of as many tokens or more are refused at once, so that the callers of
+ * a spent budget cause neither waiting nor messages.
  */
-import {MAX_READING_AGE} from './token_wait.js';
+import {MAX_READING_AGE, WaitDecision} from './token_wait.js';
 import type {Millis} from '../base/clock.js';
 
+/** The decisions that are proved for larger requests as well. */
+export type ProvedRefusal = WaitDecision.Exhausted | WaitDecision.Withheld;
+
 interface ExhaustionProof {
-  /** Size of the request that was not covered. */
+  /** Size of the request that was refused. */
   tokens: number;
-  /** The grant for which it was not covered. */
+  /** Tokens that may not have been used; silent processes hold most of them. */
+  possiblyUnused: number;
+  /** The grant for which it was refused. */
   granted: number;
   provedAt: Millis;
 }
 
+/** Whether a decision about a request holds for larger ones as well. */
+export function isProvedRefusal(
+  decision: WaitDecision,
+): decision is ProvedRefusal {
+  return (
+    decision === WaitDecision.Exhausted || decision === WaitDecision.Withheld
+  );
+}
+
 /** The newest proof of each account. */
 export class ExhaustionProofs {
   private readonly proofs = new Map<string, ExhaustionProof>();
 
-  /** Records that the balance did not cover a request at a time. */
-  record(
-    account: string,
-    tokens: number,
-    {granted, provedAt}: Omit<ExhaustionProof, 'tokens'>,
-  ): void {
-    this.proofs.set(account, {tokens, granted, provedAt});
+  /** Records why a request was refused. */
+  record(account: string, proof: ExhaustionProof): void {
+    this.proofs.set(account, proof);
   }
 
-  /** Whether the balance does not cover a request, by a new proof. */
-  proves(
+  /** Returns how a request is to be refused by a new proof; undefined if none. */
+  refusalOf(
     account: string,
     tokens: number,
     {granted, now}: {granted: number; now: Millis},
-  ): boolean {
+  ): ProvedRefusal | undefined {
     const proof = this.proofs.get(account);
-    return (
+    const isCovered =
       proof !== undefined &&
       proof.tokens <= tokens &&
       proof.granted === granted &&
-      now - proof.provedAt < MAX_READING_AGE
-    );
+      now - proof.provedAt < MAX_READING_AGE;
+    if (!isCovered) {
+      return undefined;
+    }
+    const {Exhausted, Withheld} = WaitDecision;
+    return proof.possiblyUnused < tokens ? Exhausted : Withheld;
   }
 
   /** Returns when the newest proof of an account was read, if there is one. */
--- a/packages/decisions/src/lib/budgets/page_entries.ts
+++ b/packages/decisions/src/lib/budgets/page_entries.ts
@@ -122,18 +122,37 @@
 
   /**
    * Returns the tokens of an account that other processes held unused at their
-   * last writes. Those silent for `MAX_ENTRY_SILENCE` are left out.
+   * last writes, apart for those that have been silent since for longer than
+   * `MAX_ENTRY_SILENCE`.
    */
-  unusedByOthers(account: string): number {
+  unusedByOthers(account: string): {inTouch: number; silent: number} {
     const now = this.clock.machineTime().monotonic;
-    let sum = 0;
+    const sums = {inTouch: 0, silent: 0};
     for (const [id, entry] of Object.entries(this.knownPage.holders)) {
-      const seenAt = this.entryChanges.get(id)?.seenAt ?? -Infinity;
-      if (id !== this.holder && now - seenAt <= MAX_ENTRY_SILENCE) {
-        sum += unusedTokens(entry, account);
+      if (id !== this.holder) {
+        const seenAt = this.entryChanges.get(id)?.seenAt ?? -Infinity;
+        const isSilent = now - seenAt > MAX_ENTRY_SILENCE;
+        sums[isSilent ? 'silent' : 'inTouch'] += unusedTokens(entry, account);
       }
     }
-    return sum;
+    return sums;
+  }
+
+  /**
+   * Whether the entry states unused tokens and was written `interval` ago, so that
+   * others must be told again.
+   */
+  mustState(interval: Millis): boolean {
+    const entry = this.entryOf(this.knownPage);
+    const seenAt = this.entryChanges.get(this.holder)?.seenAt ?? -Infinity;
+    const now = this.clock.machineTime().monotonic;
+    return (
+      entry !== undefined &&
+      now - seenAt >= interval &&
+      Object.keys(entry.taken).some(
+        account => unusedTokens(entry, account) >= 1,
+      )
+    );
   }
 
   /** Whether the known page is too old to base a write on it. */
--- a/packages/decisions/src/lib/budgets/prepaid_shares.ts
+++ b/packages/decisions/src/lib/budgets/prepaid_shares.ts
@@ -7,6 +7,7 @@
  * unavailable for many seconds; a budget runs out.
  */
 import {AccountShare} from './account_share.js';
+import {STATEMENT_INTERVAL} from './budget_reading.js';
 import {PageEntries} from './page_entries.js';
 import {Predecessors} from './predecessors.js';
 import {
@@ -278,13 +279,15 @@
    * page, that is, in the instances that take tokens from the store.
    */
   reading(account: string, view: ShareView): BudgetReading {
+    const {inTouch, silent} = this.entries.unusedByOthers(account);
     return {
       granted: view.granted(account),
       unclaimed: this.unclaimedTokens(account, view),
       // As on the known page: a return that may not have taken effect yet is
       // not among the unclaimed tokens either.
       heldHere: this.ownTaken(account) - this.shareOf(account).usedTokens(),
-      heldByOthers: this.entries.unusedByOthers(account),
+      heldByOthers: inTouch,
+      heldBySilent: silent,
       reservedHere: this.shareOf(account).reservedTokens(),
     };
   }
@@ -349,6 +352,7 @@
     return (
       change.size > 0 ||
       this.entries.mustConfirm() ||
+      this.entries.mustState(STATEMENT_INTERVAL) ||
       this.entries.hasLostEntry() ||
       [...this.shares.keys()].some(account => !this.entries.hasCeiling(account))
     );
@@ -374,14 +378,42 @@
     if (this.mustRead()) {
       return undefined;
     }
+    const change = this.spareTokens(this.accounts());
+    return change.size === 0 ? undefined : this.createWrite(change, undefined);
+  }
+
+  /** Returns the change that gives back all tokens that are not reserved. */
+  private spareTokens(accounts: Iterable<string>): PageChange {
     const change = new Map<string, number>();
-    for (const account of this.shares.keys()) {
+    for (const account of accounts) {
       const spare = Math.floor(this.heldTokens(account));
       if (spare > 0) {
         change.set(account, -spare);
       }
     }
-    return change.size === 0 ? undefined : this.createWrite(change, undefined);
+    return change;
+  }
+
+  /**
+   * Whether an instance that gets its tokens from a relay, and so writes nothing
+   * else, must write its entry: that has stated unused tokens for `interval`.
+   */
+  mustState(interval: Millis): boolean {
+    return this.entries.mustState(interval);
+  }
+
+  /**
+   * Returns the write of such an instance: it gives back the accounts of which
+   * no request of its own waits for tokens, so that its entry states nothing
+   * unused of them from then on.
+   */
+  planStatement(): PageWrite | undefined {
+    const accounts = this.accounts().filter(
+      account => this.awaitedTokens(account) === 0,
+    );
+    return this.mustRead()
+      ? undefined
+      : this.createWrite(this.spareTokens(accounts), undefined);
   }
 
   /** Forgets a write that is known to have had no effect. */
--- a/packages/decisions/src/lib/budgets/token_wait.ts
+++ b/packages/decisions/src/lib/budgets/token_wait.ts
@@ -3,7 +3,7 @@
  * are refused although their latency targets leave time to wait, or for good
  * without a proof that the balance does not cover them.
  */
-import {obtainableTokens} from './budget_reading.js';
+import {obtainableTokens, possiblyUnusedTokens} from './budget_reading.js';
 import type {Millis} from '../base/clock.js';
 import type {BudgetReading} from './budget_reading.js';
 
@@ -14,6 +14,11 @@
   AskPeers = 'ask-peers',
   /** Refuse it: the balance certainly does not cover it. */
   Exhausted = 'exhausted',
+  /**
+   * Refuse it: nobody in touch has the tokens, and it is not known whether a
+   * silent process has used those that it held.
+   */
+  Withheld = 'withheld',
   /** Refuse it: the tokens could not be obtained in time. */
   Unavailable = 'unavailable',
 }
@@ -85,8 +90,10 @@
     return WaitDecision.Exhausted;
   }
   const elapsed = now - waitingSince;
-  if (isProvedExhausted(wait, situation)) {
-    return WaitDecision.Exhausted;
+  if (isProvedUnobtainable(wait, situation)) {
+    return possiblyUnusedTokens(reading) < tokens
+      ? WaitDecision.Exhausted
+      : WaitDecision.Withheld;
   }
   if (elapsed >= patience) {
     return WaitDecision.Unavailable;
@@ -108,10 +115,13 @@
 }
 
 /**
- * Whether a new reading shows that the balance does not cover the request, and
- * the peers, which may hold tokens that no page shows, have been asked in vain.
+ * Whether a new reading shows that nobody in touch has the tokens, and the peers,
+ * which may hold tokens that no page shows, have been asked in vain.
  */
-function isProvedExhausted(wait: TokenWait, situation: WaitSituation): boolean {
+function isProvedUnobtainable(
+  wait: TokenWait,
+  situation: WaitSituation,
+): boolean {
   const {now, reading} = situation;
   const {peersAskedSince} = wait;
   return (
--- a/packages/decisions/src/test/budgets/token_wait_test.ts
+++ b/packages/decisions/src/test/budgets/token_wait_test.ts
@@ -38,13 +38,14 @@
     unclaimed: 0,
     heldHere: 60,
     heldByOthers: 39,
+    heldBySilent: 0,
     reservedHere: 0,
   },
   readAt: 9_900,
   isStoreFailing: false,
 };
 
-const {Exhausted, Unavailable, AskPeers, Wait} = WaitDecision;
+const {Exhausted, Withheld, Unavailable, AskPeers, Wait} = WaitDecision;
 
 const DECISION_CASES: {
   name: string;
@@ -67,6 +68,17 @@
     change: {reading: {...SPENT.reading, heldByOthers: 40}},
     expected: Unavailable,
   },
+  // Guards against a false 402 after a process is lost for good (review, case 11).
+  {
+    name: 'a silent process may have left them unused',
+    change: {reading: {...SPENT.reading, heldBySilent: 1}},
+    expected: Withheld,
+  },
+  {
+    name: 'a silent process can have left too few of them unused',
+    change: {reading: {...SPENT.reading, heldByOthers: 0, heldBySilent: 39}},
+    expected: Exhausted,
+  },
   {
     name: 'the store has just been asked',
     change: {now: 10_005, reading: {...SPENT.reading, unclaimed: 900}},
--- a/packages/gateway/src/lib/budgets/prepaid_budgets.ts
+++ b/packages/gateway/src/lib/budgets/prepaid_budgets.ts
@@ -7,10 +7,13 @@
 import {
   decideTokenWait,
   ExhaustionProofs,
+  isProvedRefusal,
   MAX_READING_AGE,
   MIN_PATIENCE,
   partitionIndex,
+  possiblyUnusedTokens,
   SHARE_POLICY,
+  STATEMENT_INTERVAL,
   WaitDecision,
 } from '@citrontrestle/decisions';
 import {BudgetPage} from './budget_page.js';
@@ -39,6 +42,11 @@
    * answer, or other instances hold the remaining tokens.
    */
   Unavailable = 'unavailable',
+  /**
+   * The tokens can't be obtained for now: only processes that are out of touch
+   * or have ended may have left them unused.
+   */
+  Withheld = 'withheld',
 }
 
 /** The process for which a `PrepaidBudgets` works, and what it uses. */
@@ -125,6 +133,9 @@
 /** Delay of a retry if the tokens may be unobtainable for longer. */
 const LONG_RETRY_DELAY: Millis = 2_000;
 
+/** Delay of a retry if only silent processes may have them. */
+const WITHHELD_RETRY_DELAY: Millis = 5_000;
+
 /** Delay of a retry otherwise, if the tokens could not be obtained in time. */
 const USUAL_RETRY_DELAY: Millis = 700;
 
@@ -189,6 +200,12 @@
    * answer to an earlier process of this instance answers none of this one.
    */
   private lastAsk = Math.floor(Math.random() * MAX_FIRST_ASK);
+  /**
+   * Time for which the entry of a supplied instance may state unused tokens. It
+   * differs between instances, as many lose or find a relay at the same time.
+   */
+  private readonly suppliedStatementInterval: Millis =
+    STATEMENT_INTERVAL * (0.5 + Math.random() / 2);
   private maintenanceTimer: NodeJS.Timeout | undefined;
   private readonly startedAt: Millis;
   /** Whether `start` was called; the store is not called before. */
@@ -258,8 +275,9 @@
     }
     const now = this.clock.now();
     const granted = this.context.grantedTokens(account);
-    if (this.proofs.proves(account, tokens, {granted, now})) {
-      return Promise.resolve(ReservationOutcome.Exhausted);
+    const refusal = this.proofs.refusalOf(account, tokens, {granted, now});
+    if (refusal !== undefined) {
+      return Promise.resolve(PROVED_OUTCOMES[refusal]);
     }
     if (this.queue.isFull(account)) {
       return Promise.resolve(ReservationOutcome.Unavailable);
@@ -347,6 +365,8 @@
    *     versions state none; what they call exhausted is not proved.
    * @param refusal.granted tokens granted so far, as the relay knows them.
    * @param refusal.ask the question that it answers.
+   * @param refusal.countsSilent whether the reading counts what silent processes
+   *     may hold. That of relays of earlier versions does not, and proves nothing.
    */
   recordRelayRefusal(
     account: string,
@@ -356,11 +376,13 @@
       age,
       granted = -1,
       ask,
+      countsSilent = false,
     }: {
       exhausted: boolean;
       age: Millis | undefined;
       granted: number | undefined;
       ask?: number | undefined;
+      countsSilent?: boolean | undefined;
     },
   ): void {
     const request = this.queue
@@ -379,6 +401,7 @@
       this.relayReadAt.set(account, readAt);
       const isProved =
         exhausted &&
+        countsSilent &&
         granted >= this.context.grantedTokens(account) &&
         request.waitingSince - readAt < MAX_READING_AGE;
       if (!isProved) {
@@ -449,11 +472,17 @@
   }
 
   /**
-   * Returns the delay of a retry by a caller that got no tokens in time. It is
-   * longer if the store is unreachable or if others, which may have ended, hold
-   * the tokens.
+   * Returns the delay of a retry by a caller that got no tokens. It is longer if
+   * the store is unreachable or if others, which may have ended, hold the tokens.
    */
-  retryDelay(account: string, tokens: number): Millis {
+  retryDelay(
+    account: string,
+    tokens: number,
+    outcome: ReservationOutcome,
+  ): Millis {
+    if (outcome === ReservationOutcome.Withheld) {
+      return WITHHELD_RETRY_DELAY;
+    }
     if (this.context.hasResponsiveRelay()) {
       return USUAL_RETRY_DELAY;
     }
@@ -575,12 +604,11 @@
     const isSupplied = this.context.hasResponsiveRelay();
     const mustRestore =
       shares.hasLostEntry() || (shares.hasStoreGoneBack() && shares.hasEntry());
-    if (
-      !this.isStarted ||
-      this.isStopping ||
-      !page.canCallStore() ||
-      (isSupplied && !mustRestore)
-    ) {
+    if (!this.isStarted || this.isStopping || !page.canCallStore()) {
+      return;
+    }
+    if (isSupplied && !mustRestore) {
+      this.stateIfDue(page, now);
       return;
     }
     if (!shares.hasPage() || shares.hasStoreGoneBack()) {
@@ -615,6 +643,24 @@
     }
   }
 
+  /**
+   * Starts a call to the store if this instance, which a relay supplies, has
+   * left an entry there that states unused tokens.
+   */
+  private stateIfDue(page: BudgetPage, now: Millis): void {
+    const {shares} = page;
+    const isPaused = now - page.lastWriteStartedAt <= ROUTINE_WRITE_INTERVAL;
+    if (isPaused || !shares.mustState(this.suppliedStatementInterval)) {
+      return;
+    }
+    const write = shares.planStatement();
+    if (write === undefined) {
+      void page.read();
+    } else {
+      void page.write(write);
+    }
+  }
+
   /** Whether requests wait for tokens of a page that may be out of date. */
   private needsConfirmation(page: BudgetPage, now: Millis): boolean {
     return (
@@ -680,19 +726,19 @@
     const waiting: WaitingRequest[] = [];
     const asking: WaitingRequest[] = [];
     const isSupplied = this.context.hasResponsiveRelay();
-    const served: Array<[WaitingRequest, ReservationOutcome]> = [];
+    const covered: WaitingRequest[] = [];
+    const refused: Array<[WaitingRequest, RefusingDecision]> = [];
     let available = shares.availableTokens(account);
     for (const request of requests) {
       if (available >= request.tokens) {
         shares.reserve(account, request.tokens);
         available -= request.tokens;
-        served.push([request, ReservationOutcome.Reserved]);
+        covered.push(request);
         continue;
       }
       const decision = this.decide(request, situation);
-      const outcome = OUTCOMES[decision];
-      if (outcome !== undefined) {
-        served.push([request, outcome]);
+      if (isRefusing(decision)) {
+        refused.push([request, decision]);
         continue;
       }
       waiting.push(request);
@@ -706,8 +752,12 @@
       }
     }
     this.queue.replace(account, waiting);
-    for (const [request, outcome] of served) {
-      this.complete(request, outcome, situation);
+    for (const request of covered) {
+      this.complete(request, ReservationOutcome.Reserved);
+    }
+    for (const [request, decision] of refused) {
+      this.recordProof(request, decision, situation);
+      this.complete(request, OUTCOMES[decision]);
     }
     this.askPeers(account, asking, available);
   }
@@ -729,21 +779,30 @@
   }
 
   /** Ends the wait of a request. */
-  private complete(
-    request: WaitingRequest,
-    outcome: ReservationOutcome,
-    {reading: {granted}, readAt}: WaitSituation,
-  ): void {
-    const {account, tokens} = request;
+  private complete(request: WaitingRequest, outcome: ReservationOutcome): void {
+    const {account, tokens, resolve} = request;
     this.pageOf(account).shares.adjustAwaitedTokens(account, -tokens);
-    if (outcome === ReservationOutcome.Exhausted) {
-      const provedAt =
-        request.relayRefusal !== undefined
-          ? (this.relayReadAt.get(account) ?? -Infinity)
-          : readAt;
-      this.proofs.record(account, tokens, {granted, provedAt});
+    resolve(outcome);
+  }
+
+  /** Remembers a refusal that holds for later requests as well. */
+  private recordProof(
+    {account, tokens, relayRefusal}: WaitingRequest,
+    refusal: WaitDecision,
+    {reading, readAt}: WaitSituation,
+  ): void {
+    if (!isProvedRefusal(refusal)) {
+      return;
     }
-    request.resolve(outcome);
+    const {granted} = reading;
+    const proof =
+      relayRefusal !== undefined
+        ? {
+            possiblyUnused: 0,
+            provedAt: this.relayReadAt.get(account) ?? -Infinity,
+          }
+        : {possiblyUnused: possiblyUnusedTokens(reading), provedAt: readAt};
+    this.proofs.record(account, {tokens, granted, ...proof});
   }
 
   private situationOf(account: string, page: BudgetPage): WaitSituation {
@@ -829,11 +888,24 @@
   }
 }
 
-/** Outcomes of the decisions that end the wait of a request. */
-const OUTCOMES: Partial<Record<WaitDecision, ReservationOutcome>> = {
+/** Outcomes of the decisions that hold for later requests as well. */
+const PROVED_OUTCOMES = {
   [WaitDecision.Exhausted]: ReservationOutcome.Exhausted,
+  [WaitDecision.Withheld]: ReservationOutcome.Withheld,
+} as const;
+
+/** Outcomes of the decisions that end the wait of a request. */
+const OUTCOMES = {
+  ...PROVED_OUTCOMES,
   [WaitDecision.Unavailable]: ReservationOutcome.Unavailable,
-};
+} as const;
+
+/** The decisions that end the wait of a request. */
+type RefusingDecision = keyof typeof OUTCOMES;
+
+function isRefusing(decision: WaitDecision): decision is RefusingDecision {
+  return decision in OUTCOMES;
+}
 
 /**
  * Returns the tokens that a request lacks.
--- a/packages/gateway/src/lib/budgets/token_exchange.ts
+++ b/packages/gateway/src/lib/budgets/token_exchange.ts
@@ -264,6 +264,7 @@
         age,
         granted,
         ask,
+        countsSilent: true,
       });
     }
   }
--- a/packages/gateway/src/lib/fleet/peer_exchange.ts
+++ b/packages/gateway/src/lib/fleet/peer_exchange.ts
@@ -133,12 +133,14 @@
       age,
       granted,
       ask,
+      countsSilent,
     }) =>
       this.dependencies.budgets.recordRelayRefusal(account, tokens, {
         exhausted,
         age,
         granted,
         ask,
+        countsSilent,
       }),
     [PeerMessageKind.SuspectReport]: (message, from) => {
       const {fingerprint, traits, upstream} = message;
--- a/packages/gateway/src/lib/fleet/peer_message.ts
+++ b/packages/gateway/src/lib/fleet/peer_message.ts
@@ -286,6 +286,11 @@
     granted: tokenCountSchema.optional(),
     /** The `ask` of the request; missing like `age`. */
     ask: z.number().int().nonnegative().optional(),
+    /**
+     * Whether the reading counts what silent processes may hold. Missing in
+     * messages of earlier versions, whose reading leaves that out.
+     */
+    countsSilent: z.boolean().optional(),
   }),
   z.object({
     kind: z.literal(PeerMessageKind.SuspectReport),
--- a/packages/gateway/src/lib/requests/request_recorder.ts
+++ b/packages/gateway/src/lib/requests/request_recorder.ts
@@ -5,7 +5,7 @@
 import type {ForwardingResult} from './forwarding_result.js';
 import type {GatewayMetrics} from '../process/gateway_metrics.js';
 import {RefusalReason} from './refusal.js';
-import {obtainableTokens} from '@citrontrestle/decisions';
+import {possiblyUnusedTokens} from '@citrontrestle/decisions';
 import type {Clock, Millis, RouteTable} from '@citrontrestle/decisions';
 import type {Log} from '@citrontrestle/runtime';
 
@@ -111,8 +111,9 @@
       unclaimed: Math.round(evidence.unclaimed),
       held: Math.round(evidence.heldHere),
       heldByOthers: Math.round(evidence.heldByOthers),
+      heldBySilent: Math.round(evidence.heldBySilent),
       reserved: Math.round(evidence.reservedHere),
-      knownUsed: Math.round(evidence.granted - obtainableTokens(evidence)),
+      knownUsed: Math.round(evidence.granted - possiblyUnusedTokens(evidence)),
       readingAgeMs: roundedMillis(evidence.age),
       supplied: evidence.isSupplied,
       relayReadingAgeMs: roundedMillis(evidence.relayAge),
--- a/packages/gateway/src/lib/requests/request_service.ts
+++ b/packages/gateway/src/lib/requests/request_service.ts
@@ -233,7 +233,11 @@
         reservationOutcome === Exhausted ? BudgetExhausted : BudgetUnavailable;
       if (!state.hasEnded) {
         const waited = this.context.clock.now() - startedAt;
-        const retryDelay = this.budgets.retryDelay(accountName, tokens);
+        const retryDelay = this.budgets.retryDelay(
+          accountName,
+          tokens,
+          reservationOutcome,
+        );
         this.refuse(admitted, response, reason, {waited, retryDelay});
       }
       return;
--- a/packages/gateway/src/test/budgets/true_refusals_test.ts
+++ b/packages/gateway/src/test/budgets/true_refusals_test.ts
@@ -20,7 +20,7 @@
 import type {BudgetContext} from '../../lib/budgets/prepaid_budgets.js';
 import type {Store, StoreItem} from '../../lib/process/ports.js';
 
-const {Reserved, Exhausted, Unavailable} = ReservationOutcome;
+const {Reserved, Exhausted, Unavailable, Withheld} = ReservationOutcome;
 
 const ACCOUNT = 'club';
 const GRANTED = 10_000;
@@ -37,6 +37,8 @@
   granted = GRANTED;
   /** Tokens that the other process has taken, and used at its last write. */
   others = {taken: 0, used: 0};
+  /** Whether it writes its entry all the time, as if it were running. */
+  othersWrite = true;
   private readonly clock = new ManualClock(100_000);
   private timers: Array<{at: number; callback: () => void}> = [];
 
@@ -128,7 +130,10 @@
       taken: {[ACCOUNT]: this.others.taken},
       used: {[ACCOUNT]: this.others.used},
       limits: {},
-      confirmedAt: {monotonic: this.clock.now(), wall: 0},
+      confirmedAt: {
+        monotonic: this.othersWrite ? this.clock.now() : 0,
+        wall: 0,
+      },
       witnesses: [],
       ceilings: {},
       durableCeilings: {},
@@ -204,6 +209,19 @@
     });
   }
 
+  // Guards against a 402 that takes silence for a proof (review, case 11).
+  it('is not for good if a silent process may have left tokens unused', async () => {
+    scene.others = {taken: GRANTED, used: 9_000};
+    scene.othersWrite = false;
+    scene.budgets.start();
+    await scene.refusalOf(600);
+    await scene.advance(9_000);
+    expect((await scene.refusalOf(600)).outcome).to.equal(Withheld);
+    const next = await scene.refusalOf(600);
+    expect(next).to.include({outcome: Withheld, waited: 0});
+    expect((await scene.refusalOf(1_001)).outcome).to.equal(Exhausted);
+  });
+
   it('comes at once after another one has proved it, and not after a top-up', async () => {
     scene.others = {taken: GRANTED, used: GRANTED};
     scene.budgets.start();
@@ -245,7 +263,12 @@
 });
 
 describe("a relay's refusal", () => {
-  const proof = {exhausted: true, age: 20, granted: GRANTED};
+  const proof = {
+    exhausted: true,
+    age: 20,
+    granted: GRANTED,
+    countsSilent: true,
+  };
   let scene: Scene;
 
   beforeEach(() => {
@@ -288,6 +311,10 @@
     {name: 'knows no grant', refusal: {...proof, granted: 0}},
     {name: 'knows an older grant', refusal: {...proof, granted: GRANTED - 1}},
     {name: 'read the budget long ago', refusal: {...proof, age: 3_600_000}},
+    {
+      name: 'does not count silent processes, as one of the last version',
+      refusal: {...proof, countsSilent: undefined},
+    },
   ];
   for (const {name, refusal} of UNPROVED) {
     it(`is no proof if the relay ${name}`, async () => {
--- a/packages/model/src/lib/prepaid_model.ts
+++ b/packages/model/src/lib/prepaid_model.ts
@@ -10,9 +10,8 @@
   knownTaken,
   ManualClock,
   ManualMachineClock,
-  MAX_ENTRY_SILENCE,
   MAX_HISTORY_LOSS,
-  obtainableTokens,
+  possiblyUnusedTokens,
   PrepaidShares,
   totalTaken,
   Witnesses,
@@ -274,8 +273,6 @@
   private untrueRefusal: string | undefined;
   /** Revision of the page that each instance knows. */
   private readonly knownRevisions = Array<number>(INSTANCE_COUNT).fill(0);
-  /** When each instance last wrote its entry and learned of it. */
-  private readonly confirmedAt = Array<Millis>(INSTANCE_COUNT).fill(0);
   /** Writes that the store may still execute. */
   private lateWrites: LateWrite[] = [];
   private runningRequests: RunningRequest[] = [];
@@ -436,25 +433,21 @@
       this.shareView(instance),
     );
     const isForgotten = this.plantedBug === PrepaidPlantedBug.ForgottenHolders;
-    const heldByOthers = isForgotten ? 0 : reading.heldByOthers;
+    const known = isForgotten
+      ? {...reading, heldByOthers: 0, heldBySilent: 0}
+      : reading;
     const given = INSTANCES.filter(other => other !== instance)
       .map(other => this.sharesOf(other).availableTokens(ACCOUNT))
       .reduce((sum, available) => sum + Math.max(0, available), 0);
-    const obtainable = obtainableTokens({...reading, heldByOthers}) + given;
-    return (isNewest || isStaleAllowed) && obtainable < tokens;
+    const unused = possiblyUnusedTokens(known) + given;
+    return (isNewest || isStaleAllowed) && unused < tokens;
   }
 
   /** Checks that running processes and the store have too few tokens. */
   private checkRefusal(instance: number, tokens: number): void {
-    const now = this.clock.now();
-    const writers = INSTANCES.filter(
-      other =>
-        other === instance ||
-        now - (this.confirmedAt[other] ?? 0) <= MAX_ENTRY_SILENCE,
-    );
-    const held = writers
-      .map(other => this.sharesOf(other).heldTokens(ACCOUNT))
-      .reduce((sum, unused) => sum + Math.max(0, unused), 0);
+    const held = INSTANCES.map(other =>
+      this.sharesOf(other).heldTokens(ACCOUNT),
+    ).reduce((sum, unused) => sum + Math.max(0, unused), 0);
     const granted = this.knownGrants[instance] ?? 0;
     const untaken = Math.max(0, granted - knownTaken(this.page, ACCOUNT));
     if (untaken + held >= tokens) {
@@ -515,9 +508,6 @@
     const tookEffect = fate !== CallOutcome.Late && this.executeWrite(write);
     if (fate === CallOutcome.Served) {
       this.readPage(instance);
-      if (tookEffect) {
-        this.confirmedAt[instance] = this.clock.now();
-      }
     } else if (this.plantedBug === PrepaidPlantedBug.DiscardedReturn) {
       shares.discardWrite(write);
     } else if (
