A stream that may go on elsewhere is sent without the first upstream's length

Cause: the head of a stream was passed on with its Content-Length, though the body may be put together from several runs. The same where the gateway leaves out events that a caller who takes a stream up has.

Such a stream is sent in chunks, without its length and digests of its body. A caller of HTTP/1.0 takes no chunks and knows a whole body by its length alone: it keeps the length, and its stream is not gone on with but broken off.

--- a/packages/gateway/src/lib/requests/caller_response.ts
+++ b/packages/gateway/src/lib/requests/caller_response.ts
@@ -33,6 +33,11 @@
     return this.response.headersSent;
   }
 
+  /** Whether the caller takes a body in chunks; one of HTTP/1.0 doesn't. */
+  takesChunks(): boolean {
+    return this.response.useChunkedEncodingByDefault;
+  }
+
   /**
    * Marks the end of the body only by closing the connection, as the upstream
    * did: the upstream's response may be truncated, and must then not look
--- a/packages/gateway/src/lib/requests/response_relay.ts
+++ b/packages/gateway/src/lib/requests/response_relay.ts
@@ -13,6 +13,7 @@
 import type {CallerResponse} from './caller_response.js';
 import type {Dialect} from '../process/ports.js';
 import type {ReceivedHead} from '../upstreams/response_head.js';
+import type {OutgoingHttpHeaders} from 'node:http';
 
 /** Result of relaying a chunk of a body. */
 export enum RelayOutcome {
@@ -43,6 +44,20 @@
  */
 const MAX_BUFFERED_BYTES = 256 * 1024;
 
+/**
+ * Headers that state the length or a digest of a body, in lower case. They are
+ * untrue if the body is put together from several responses.
+ */
+const BODY_HEADERS: ReadonlySet<string> = new Set([
+  'content-length',
+  'content-md5',
+  'content-digest',
+  'content-range',
+  'digest',
+  'etag',
+  'repr-digest',
+]);
+
 /**
  * Builds the response to one caller from one attempt or several in turn.
  *
@@ -67,6 +82,8 @@
   private mediaType: string | undefined;
   /** Whether an earlier attempt has begun the response. */
   private hasBegunBefore = false;
+  /** Whether the head to the caller states the length of the body. */
+  private hasStatedLength = false;
   private readonly numbering: EventNumbering;
   /** The bytes that were received and not yet relayed. */
   private readonly held: HeldPart;
@@ -147,9 +164,15 @@
     );
   }
 
-  /** Whether another upstream can continue after the last delivered event. */
+  /**
+   * Whether another upstream can continue after the last delivered event: its
+   * place is certain, and no length was stated, which would not be that of both.
+   */
   canResume(): boolean {
-    return this.deliveredEvents === 0 || this.lastEventId() !== undefined;
+    return (
+      this.deliveredEvents === 0 ||
+      (this.lastEventId() !== undefined && !this.hasStatedLength)
+    );
   }
 
   /**
@@ -296,12 +319,40 @@
     const headers = this.dialect.forwardedResponseHeaders(
       receivedHead.rawHeaders,
     );
+    if (this.mayDifferInLength()) {
+      this.response.writeHead(receivedHead.status, withoutBodyHeaders(headers));
+      return;
+    }
+    this.hasStatedLength = Object.keys(headers).some(isLengthHeader);
     this.response.writeHead(receivedHead.status, headers);
   }
 
+  /**
+   * Whether the body may become another one than that of the upstream: events
+   * that the caller has are left out, or another upstream goes on with the stream.
+   * A caller that takes no chunks knows a whole body by its length alone, so its
+   * stream is not gone on with.
+   */
+  private mayDifferInLength(): boolean {
+    const mayGoOn = this.isResumable && this.response.takesChunks();
+    return this.isStreaming() && (this.hasRepeatedEvents || mayGoOn);
+  }
+
   private write(bytes: Buffer): RelayOutcome {
     this.beginResponse();
     const hasRoom = this.response.write(bytes);
     return hasRoom ? RelayOutcome.Accepted : RelayOutcome.Backpressure;
   }
 }
+
+function isLengthHeader(name: string): boolean {
+  return name.toLowerCase() === 'content-length';
+}
+
+/** Returns the headers that are true of a body of several responses as well. */
+function withoutBodyHeaders(headers: OutgoingHttpHeaders): OutgoingHttpHeaders {
+  const entries = Object.entries(headers);
+  return Object.fromEntries(
+    entries.filter(([name]) => !BODY_HEADERS.has(name.toLowerCase())),
+  );
+}
