A status that promises more than its upstream stated is not passed on

Cause: only the gateway's own refusals were kept true; an upstream's status was passed on whatever it promises.

An answer with 408, 429 or 503 that does not state this is withheld: the request is repeated where that is allowed, else its caller gets 502 without a seal, which promises nothing (response.withheld in the log; the upstream's failure counts as before). This holds for all kinds of requests, as the promise does. In the own interface such an answer of a service counts as broken: the outcome of an order is unknown in place of a 503 that was charged.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -12,6 +12,7 @@
 export * from './lib/budgets/charge_copy_store.js';
 export * from './lib/budgets/charge_tracker.js';
 export * from './lib/base/clock.js';
+export * from './lib/base/refusal_statuses.js';
 export * from './lib/fleet/configuration.js';
 export * from './lib/crashes/crash_verdicts.js';
 export * from './lib/fleet/evacuations.js';
--- a/packages/gateway/src/lib/requests/forwarding.ts
+++ b/packages/gateway/src/lib/requests/forwarding.ts
@@ -630,10 +630,15 @@
 
   private handleComplete(): void {
     const status = this.responseRelay.status();
-    const isServerError = status >= MIN_SERVER_ERROR_STATUS;
+    const isWithheld = this.responseRelay.isWithheld();
+    const isServerError = isWithheld || status >= MIN_SERVER_ERROR_STATUS;
     if (isServerError && this.tryRepeatAfterError(status)) {
       return;
     }
+    if (isWithheld) {
+      this.failWithheld(status);
+      return;
+    }
     const completion = this.responseRelay.finish();
     if (completion === RelayCompletion.Unproven) {
       if (!isServerError && this.tryRepeatUnproven()) {
@@ -659,6 +664,23 @@
     this.finish(status < MIN_ERROR_STATUS ? ANSWERED : `status-${status}`);
   }
 
+  /**
+   * Ends the request with a failure that promises nothing, in place of an
+   * upstream's response that would promise that the request has not run.
+   */
+  private failWithheld(status: number): void {
+    this.context.log.warn('response.withheld', {
+      request: this.request.callerRequest.id,
+      upstream: this.currentUpstream() ?? '',
+      status,
+      ...this.connectionFields(),
+    });
+    this.result.mayHaveRun = true;
+    this.context.returnPlanner.recordAnswer(this.serviceName);
+    this.endAttempt(PlacementOutcome.ErrorResponse);
+    this.giveUp(RefusalReason.UpstreamFailed);
+  }
+
   /**
    * Repeats the request after an error response of the upstream, if that is
    * allowed; otherwise returns false.
@@ -940,4 +962,6 @@
     forwarding.failInvalidResponse('event exceeds the size limit or the room'),
   [RelayOutcome.OutOfSequence]: forwarding =>
     forwarding.failInvalidResponse('the stream is not resumed where it ended'),
+  [RelayOutcome.WithheldTooLarge]: forwarding =>
+    forwarding.failInvalidResponse('a body that is withheld is too large'),
 };
--- a/packages/gateway/src/lib/requests/forwarding_result.ts
+++ b/packages/gateway/src/lib/requests/forwarding_result.ts
@@ -2,7 +2,7 @@
  * How the forwarding of a request ends, and what a failed call means for the
  * upstream and for the caller.
  */
-import {PlacementOutcome} from '@citrontrestle/decisions';
+import {PlacementOutcome, promisesNotRun} from '@citrontrestle/decisions';
 import {REFUSAL_RESPONSES, RefusalReason} from './refusal.js';
 import {CallFailure} from './call_failure.js';
 import type {ResponseEnd} from '../upstreams/response_end.js';
@@ -76,13 +76,10 @@
   CallFailure.Replaced,
 ]);
 
-/** Statuses that promise that the request has not run and never will. */
-const PROMISE_STATUSES = new Set([408, 421, 429, 503]);
-
 /** Reasons whose responses promise that the request never runs. */
 const NOT_EXECUTED_REASONS = new Set(
   Object.values(RefusalReason).filter(reason =>
-    PROMISE_STATUSES.has(REFUSAL_RESPONSES[reason].status),
+    promisesNotRun(REFUSAL_RESPONSES[reason].status),
   ),
 );
 
--- a/packages/gateway/src/lib/requests/response_relay.ts
+++ b/packages/gateway/src/lib/requests/response_relay.ts
@@ -4,6 +4,7 @@
  * `response` is the response to the caller; that of an upstream is called the
  * upstream's response. Not to be confused with a relay among the gateways.
  */
+import {promisesNotRun} from '@citrontrestle/decisions';
 import {EventNumbering, EventSuccession} from './event_numbering.js';
 import {EventReader} from './event_reader.js';
 import {HeldPart} from '../process/held_bytes.js';
@@ -24,6 +25,8 @@
   EventTooLarge = 'overflow',
   /** A resumed stream does not go on after the last event of the caller. */
   OutOfSequence = 'out-of-sequence',
+  /** A body that is withheld from the caller is larger than any is read. */
+  WithheldTooLarge = 'withheld-too-large',
 }
 
 /** Result of completing the response to the caller. */
@@ -76,6 +79,8 @@
   private eventReader = new EventReader();
   private bufferedChunks: Buffer[] = [];
   private bufferedBytes = 0;
+  /** Bytes that were read of a body that the caller does not get. */
+  private withheldBytes = 0;
   /** Whether the body is relayed as it arrives, as it is too large to be buffered. */
   private isPassingThrough = false;
   /** Media type of the response to the caller; undefined before it has begun. */
@@ -124,6 +129,7 @@
     this.eventReader = new EventReader();
     this.bufferedChunks = [];
     this.bufferedBytes = 0;
+    this.withheldBytes = 0;
     this.held.resize(0);
   }
 
@@ -137,6 +143,15 @@
     this.receivedHead = receivedHead;
   }
 
+  /**
+   * Whether the upstream's response is withheld from the caller, as its status
+   * promises that the request has not run. The upstream has not stated this, else
+   * the call would have failed; so the request may have run.
+   */
+  isWithheld(): boolean {
+    return promisesNotRun(this.status());
+  }
+
   /** Whether the head of the upstream's response was received. */
   hasHead(): boolean {
     return this.receivedHead !== undefined;
@@ -187,6 +202,12 @@
 
   /** Relays or buffers a chunk of the body of the upstream's response. */
   push(chunk: Buffer): RelayOutcome {
+    if (this.isWithheld()) {
+      this.withheldBytes += chunk.length;
+      return this.withheldBytes <= MAX_BUFFERED_BYTES
+        ? RelayOutcome.Accepted
+        : RelayOutcome.WithheldTooLarge;
+    }
     if (this.isStreaming()) {
       return this.relayEvents(chunk);
     }
--- a/packages/service/src/lib/service.ts
+++ b/packages/service/src/lib/service.ts
@@ -1,5 +1,5 @@
 /** Client for plain services: one call, one answer with the id of the call. */
-import {AttemptOutcome} from '@citrontrestle/decisions';
+import {AttemptOutcome, promisesNotRun} from '@citrontrestle/decisions';
 import {
   HttpOutcome,
   ResettingAgent,
@@ -81,6 +81,10 @@
     const outcome = notRun === 'leaving' ? Leaving : Refused;
     return {outcome, reason: `status ${status}`};
   }
+  if (promisesNotRun(status)) {
+    // The service does not state it, so the call may have run.
+    return {outcome: AttemptOutcome.Broken, reason: `status ${status}`};
+  }
   const contentType = headers['content-type'] ?? 'application/octet-stream';
   return {outcome: AttemptOutcome.Answered, status, contentType, body};
 }
