Own interface: a budget called constructor can be granted tokens

Budgets are read as own properties (budgetOf). ledger_test.ts: three of four names threw before ("Cannot read properties of undefined"), all pass now.

--- a/packages/decisions/src/lib/budgets/ledger.ts
+++ b/packages/decisions/src/lib/budgets/ledger.ts
@@ -110,6 +110,17 @@
   };
 }
 
+/**
+ * Returns a budget; undefined if there is none. It may be called like a property
+ * that all objects have.
+ */
+export function budgetOf(
+  {budgets}: Pick<Ledger, 'budgets'>,
+  name: string,
+): BudgetRecord | undefined {
+  return Object.hasOwn(budgets, name) ? budgets[name] : undefined;
+}
+
 /** Returns the tokens of a budget that holders have or that are billed. */
 export function countAllocatedTokens(budget: BudgetRecord): number {
   let total = budget.removed.net;
@@ -166,8 +177,8 @@
   topUpId: string,
   tokens: number,
 ): boolean {
-  ledger.budgets[budgetName] ??= emptyBudget();
-  const budget = ledger.budgets[budgetName];
+  const budget = budgetOf(ledger, budgetName) ?? emptyBudget();
+  ledger.budgets[budgetName] = budget;
   if (budget.topUps.includes(topUpId)) {
     return false;
   }
--- a/packages/decisions/src/lib/budgets/ledger_batch.ts
+++ b/packages/decisions/src/lib/budgets/ledger_batch.ts
@@ -4,6 +4,7 @@
  */
 import {
   HolderStatus,
+  budgetOf,
   getOrCreateShare,
   countUnallocatedTokens,
 } from './ledger.js';
@@ -78,7 +79,7 @@
   now: Millis,
 ): void {
   const {digest, holder, budget, tokens, begun} = settlement;
-  const record = ledger.budgets[budget];
+  const record = budgetOf(ledger, budget);
   const payer = ledger.holders[holder];
   if (record === undefined || payer === undefined) {
     return;
@@ -95,7 +96,7 @@
 /** Copies the counts that a holder reports into its shares. */
 function applyReportedCounts(ledger: Ledger, batch: Batch): void {
   for (const [name, counts] of Object.entries(batch.reportedCounts)) {
-    const record = ledger.budgets[name];
+    const record = budgetOf(ledger, name);
     if (record === undefined) {
       continue;
     }
@@ -127,7 +128,7 @@
 
 function allocateTokens(ledger: Ledger, batch: Batch): void {
   for (const [name, request] of Object.entries(batch.allocationRequests)) {
-    const record = ledger.budgets[name];
+    const record = budgetOf(ledger, name);
     if (record === undefined) {
       continue;
     }
--- a/packages/decisions/src/lib/budgets/ledger_sync.ts
+++ b/packages/decisions/src/lib/budgets/ledger_sync.ts
@@ -2,7 +2,7 @@
  * Synchronization of a wallet with the ledger: creates the batches to write,
  * and applies the counts of the ledger to the wallet.
  */
-import {HolderStatus, countUnallocatedTokens} from './ledger.js';
+import {HolderStatus, budgetOf, countUnallocatedTokens} from './ledger.js';
 import {WalletEffectKind} from './wallet_messages.js';
 import type {Batch} from './ledger_batch.js';
 import type {WalletState} from './wallet_state.js';
@@ -94,7 +94,7 @@
     }
     const budgets = [...this.state.partitionTable.budgetsOf(partition)];
     return budgets.every(budget => {
-      const record = ledger.budgets[budget];
+      const record = budgetOf(ledger, budget);
       const freeTokens =
         record === undefined ? 0 : countUnallocatedTokens(record);
       const hasUnsettled =
@@ -172,7 +172,7 @@
       writtenSettlements.has(settlement) ||
       ledger.bills[settlement.digest] !== undefined;
     for (const budget of this.state.partitionTable.budgetsOf(partition)) {
-      const shares = ledger.budgets[budget]?.shares ?? {};
+      const shares = budgetOf(ledger, budget)?.shares ?? {};
       const ownShare = shares[this.state.settings.holder];
       if (ownShare !== undefined) {
         this.confirmSettlements(
--- a/packages/decisions/src/lib/budgets/partition_table.ts
+++ b/packages/decisions/src/lib/budgets/partition_table.ts
@@ -1,7 +1,8 @@
 /** The ledger partitions of one wallet, and when they are synchronized. */
 import {textHash} from '../base/text_hash.js';
 import {Partition} from './partition.js';
-import type {Ledger} from './ledger.js';
+import {budgetOf} from './ledger.js';
+import type {BudgetRecord, Ledger} from './ledger.js';
 import type {Millis} from '../base/clock.js';
 import type {PartitionOwner} from './partition.js';
 import type {WalletEffect} from './wallet_messages.js';
@@ -68,6 +69,12 @@
     return this.partitionOf(budget).lastKnownLedger();
   }
 
+  /** Returns the last known record of a budget; undefined if there is none. */
+  budgetRecordOf(budget: string): BudgetRecord | undefined {
+    const ledger = this.ledgerOf(budget);
+    return ledger && budgetOf(ledger, budget);
+  }
+
   /** Registers a budget as used by this wallet. */
   registerBudget(budget: string): void {
     this.budgetsByPartition[this.indexOf(budget)]?.add(budget);
--- a/packages/decisions/src/lib/budgets/share_balancer.ts
+++ b/packages/decisions/src/lib/budgets/share_balancer.ts
@@ -72,7 +72,7 @@
     share: LocalShare,
     now: Millis,
   ): void {
-    const record = this.state.partitionTable.ledgerOf(budget)?.budgets[budget];
+    const record = this.state.partitionTable.budgetRecordOf(budget);
     if (record === undefined || !this.state.rule.asksPeers) {
       return;
     }
--- a/packages/decisions/src/lib/budgets/token_allocator.ts
+++ b/packages/decisions/src/lib/budgets/token_allocator.ts
@@ -122,7 +122,7 @@
    * holder may keep.
    */
   private prefetchTokens(budget: string): number {
-    const record = this.state.partitionTable.ledgerOf(budget)?.budgets[budget];
+    const record = this.state.partitionTable.budgetRecordOf(budget);
     const maxTokens =
       (record?.granted ?? 0) * this.state.settings.shareLimits.maxGrantFraction;
     const expectedSpending =
@@ -237,7 +237,7 @@
     since: Millis,
   ): boolean {
     const {ledgerAsOf} = this.state.partitionTable.partitionOf(budget).state();
-    const record = this.state.partitionTable.ledgerOf(budget)?.budgets[budget];
+    const record = this.state.partitionTable.budgetRecordOf(budget);
     const unallocatedTokens =
       record === undefined || !this.state.rule.canTakeMore
         ? 0
--- a/packages/decisions/src/lib/budgets/wallet_state.ts
+++ b/packages/decisions/src/lib/budgets/wallet_state.ts
@@ -6,7 +6,7 @@
 import {BUDGET_RULES} from './budget_policy.js';
 import {ChargeTracker} from './charge_tracker.js';
 import {ChargeCopyStore} from './charge_copy_store.js';
-import {countOpenHolders, countUnallocatedTokens} from './ledger.js';
+import {budgetOf, countOpenHolders, countUnallocatedTokens} from './ledger.js';
 import {PartitionTable} from './partition_table.js';
 import {PeerTable} from '../fleet/peer_table.js';
 import {WaitQueue} from '../admission/wait_queue.js';
@@ -67,7 +67,7 @@
 
   /** Whether the last known ledger has unallocated tokens of a budget. */
   hasUnallocatedTokens(budget: string): boolean {
-    const record = this.partitionTable.ledgerOf(budget)?.budgets[budget];
+    const record = this.partitionTable.budgetRecordOf(budget);
     return record !== undefined && countUnallocatedTokens(record) > 0;
   }
 
@@ -111,7 +111,7 @@
   allocationRequestFor(budget: string): AllocationRequest | undefined {
     const share = this.share(budget);
     const ledger = this.partitionTable.ledgerOf(budget);
-    const record = ledger?.budgets[budget];
+    const record = ledger && budgetOf(ledger, budget);
     const isLeaving = this.isDraining && !this.waitQueue.hasWaiters(budget);
     if (ledger === undefined || record === undefined || isLeaving) {
       return undefined;
--- a/packages/operator/src/lib/budget.ts
+++ b/packages/operator/src/lib/budget.ts
@@ -7,6 +7,7 @@
   emptyLedger,
   HolderStatus,
   partitionIndex,
+  budgetOf,
   topUp,
 } from '@citrontrestle/decisions';
 import {KeyValueOutcome, ledgerKey} from '@citrontrestle/platform';
@@ -81,7 +82,7 @@
 ): Promise<UpdateOutcome> {
   const partition = partitionIndex(budgetName, partitionCount);
   return updateKey<Ledger>(keyValue, ledgerKey(partition), ledger => {
-    if (ledger?.budgets[budgetName] === undefined) {
+    if (ledger === undefined || budgetOf(ledger, budgetName) === undefined) {
       return undefined;
     }
     return topUp(ledger, budgetName, topUpId, tokens) ? ledger : undefined;
