A body without a length is sent in chunks unless the kernel takes it at once

Cause: a buffered body without a length was sent without framing whatever its size. What the kernel doesn't take at once waits in the process and is lost with it.

Such bodies of more than 4 KiB go in chunks, as those do that are not buffered; to callers of HTTP/1.0 with their length.

--- a/packages/gateway/src/lib/requests/response_relay.ts
+++ b/packages/gateway/src/lib/requests/response_relay.ts
@@ -47,6 +47,13 @@
  */
 const MAX_BUFFERED_BYTES = 256 * 1024;
 
+/**
+ * Maximum size in bytes of a body that is sent without a length. The kernel takes
+ * this much at once; what it doesn't take is lost if this process is killed, and
+ * the rest then looks whole.
+ */
+const MAX_UNFRAMED_BYTES = 4 * 1024;
+
 /**
  * Headers that state the length or a digest of a body, in lower case. They are
  * untrue if the body is put together from several responses.
@@ -67,8 +74,8 @@
  * An upstream's response may have no length and end with its connection. If it
  * were passed on in that form as it arrives, an end of this process would look
  * like its end, and even a reset may. So its events are sent in chunks, as is a
- * body that is too large to be buffered; any other body is buffered and sent at
- * once, without a length: whether it is whole can't be proved.
+ * body that is too large to be sent at once; any other body is buffered and sent
+ * at once, without a length: whether it is whole can't be proved.
  */
 export class ResponseRelay {
   /** Number of stream events written to the caller, over all attempts. */
@@ -249,8 +256,10 @@
         this.receivedHead.rawHeaders,
       );
       const body = Buffer.concat(this.bufferedChunks);
-      if (isCloseDelimited) {
+      if (isCloseDelimited && body.length <= MAX_UNFRAMED_BYTES) {
         this.response.delimitByClose();
+      } else if (!this.response.takesChunks()) {
+        headers['Content-Length'] = body.length;
       }
       this.response.send(this.receivedHead.status, headers, body);
       this.recordBody();
