Soak: lost instances, false promises, and upstreams that word events differently

Upstreams with answers of their own also give 408, 429 and 503 after they have run a request, and model upstreams differ in the length of their events; a stream that its upstream ended whole must have all events.

--- a/packages/soak/src/lib/checks.ts
+++ b/packages/soak/src/lib/checks.ts
@@ -14,6 +14,7 @@
   findLateCrashes,
   findOverspentBudgets,
   findRefusalsThatRan,
+  findFalseExhaustions,
   findRepeatedRuns,
   findRunsAfterDeparture,
 } from './checks/runs.js';
@@ -29,6 +30,7 @@
 /** The checks by the name of the guarantee that each verifies. */
 export const CHECKS: Readonly<Record<string, Check>> = {
   'a budget is never overspent': findOverspentBudgets,
+  'exhausted means spent': findFalseExhaustions,
   'at most once': findRepeatedRuns,
   'not run means not run': findRefusalsThatRan,
   'a whole answer of its own': findInvalidResponses,
--- a/packages/soak/src/lib/checks/answers.ts
+++ b/packages/soak/src/lib/checks/answers.ts
@@ -29,7 +29,7 @@
     const ending = answeringRun(request, runsByTry)?.run.ending;
     const fault =
       request.result.status === 200
-        ? describeResponseFault(request, ending !== undefined)
+        ? describeResponseFault(request, ending?.isWhole === false)
         : undefined;
     const guarantee = 'a whole answer of its own';
     return fault === undefined
@@ -46,7 +46,7 @@
 
 /**
  * Returns what is wrong with a response of status 200; undefined if nothing.
- * @param hasOwnEnding whether the upstream that answered ended it in a way of its own, whose
+ * @param hasOwnEnding whether the upstream that answered ended it in part, whose
  *     completeness `findPartsTakenForWhole` checks.
  */
 function describeResponseFault(
--- a/packages/soak/src/lib/checks/runs.ts
+++ b/packages/soak/src/lib/checks/runs.ts
@@ -25,6 +25,12 @@
 /** Number of requests with the part that may reach upstreams after that. */
 const MAX_LATE_CRASHES = 3;
 
+/** Kinds of requests that use tokens. */
+const STREAM_KINDS: ReadonlySet<RequestKind> = new Set([
+  RequestKind.NonResumableStream,
+  RequestKind.ResumableStream,
+]);
+
 /** Time after its caller has left from which on a request must not begin to run. */
 export const DEPARTURE_LIMIT: Millis = 500;
 
@@ -41,10 +47,7 @@
   const usedTokens = new Map<string, number>();
   for (const request of sentRequests) {
     const {account, kind, result} = request;
-    const isStream =
-      kind === RequestKind.NonResumableStream ||
-      kind === RequestKind.ResumableStream;
-    if (isStream && ranTries.has(tryOf(request))) {
+    if (STREAM_KINDS.has(kind) && ranTries.has(tryOf(request))) {
       const output = completeEventIds(result).length * TOKENS_PER_EVENT;
       const tokens =
         STREAM_TOKENS.input + Math.min(STREAM_TOKENS.maxOutput, output);
@@ -60,6 +63,50 @@
     }));
 }
 
+/** Status of a request that the balance of its account does not cover. */
+const EXHAUSTED_STATUS = 402;
+
+/**
+ * Finds requests that were refused as the balance does not cover them, though all
+ * that had run until then, at its most, leaves enough of what was granted.
+ */
+export function findFalseExhaustions({
+  sentRequests,
+  upstreamRuns,
+  grantedTokens,
+  exactAccounts = new Set(),
+}: RunObservations): Violation[] {
+  const {input, maxOutput} = STREAM_TOKENS;
+  const runsByTry = new Map(upstreamRuns.map(({run}) => [tryOfRun(run), run]));
+  const usedUntil = (account: string, time: number) =>
+    sentRequests
+      .filter(request => {
+        const run = runsByTry.get(tryOf(request));
+        const isStream = STREAM_KINDS.has(request.kind);
+        const hasBegun = run !== undefined && run.startedAt <= time;
+        return isStream && request.account === account && hasBegun;
+      })
+      .reduce(sum => sum + input + maxOutput, 0);
+  return sentRequests
+    .filter(
+      ({account, result}) =>
+        result.status === EXHAUSTED_STATUS && exactAccounts.has(account),
+    )
+    .flatMap(({id, account, result}) => {
+      const granted = grantedTokens.get(account) ?? 0;
+      const used = usedUntil(account, result.endedAt);
+      return used + input + maxOutput <= granted
+        ? [
+            {
+              guarantee: 'exhausted means spent',
+              detail: `${account}: refused when ${used} of ${granted} were used at most`,
+              requestIds: [id],
+            },
+          ]
+        : [];
+    });
+}
+
 /**
  * Finds requests that must run at most once and were run more often. The runs of
  * all tries count: a caller comes back only if no earlier try was run.
--- a/packages/soak/src/lib/faults/gateway_faults.ts
+++ b/packages/soak/src/lib/faults/gateway_faults.ts
@@ -43,6 +43,7 @@
     | FaultKind.Stop
     | FaultKind.Kill
     | FaultKind.KillAll
+    | FaultKind.Loss
     | FaultKind.Freeze
     | FaultKind.StallSeries
     | FaultKind.Reload
@@ -61,6 +62,12 @@
         this.context.fleet.gateways.map(gateway => this.killGateway(gateway)),
       );
     },
+    [FaultKind.Loss]: async fault => {
+      const gateway = this.context.pickGateway(fault);
+      this.context.recordDisruption(gateway.name, Infinity);
+      gateway.sendSignal('SIGKILL');
+      await gateway.waitForExit();
+    },
     [FaultKind.Freeze]: fault => this.freezeGateway(fault),
     [FaultKind.StallSeries]: fault => this.stallGateway(fault),
     [FaultKind.Reload]: fault =>
--- a/packages/soak/src/lib/faults/upstream_faults.ts
+++ b/packages/soak/src/lib/faults/upstream_faults.ts
@@ -19,6 +19,9 @@
 import type {Millis} from '@citrontrestle/decisions';
 import type {FaultContext, FaultHandlers} from './context.js';
 
+/** Number of ways in which model upstreams word their events. */
+const WORDINGS = 3;
+
 /** Service of the upstreams that stream tokens. */
 export const MODEL_SERVICE = 'models';
 
@@ -150,6 +153,7 @@
     const server = await this.context.fleet.addServer(id, service, {
       version: `v${1 + (this.addedModels % 2)}`,
       namesVersion: true,
+      extraWords: this.addedModels % WORDINGS,
       zone,
       eventCount: EVENTS_PER_STREAM,
       stepMs: EVENT_INTERVAL,
--- a/packages/soak/src/lib/observations.ts
+++ b/packages/soak/src/lib/observations.ts
@@ -96,6 +96,11 @@
   upstreamRuns: {upstream: string; zone: string; run: ServerRun}[];
   /** Tokens granted to each account by the end of the run. */
   grantedTokens: ReadonlyMap<string, number>;
+  /**
+   * Accounts of which nothing was granted later, and whose ended processes left
+   * nothing that counts as spent though it may not be.
+   */
+  exactAccounts?: ReadonlySet<string>;
   /**
    * While one lasts, time bounds are not checked for the affected instances.
    */
--- a/packages/soak/src/lib/plan.ts
+++ b/packages/soak/src/lib/plan.ts
@@ -1,5 +1,6 @@
 /** Draws the size, the load and the faults of a run from a seed. */
 import {seededRandom} from '@citrontrestle/runtime';
+import {addLoss} from './plan_loss.js';
 import {addSeries} from './plan_series.js';
 import {FaultKind} from './run_plan.js';
 import type {Fault, RunPlan} from './run_plan.js';
@@ -71,6 +72,7 @@
   FaultKind.AnswerEndings,
   FaultKind.Departure,
   FaultKind.SlowConnections,
+  FaultKind.Loss,
 ]);
 
 /**
@@ -148,6 +150,7 @@
   }
   if (hasSeries) {
     addSeries(plan, large);
+    addLoss(plan);
   }
   faults.sort((a, b) => a.startsAfter - b.startsAfter);
   return plan;
--- a/packages/soak/src/lib/run_plan.ts
+++ b/packages/soak/src/lib/run_plan.ts
@@ -9,6 +9,8 @@
   Kill = 'kill',
   /** SIGKILL to all instances at once, which then start again. */
   KillAll = 'kill-all',
+  /** SIGKILL to one instance, which never starts again. */
+  Loss = 'loss',
   /** SIGSTOP to one instance, then SIGCONT. */
   Freeze = 'freeze',
   /** SIGHUP to one instance, which reads and checks its settings again. */
--- a/packages/soak/src/lib/soak.ts
+++ b/packages/soak/src/lib/soak.ts
@@ -121,6 +121,12 @@
   const grantedTokens = new Map(
     accounts.map(account => [account.name, account.grantedTokens]),
   );
+  const unchanged = accounts.filter(
+    account => account.grantedTokens === plan.initialGrant,
+  );
+  const hasClosedEntries = fleet.gateways.some(
+    gateway => gateway.eventLines('budget.closed').length > 0,
+  );
   const violations = findViolations({
     sentRequests,
     upstreamRuns: observed(server => server.runs),
@@ -129,6 +135,9 @@
       findDrainNotices(gateway, upstreamDrains),
     ),
     grantedTokens,
+    exactAccounts: hasClosedEntries
+      ? new Set()
+      : new Set(unchanged.map(({name}) => name)),
     ...faultInjector.record,
   });
   const violatingIds = new Set(
--- a/packages/stand_ins/src/lib/hosted/answer_ender.ts
+++ b/packages/stand_ins/src/lib/hosted/answer_ender.ts
@@ -63,8 +63,20 @@
 /** Length of a body from which on a request counts as long. */
 const LONG_BODY_BYTES = 2_000;
 
-/** Statuses that no answer may have. */
-const INVALID_STATUSES = ['000', '099', '600', '999'];
+/**
+ * Statuses that no answer may have, and those that promise that the request has
+ * not run, which it has.
+ */
+const INVALID_STATUSES = [
+  '000',
+  '099',
+  '600',
+  '999',
+  '408',
+  '429',
+  '503',
+  '503',
+];
 
 /** Settings of an `AnswerEnder`. */
 export interface AnswerEnderSettings {
--- a/packages/stand_ins/src/lib/hosted/server.ts
+++ b/packages/stand_ins/src/lib/hosted/server.ts
@@ -128,6 +128,8 @@
   eventCount: number;
   /** Whether the events of a stream name the version of the server. */
   namesVersion?: boolean;
+  /** Number of further words in each event; upstreams word them differently. */
+  extraWords?: number;
 }
 
 /** Treats an executed request as a fault requires. */
@@ -483,8 +485,8 @@
   run: ServerRun,
   lastEvent: number,
 ): void {
-  const {eventCount, stepMs, namesVersion, version} = server.settings;
-  const origin = namesVersion === true ? ` of ${version}` : '';
+  const {eventCount, stepMs} = server.settings;
+  const ending = endingOfEvents(server);
   let nextEvent = Number(run.headers['last-event-id'] ?? 0) + 1;
   const timer = setInterval(() => {
     if (outgoing.destroyed) {
@@ -504,7 +506,7 @@
     // A stream that is taken up after its last event has nothing more.
     if (nextEvent <= eventCount) {
       const id = server.spoiledIds.get(nextEvent) ?? nextEvent;
-      const event = `id: ${id}\ndata: token ${nextEvent}${origin}\n\n`;
+      const event = `id: ${id}\ndata: token ${nextEvent}${ending}\n\n`;
       outgoing.write(event, 'latin1');
     }
     nextEvent += 1;
@@ -515,18 +517,25 @@
   }, stepMs);
 }
 
+/** Returns what follows the number of each event of a server. */
+function endingOfEvents({settings}: HostedServer): string {
+  const {namesVersion, version, extraWords = 0} = settings;
+  const origin = namesVersion === true ? ` of ${version}` : '';
+  return ' more'.repeat(extraWords) + origin;
+}
+
 /** Returns the pieces of the whole answer to a request. */
 function piecesOf(server: HostedServer, run: ServerRun): string[] {
   if (run.headers['x-token-usage'] === undefined) {
     return [...'done'];
   }
-  const {eventCount, namesVersion, version} = server.settings;
-  const origin = namesVersion === true ? ` of ${version}` : '';
+  const {eventCount} = server.settings;
+  const ending = endingOfEvents(server);
   const firstEvent = Number(run.headers['last-event-id'] ?? 0) + 1;
   const count = Math.max(0, eventCount - firstEvent + 1);
   return Array.from({length: count}, (_, index) => {
     const id = firstEvent + index;
-    return `id: ${id}\ndata: token ${id}${origin}\n\n`;
+    return `id: ${id}\ndata: token ${id}${ending}\n\n`;
   });
 }
 
