After a standstill, a listener at its address does not prove an upstream's end

Cause: whether the process that closed the connection is still there is judged by a connection to its address, 20 ms after the end was read. After a standstill that may be long after it came.

What is left: an end that is read late for another reason, such as a caller that reads slowly, and an upstream that is back within the shorter standstill.

--- a/packages/gateway/src/lib/process/gateway.ts
+++ b/packages/gateway/src/lib/process/gateway.ts
@@ -334,6 +334,7 @@
       clock,
       log,
       () => this.peerNetwork.sendHeartbeats(),
+      () => this.loopDelay.hasStoodStill(),
     );
     this.paths = new UpstreamPaths({
       zone,
--- a/packages/gateway/src/lib/process/loop_delay.ts
+++ b/packages/gateway/src/lib/process/loop_delay.ts
@@ -11,10 +11,20 @@
 /** Delay from which on it is logged. */
 const LOGGED_DELAY: Millis = 250;
 
+/**
+ * Delay from which on the process counts as having stood still: in that time
+ * another one may have ended and started again.
+ */
+const STANDSTILL: Millis = 1_000;
+
+/** Time after a standstill in which what came during it has been read. */
+const STANDSTILL_MEMORY: Millis = 1_000;
+
 /** The delay of one process. Checks cost the same whatever the load. */
 export class LoopDelay {
   private expectedAt: Millis = Infinity;
   private maxDelay: Millis = 0;
+  private stoodStillUntil: Millis = -Infinity;
 
   constructor(
     private readonly clock: Clock,
@@ -34,12 +44,23 @@
     return maxDelay;
   }
 
+  /**
+   * Whether the process stood still just before, so that what is read now may be
+   * old, and the state of others a later one.
+   */
+  hasStoodStill(): boolean {
+    return this.clock.now() - this.stoodStillUntil <= STANDSTILL_MEMORY;
+  }
+
   /** Records by how much a check that was due is late. */
   check(): void {
     const now = this.clock.now();
     const delay = Math.max(0, now - this.expectedAt);
     this.expectedAt = now + CHECK_INTERVAL;
     this.maxDelay = Math.max(this.maxDelay, delay);
+    if (delay >= STANDSTILL) {
+      this.stoodStillUntil = now;
+    }
     if (delay >= LOGGED_DELAY) {
       this.log.warn('instance.late', {delayMs: Math.round(delay)});
     }
--- a/packages/gateway/src/lib/upstreams/reachability_watch.ts
+++ b/packages/gateway/src/lib/upstreams/reachability_watch.ts
@@ -42,6 +42,8 @@
     private readonly log: Log,
     /** Called when the instance has become partitioned, or no longer is. */
     private readonly onChanged: () => void,
+    /** Whether this process stood still just before. */
+    private readonly hasStoodStill: () => boolean = () => false,
   ) {}
 
   /** Starts to probe upstreams when there is a doubt. */
@@ -91,10 +93,15 @@
   }
 
   /**
-   * Whether a process accepts connections at an address (`ip:port`). Tries twice
-   * unless one is refused: the network may lose one.
+   * Whether the process that has just closed a connection still accepts others at
+   * its address (`ip:port`). Tries twice unless one is refused: the network may lose
+   * one. After a standstill of this process the connection may have been closed long
+   * before, and another process may accept them now.
    */
   async isListening(address: string): Promise<boolean> {
+    if (this.hasStoodStill()) {
+      return false;
+    }
     const {Accepted, Refused} = ConnectionCheck;
     const timeout = this.linkLoad.connectTimeout(this.clock.now());
     const first = await checkConnection(address, timeout);
