Questions to the relay are a module of their own

prepaid_budgets.ts held the state of an instance's questions to its relay among that of its shares. No change of behaviour; the tests of budgets and of messages between gateways pass.

--- a/packages/gateway/src/lib/budgets/prepaid_budgets.ts
+++ b/packages/gateway/src/lib/budgets/prepaid_budgets.ts
@@ -17,7 +17,9 @@
   WaitDecision,
 } from '@citrontrestle/decisions';
 import {BudgetPage} from './budget_page.js';
+import {RelayQuestions} from './relay_questions.js';
 import {TokenQueue} from './token_queue.js';
+import type {RelayRefusal} from './relay_questions.js';
 import type {WaitingRequest} from './token_queue.js';
 import type {Store} from '../process/ports.js';
 import type {
@@ -103,9 +105,6 @@
   callAfter(delay: Millis, callback: () => void): void;
 }
 
-/** Number of values from which a process chooses its first question. */
-const MAX_FIRST_ASK = 2 ** 32;
-
 /** Prefix of the keys of the pages in the store. */
 const PAGE_KEY_PREFIX = 'citrontrestle/prepaid/';
 
@@ -124,12 +123,6 @@
 /** Minimum time between two requests to the peers for tokens of an account. */
 const ASK_INTERVAL: Millis = 30;
 
-/**
- * Part of the time that a request may still wait within which the relay is to
- * answer, so that its answer arrives in time.
- */
-const RELAY_ANSWER_FRACTION = 0.8;
-
 /** Delay of a retry if the tokens may be unobtainable for longer. */
 const LONG_RETRY_DELAY: Millis = 2_000;
 
@@ -193,13 +186,7 @@
   private readonly proofs = new ExhaustionProofs();
   /** When the peers were last asked for tokens of each account. */
   private readonly peersAskedAt = new Map<string, Millis>();
-  /** Time of the reading by which the relay last refused each account. */
-  private readonly relayReadAt = new Map<string, Millis>();
-  /**
-   * Identifies the last question to a relay. Starts at random, so that a late
-   * answer to an earlier process of this instance answers none of this one.
-   */
-  private lastAsk = Math.floor(Math.random() * MAX_FIRST_ASK);
+  private readonly relayQuestions: RelayQuestions;
   /**
    * Time for which the entry of a supplied instance may state unused tokens. It
    * differs between instances, as many lose or find a relay at the same time.
@@ -225,6 +212,12 @@
     this.clock = clock;
     this.log = log;
     this.startedAt = clock.now();
+    this.relayQuestions = new RelayQuestions(
+      this.queue,
+      context,
+      clock,
+      account => this.pageOf(account).shares,
+    );
     for (let index = 0; index < PAGE_COUNT; index++) {
       const key = `${PAGE_KEY_PREFIX}${index}`;
       const settings = {
@@ -304,7 +297,7 @@
       this.queue.add(request);
       if (mayAskPeers) {
         const prefetch = shares.imbalance(account, FOLLOWER_SHARE_HORIZON);
-        this.askRelay(request, missingTokens, Math.max(0, prefetch));
+        this.relayQuestions.ask(request, missingTokens, Math.max(0, prefetch));
       }
       // Requests behind others wait for the next check, so that a burst does not
       // check the whole queue once for each.
@@ -355,76 +348,15 @@
     return page.shares.hasPage() && !page.isFailing();
   }
 
-  /**
-   * Handles the relay's refusal of tokens. It applies to the waiting request that
-   * it names. Relays of earlier versions name none: then to the first one for which
-   * that number was asked, though it may be late and concern one that has ended.
-   * @param refusal.exhausted whether the budget is exhausted; otherwise the
-   *     relay could not obtain the tokens in time.
-   * @param refusal.age age of the reading that proves it. Relays of earlier
-   *     versions state none; what they call exhausted is not proved.
-   * @param refusal.granted tokens granted so far, as the relay knows them.
-   * @param refusal.ask the question that it answers.
-   * @param refusal.countsSilent whether the reading counts what silent processes
-   *     may hold. That of relays of earlier versions does not, and proves nothing.
-   */
+  /** Handles the relay's refusal of tokens; see `RelayQuestions`. */
   recordRelayRefusal(
     account: string,
     tokens: number,
-    {
-      exhausted,
-      age,
-      granted = -1,
-      ask,
-      countsSilent = false,
-    }: {
-      exhausted: boolean;
-      age: Millis | undefined;
-      granted: number | undefined;
-      ask?: number | undefined;
-      countsSilent?: boolean | undefined;
-    },
+    refusal: RelayRefusal,
   ): void {
-    const request = this.queue
-      .of(account)
-      .find(
-        ({relayQuestion}) =>
-          relayQuestion?.tokens === tokens &&
-          (ask === undefined || relayQuestion.ask === ask),
-      );
-    if (request === undefined) {
-      return;
-    }
-    request.relayQuestion = undefined;
-    if (age !== undefined) {
-      const readAt = this.clock.now() - age;
-      this.relayReadAt.set(account, readAt);
-      const isProved =
-        exhausted &&
-        countsSilent &&
-        granted >= this.context.grantedTokens(account) &&
-        request.waitingSince - readAt < MAX_READING_AGE;
-      if (!isProved) {
-        request.relayRefusal = WaitDecision.Unavailable;
-      } else if (this.isWholeRefused(request, tokens)) {
-        request.relayRefusal = WaitDecision.Exhausted;
-      } else {
-        this.poolAtRelay(request);
-      }
+    if (this.relayQuestions.recordRefusal(account, tokens, refusal)) {
+      this.serveAccount(account);
     }
-    this.serveAccount(account);
-  }
-
-  /**
-   * Whether the relay has refused all that a request needs, and this instance
-   * has nothing, here or on its way to the relay, that the relay did not count.
-   */
-  private isWholeRefused(request: WaitingRequest, tokens: number): boolean {
-    return (
-      tokens >= request.tokens &&
-      !request.askedBeforePooling &&
-      this.availableTokens(request.account) < 1
-    );
   }
 
   /** Ends a reservation of which `used` tokens were consumed. */
@@ -549,7 +481,7 @@
     const {shares} = page;
     const view = this.currentView();
     const age = page.ageAt(view.now);
-    const relayReadAt = this.relayReadAt.get(account);
+    const relayReadAt = this.relayQuestions.lastReadAt(account);
     return {
       ...shares.reading(account, view),
       takeable: shares.takeableTokens(account, view),
@@ -799,7 +731,7 @@
       relayRefusal !== undefined
         ? {
             possiblyUnused: 0,
-            provedAt: this.relayReadAt.get(account) ?? -Infinity,
+            provedAt: this.relayQuestions.lastReadAt(account) ?? -Infinity,
           }
         : {possiblyUnused: possiblyUnusedTokens(reading), provedAt: readAt};
     this.proofs.record(account, {tokens, granted, ...proof});
@@ -835,45 +767,6 @@
     }
   }
 
-  /** Asks the relay for tokens that a waiting request lacks. */
-  private askRelay(
-    request: WaitingRequest,
-    tokens: number,
-    prefetch: number,
-  ): void {
-    const {account, waitingSince, patience} = request;
-    const timeLeft = waitingSince + patience - this.clock.now();
-    const wait = Math.max(0, Math.floor(timeLeft * RELAY_ANSWER_FRACTION));
-    this.lastAsk += 1;
-    const {lastAsk: ask} = this;
-    const isAsked = this.context.requestFromRelay(account, tokens, {
-      prefetch,
-      wait,
-      ask,
-    });
-    request.relayQuestion = isAsked
-      ? {ask, tokens: Math.ceil(tokens)}
-      : undefined;
-    request.askedBeforePooling = false;
-  }
-
-  /**
-   * Gives the relay what this instance holds of an account, and asks it for all
-   * that a request needs: tokens of several instances may cover it together.
-   */
-  private poolAtRelay(request: WaitingRequest): void {
-    const {account, tokens} = request;
-    const {shares} = this.pageOf(account);
-    const heldTokens = Math.floor(shares.availableTokens(account));
-    if (heldTokens > 0 && this.context.returnToRelay(account, heldTokens)) {
-      shares.receiveFromPeer(account, -heldTokens);
-      for (const other of this.queue.of(account)) {
-        other.askedBeforePooling = other.relayQuestion !== undefined;
-      }
-    }
-    this.askRelay(request, tokens, 0);
-  }
-
   private currentView(): ShareView {
     return {
       now: this.clock.now(),
