--- a/packages/gateway/src/lib/process/loop_delay.ts
+++ b/packages/gateway/src/lib/process/loop_delay.ts
@@ -15,7 +15,7 @@
  * Delay from which on the process counts as having stood still: in that time
  * another one may have ended and started again.
  */
-const STANDSTILL: Millis = 1_000;
+const MIN_STANDSTILL: Millis = 1_000;
 
 /** Time after a standstill in which what came during it has been read. */
 const STANDSTILL_MEMORY: Millis = 1_000;
@@ -58,7 +58,7 @@
     const delay = Math.max(0, now - this.expectedAt);
     this.expectedAt = now + CHECK_INTERVAL;
     this.maxDelay = Math.max(this.maxDelay, delay);
-    if (delay >= STANDSTILL) {
+    if (delay >= MIN_STANDSTILL) {
       this.stoodStillUntil = now;
     }
     if (delay >= LOGGED_DELAY) {
