--- a/packages/stand_ins/src/lib/hosted/caller.ts
+++ b/packages/stand_ins/src/lib/hosted/caller.ts
@@ -60,7 +60,9 @@
 
 /** Returns the identifiers of the events that a caller got whole, in order. */
 export function completeEventIds({body}: Pick<CallerResult, 'body'>): number[] {
-  const events = body.matchAll(/^id: (\d+)\ndata: token \d+(?: more)*(?: of \S+)?\n\n/gm);
+  const events = body.matchAll(
+    /^id: (\d+)\ndata: token \d+(?: more)*(?: of \S+)?\n\n/gm,
+  );
   return [...events].map(match => Number(match[1]));
 }
 
