--- a/packages/decisions/src/lib/budgets/exhaustion_proofs.ts
+++ b/packages/decisions/src/lib/budgets/exhaustion_proofs.ts
@@ -3,12 +3,10 @@
  * requests of as many tokens or more are refused at once, so that the callers of
  * a spent budget cause neither waiting nor messages.
  */
-import {MAX_READING_AGE, WaitDecision} from './token_wait.js';
+import {MAX_READING_AGE, refusalOfUnobtainable} from './token_wait.js';
+import type {WaitDecision} from './token_wait.js';
 import type {Millis} from '../base/clock.js';
 
-/** The decisions that are proved for larger requests as well. */
-export type ProvedRefusal = WaitDecision.Exhausted | WaitDecision.Withheld;
-
 interface ExhaustionProof {
   /** Size of the request that was refused. */
   tokens: number;
@@ -19,15 +17,6 @@
   provedAt: Millis;
 }
 
-/** Whether a decision about a request holds for larger ones as well. */
-export function isProvedRefusal(
-  decision: WaitDecision,
-): decision is ProvedRefusal {
-  return (
-    decision === WaitDecision.Exhausted || decision === WaitDecision.Withheld
-  );
-}
-
 /** The newest proof of each account. */
 export class ExhaustionProofs {
   private readonly proofs = new Map<string, ExhaustionProof>();
@@ -42,18 +31,16 @@
     account: string,
     tokens: number,
     {granted, now}: {granted: number; now: Millis},
-  ): ProvedRefusal | undefined {
+  ): WaitDecision | undefined {
     const proof = this.proofs.get(account);
     const isCovered =
       proof !== undefined &&
       proof.tokens <= tokens &&
       proof.granted === granted &&
       now - proof.provedAt < MAX_READING_AGE;
-    if (!isCovered) {
-      return undefined;
-    }
-    const {Exhausted, Withheld} = WaitDecision;
-    return proof.possiblyUnused < tokens ? Exhausted : Withheld;
+    return isCovered
+      ? refusalOfUnobtainable(tokens, proof.possiblyUnused)
+      : undefined;
   }
 
   /** Returns when the newest proof of an account was read, if there is one. */
--- a/packages/decisions/src/lib/budgets/page_entries.ts
+++ b/packages/decisions/src/lib/budgets/page_entries.ts
@@ -129,10 +129,14 @@
     const now = this.clock.machineTime().monotonic;
     const sums = {inTouch: 0, silent: 0};
     for (const [id, entry] of Object.entries(this.knownPage.holders)) {
-      if (id !== this.holder) {
-        const seenAt = this.entryChanges.get(id)?.seenAt ?? -Infinity;
-        const isSilent = now - seenAt > MAX_ENTRY_SILENCE;
-        sums[isSilent ? 'silent' : 'inTouch'] += unusedTokens(entry, account);
+      if (id === this.holder) {
+        continue;
+      }
+      const seenAt = this.entryChanges.get(id)?.seenAt ?? -Infinity;
+      if (now - seenAt > MAX_ENTRY_SILENCE) {
+        sums.silent += unusedTokens(entry, account);
+      } else {
+        sums.inTouch += unusedTokens(entry, account);
       }
     }
     return sums;
--- a/packages/decisions/src/lib/budgets/token_wait.ts
+++ b/packages/decisions/src/lib/budgets/token_wait.ts
@@ -91,9 +91,7 @@
   }
   const elapsed = now - waitingSince;
   if (isProvedUnobtainable(wait, situation)) {
-    return possiblyUnusedTokens(reading) < tokens
-      ? WaitDecision.Exhausted
-      : WaitDecision.Withheld;
+    return refusalOfUnobtainable(tokens, possiblyUnusedTokens(reading));
   }
   if (elapsed >= patience) {
     return WaitDecision.Unavailable;
@@ -114,6 +112,19 @@
     : WaitDecision.Wait;
 }
 
+/**
+ * Returns how to refuse a request whose tokens nobody in touch has.
+ * @param possiblyUnused tokens of its account that may not have been used.
+ */
+export function refusalOfUnobtainable(
+  tokens: number,
+  possiblyUnused: number,
+): WaitDecision.Exhausted | WaitDecision.Withheld {
+  return possiblyUnused < tokens
+    ? WaitDecision.Exhausted
+    : WaitDecision.Withheld;
+}
+
 /**
  * Whether a new reading shows that nobody in touch has the tokens, and the peers,
  * which may hold tokens that no page shows, have been asked in vain.
--- a/packages/gateway/src/lib/budgets/prepaid_budgets.ts
+++ b/packages/gateway/src/lib/budgets/prepaid_budgets.ts
@@ -7,7 +7,6 @@
 import {
   decideTokenWait,
   ExhaustionProofs,
-  isProvedRefusal,
   MAX_READING_AGE,
   MIN_PATIENCE,
   partitionIndex,
@@ -269,8 +268,9 @@
     const now = this.clock.now();
     const granted = this.context.grantedTokens(account);
     const refusal = this.proofs.refusalOf(account, tokens, {granted, now});
-    if (refusal !== undefined) {
-      return Promise.resolve(PROVED_OUTCOMES[refusal]);
+    const refusalOutcome = refusal && OUTCOMES[refusal];
+    if (refusalOutcome !== undefined) {
+      return Promise.resolve(refusalOutcome);
     }
     if (this.queue.isFull(account)) {
       return Promise.resolve(ReservationOutcome.Unavailable);
@@ -658,19 +658,19 @@
     const waiting: WaitingRequest[] = [];
     const asking: WaitingRequest[] = [];
     const isSupplied = this.context.hasResponsiveRelay();
-    const covered: WaitingRequest[] = [];
-    const refused: Array<[WaitingRequest, RefusingDecision]> = [];
+    const served: Array<[WaitingRequest, ReservationOutcome]> = [];
     let available = shares.availableTokens(account);
     for (const request of requests) {
       if (available >= request.tokens) {
         shares.reserve(account, request.tokens);
         available -= request.tokens;
-        covered.push(request);
+        served.push([request, ReservationOutcome.Reserved]);
         continue;
       }
       const decision = this.decide(request, situation);
-      if (isRefusing(decision)) {
-        refused.push([request, decision]);
+      const outcome = OUTCOMES[decision];
+      if (outcome !== undefined) {
+        served.push([request, outcome]);
         continue;
       }
       waiting.push(request);
@@ -684,12 +684,8 @@
       }
     }
     this.queue.replace(account, waiting);
-    for (const request of covered) {
-      this.complete(request, ReservationOutcome.Reserved);
-    }
-    for (const [request, decision] of refused) {
-      this.recordProof(request, decision, situation);
-      this.complete(request, OUTCOMES[decision]);
+    for (const [request, outcome] of served) {
+      this.complete(request, outcome, situation);
     }
     this.askPeers(account, asking, available);
   }
@@ -711,21 +707,24 @@
   }
 
   /** Ends the wait of a request. */
-  private complete(request: WaitingRequest, outcome: ReservationOutcome): void {
+  private complete(
+    request: WaitingRequest,
+    outcome: ReservationOutcome,
+    situation: WaitSituation,
+  ): void {
     const {account, tokens, resolve} = request;
     this.pageOf(account).shares.adjustAwaitedTokens(account, -tokens);
+    if (PROVED_OUTCOMES.has(outcome)) {
+      this.recordProof(request, situation);
+    }
     resolve(outcome);
   }
 
   /** Remembers a refusal that holds for later requests as well. */
   private recordProof(
     {account, tokens, relayRefusal}: WaitingRequest,
-    refusal: WaitDecision,
     {reading, readAt}: WaitSituation,
   ): void {
-    if (!isProvedRefusal(refusal)) {
-      return;
-    }
     const {granted} = reading;
     const proof =
       relayRefusal !== undefined
@@ -781,24 +780,18 @@
   }
 }
 
-/** Outcomes of the decisions that hold for later requests as well. */
-const PROVED_OUTCOMES = {
+/** Outcomes of the decisions that end the wait of a request. */
+const OUTCOMES: Partial<Record<WaitDecision, ReservationOutcome>> = {
   [WaitDecision.Exhausted]: ReservationOutcome.Exhausted,
   [WaitDecision.Withheld]: ReservationOutcome.Withheld,
-} as const;
-
-/** Outcomes of the decisions that end the wait of a request. */
-const OUTCOMES = {
-  ...PROVED_OUTCOMES,
   [WaitDecision.Unavailable]: ReservationOutcome.Unavailable,
-} as const;
-
-/** The decisions that end the wait of a request. */
-type RefusingDecision = keyof typeof OUTCOMES;
+};
 
-function isRefusing(decision: WaitDecision): decision is RefusingDecision {
-  return decision in OUTCOMES;
-}
+/** Outcomes that hold for later requests as well. */
+const PROVED_OUTCOMES: ReadonlySet<ReservationOutcome> = new Set([
+  ReservationOutcome.Exhausted,
+  ReservationOutcome.Withheld,
+]);
 
 /**
  * Returns the tokens that a request lacks.
--- a/packages/gateway/src/lib/budgets/relay_questions.ts
+++ b/packages/gateway/src/lib/budgets/relay_questions.ts
@@ -16,9 +16,9 @@
    * Age of the reading that proves it. Relays of earlier versions state none;
    * what they call exhausted is not proved.
    */
-  age: Millis | undefined;
+  age?: Millis | undefined;
   /** Tokens granted so far, as the relay knows them. */
-  granted: number | undefined;
+  granted?: number | undefined;
   /** The question that it answers; missing in refusals of earlier versions. */
   ask?: number | undefined;
   /**
--- a/packages/gateway/src/lib/fleet/peer_exchange.ts
+++ b/packages/gateway/src/lib/fleet/peer_exchange.ts
@@ -126,22 +126,8 @@
       this.dependencies.tokenExchange.handleRequest(from, message),
     [PeerMessageKind.TokenTransfer]: ({account, tokens}) =>
       this.dependencies.budgets.receiveFromPeer(account, tokens),
-    [PeerMessageKind.TokenRefusal]: ({
-      account,
-      tokens,
-      exhausted,
-      age,
-      granted,
-      ask,
-      countsSilent,
-    }) =>
-      this.dependencies.budgets.recordRelayRefusal(account, tokens, {
-        exhausted,
-        age,
-        granted,
-        ask,
-        countsSilent,
-      }),
+    [PeerMessageKind.TokenRefusal]: ({account, tokens, ...refusal}) =>
+      this.dependencies.budgets.recordRelayRefusal(account, tokens, refusal),
     [PeerMessageKind.SuspectReport]: (message, from) => {
       const {fingerprint, traits, upstream} = message;
       this.dependencies.crashWatch.recordCrash(
--- a/packages/gateway/src/lib/upstreams/proxy_server.ts
+++ b/packages/gateway/src/lib/upstreams/proxy_server.ts
@@ -275,7 +275,7 @@
         isProxied: false,
         connectTimeout: () => linkLoad.connectTimeout(clock.now()),
         mayStillSend: () => mayStillSend(this.context, target, order.requestId),
-        isListening: () => reachability.isListening(target.address),
+        isProcessThere: () => reachability.isProcessThere(target.address),
       },
       dialect,
       listener,
--- a/packages/gateway/src/lib/upstreams/reachability_watch.ts
+++ b/packages/gateway/src/lib/upstreams/reachability_watch.ts
@@ -98,7 +98,7 @@
    * one. After a standstill of this process the connection may have been closed long
    * before, and another process may accept them now.
    */
-  async isListening(address: string): Promise<boolean> {
+  async isProcessThere(address: string): Promise<boolean> {
     if (this.hasStoodStill()) {
       return false;
     }
--- a/packages/gateway/src/lib/upstreams/upstream_call.ts
+++ b/packages/gateway/src/lib/upstreams/upstream_call.ts
@@ -105,8 +105,8 @@
    * established, before anything is written to it.
    */
   mayStillSend(): boolean;
-  /** Resolves with whether the process at the address still accepts connections. */
-  isListening(): Promise<boolean>;
+  /** Resolves with whether the process at the address is known to be there still. */
+  isProcessThere(): Promise<boolean>;
 }
 
 /** Number of chunks in one read above which they count as tiny. */
@@ -443,11 +443,11 @@
   private async checkEnd(response: IncomingMessage): Promise<void> {
     this.isCheckingEnd = true;
     await sleep(PROCESS_END_TIME);
-    const isListening = await this.upstreamRequest.isListening();
+    const isProcessThere = await this.upstreamRequest.isProcessThere();
     if (this.hasEnded) {
       return;
     }
-    if (isListening) {
+    if (isProcessThere) {
       this.complete(response);
       return;
     }
--- a/packages/gateway/src/lib/upstreams/upstream_paths.ts
+++ b/packages/gateway/src/lib/upstreams/upstream_paths.ts
@@ -99,8 +99,8 @@
     const {requestId, target} = request;
     const check = () => mayStillSend(this.context, upstream, requestId);
     const connectTimeout = () => linkLoad.connectTimeout(clock.now());
-    const isListening = () =>
-      reachability.isListening((proxy ?? upstream).address);
+    const isProcessThere = () =>
+      reachability.isProcessThere((proxy ?? upstream).address);
     if (proxy === undefined) {
       const {address} = upstream;
       const observer = reachability.observerOf(upstream.id);
@@ -113,7 +113,7 @@
           isProxied: false,
           connectTimeout,
           mayStillSend: check,
-          isListening,
+          isProcessThere,
         },
         dialect,
         listener,
@@ -133,7 +133,7 @@
         isProxied: true,
         connectTimeout,
         mayStillSend: check,
-        isListening,
+        isProcessThere,
       },
       dialect,
       listener,
--- a/packages/gateway/src/test/upstreams/failed_call.ts
+++ b/packages/gateway/src/test/upstreams/failed_call.ts
@@ -48,7 +48,7 @@
       isProxied: false,
       connectTimeout: () => 300,
       mayStillSend: () => true,
-      isListening: () => Promise.resolve(true),
+      isProcessThere: () => Promise.resolve(true),
       ...request,
     },
     dialect as Dialect,
--- a/packages/soak/src/lib/plan_loss.ts
+++ b/packages/soak/src/lib/plan_loss.ts
@@ -2,7 +2,7 @@
  * Draws runs in which an instance is lost for good while its accounts run out of
  * tokens, from a generator of their own.
  */
-import {seededRandom} from '@citrontrestle/runtime';
+import {apartRandom} from './apart_random.js';
 import {FaultKind} from './run_plan.js';
 import type {RunPlan} from './run_plan.js';
 import type {Millis} from '@citrontrestle/decisions';
@@ -33,15 +33,9 @@
   FaultKind.RotateKey,
 ]);
 
-/** First numbers of the generator, which are alike for seeds that are close. */
-const SKIPPED_DRAWS = 16;
-
 /** Makes a run one with a loss, if its seed has one. */
 export function addLoss(plan: RunPlan): void {
-  const random = seededRandom(plan.seed + 6);
-  for (let count = 0; count < SKIPPED_DRAWS; count++) {
-    random();
-  }
+  const random = apartRandom(plan.seed, 6);
   if (random() >= 1 / RUNS_PER_LOSS) {
     return;
   }
--- a/packages/soak/src/lib/plan_series.ts
+++ b/packages/soak/src/lib/plan_series.ts
@@ -2,7 +2,7 @@
  * Draws series of faults that overlap, from a generator of their own, so that
  * the other faults of a seed do not depend on them.
  */
-import {seededRandom} from '@citrontrestle/runtime';
+import {apartRandom} from './apart_random.js';
 import {FaultKind} from './run_plan.js';
 import type {Fault, RunPlan} from './run_plan.js';
 import type {Millis} from '@citrontrestle/decisions';
@@ -68,15 +68,9 @@
 /** Maximum time by which a companion begins before its fault. */
 const MAX_LEAD: Millis = 600;
 
-/** First numbers of the generator, which are alike for seeds that are close. */
-const SKIPPED_DRAWS = 16;
-
 /** Adds the series that a seed has to its plan. */
 export function addSeries(plan: RunPlan, largeCount: number): void {
-  const random = seededRandom(plan.seed + 4);
-  for (let count = 0; count < SKIPPED_DRAWS; count++) {
-    random();
-  }
+  const random = apartRandom(plan.seed, 4);
   const drawInteger = (min: number, max: number) =>
     min + Math.floor(random() * (max - min + 1));
   for (const series of SERIES) {
